--- /dev/null
+++ b/lichenspring/__init__.py
@@ -0,0 +1,5 @@
+"""lichenspring: the decisions of a reverse proxy that spreads requests over HTTP servers."""
+
+from lichenspring.balance import Balancer
+
+__all__ = ["Balancer"]
--- /dev/null
+++ b/lichenspring/balance.py
@@ -0,0 +1,811 @@
+"""All decisions of the balancer. Its events, actions and settings are in interface.py, beside this file.
+
+The ordinary path of a request: its class's adaptive circuit breaker admits or refuses it at once; its key
+names two servers and the one with fewer of this node's own requests in flight gets it. The rest is what
+that leaves open: servers that fail, start, drain or leave, further attempts, and the list of servers.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heappop, heappush
+from math import ceil, exp, sqrt
+from random import Random
+
+from lichenspring import interface as api
+from lichenspring.interface import NEVER_RAN, Group, ListKind, ListMode, Repeat, Result, ServerState
+
+SECOND = 1_000_000_000  # ns
+
+# The breaker: the paper's controller, its period and smoothing shorter as overload fills servers in seconds.
+PERIOD = SECOND // 2  # ns between two updates
+KEEP = 0.5  # p: part of the old alpha that an update keeps
+PERCENTILE = 0.85  # of response times: the last few are long by their own work, not by load
+TARGET = 0.7  # of a class's aim
+IDLE_BELOW = 0.6  # mean part of cores in use, by report: below it the target is the aim itself
+HEADROOM = 1.5  # times the unloaded tail: no target is below that, as no cap could reach it
+BASE_FALLS, BASE_RISES = 0.2, 0.01  # part of the way that the unloaded tail follows a window's
+CENSORED = 2.0  # times what was waited: an attempt that timed out would have taken longer
+START_PER_SERVER = 5.0  # requests in flight, of all nodes together: the cap until a window says otherwise
+SPREADS = 2.0  # roots of the cap that chance may bunch above it
+LEAST_PER_SERVER = 0.3  # of a class, likewise, are always let in: without samples no cap could rise again
+PROVEN_PART = 0.5  # of the most that was lately carried within the target: the cap stays above that
+PROVEN_FADES = 0.99  # each window
+WORTH_ABOVE = 1.2  # times the worth for its work: a class whose threshold binds the lesser ones too
+WORTH_MORE = 2.0  # times the worth for its work: a class that the lesser ones leave room for
+RESERVE = 0.8  # part of such a class's threshold that they may fill
+RESUBMITTED_PART = 0.5  # of its cap, for a client's marked retry: its aim is part gone
+OVER_SHARE_PART = 0.5  # of its cap, for a tenant beyond its share
+SHARE_SLACK = 1.2  # times its share against the others' requests, before a tenant counts as beyond it
+SHARE_BURST = 20.0  # requests that a tenant's share may save up
+
+# Servers.
+TABLE_SIZE = 2039  # slots, a prime: a key's walk reaches every one
+HOT = 0.5  # of a server's fair share of this node's requests: a key above it goes to more than two
+HOT_LEAST = 2  # requests; fewer say nothing about a key's share
+KEY_MEMORY = 6.0  # requests for each server are remembered: at a small share of traffic that takes long
+FULL_WEIGHT = 0.2  # part of the newest outcome in a server's share of full answers
+FULL_FADES = 0.95  # of that share, each period: an avoided server brings no news
+FULL_COUNTS = 2.0  # a server always full is compared as with so many more requests in flight
+BUSY_ABOVE = 0.7  # part of its cores in use: above it a server counts as with up to one more in flight
+PACE_WEIGHT = 0.05  # part of the newest response time in a server's pace
+KIND_WEIGHT = 0.1  # part of the newest report in what the servers of a kind are held to be busy
+KIND_REPORTS = 3  # fewer say nothing
+KIND_GAIN = 0.3  # of the way, in logarithms, that a kind's share goes in a window to where all are as busy
+KIND_LEAST = 0.1  # share
+DRAWS = 12  # tries to find two servers that may be used before any usable one is taken
+FAIL_WEIGHT = 0.3  # part of the newest outcome in a server's share of failures: two in a row eject
+FLEET_WEIGHT = 0.02  # the same for all servers together: the last fifty outcomes or so
+EJECT_ABOVE = 0.5  # share of failures
+EJECT_TIMES_FLEET = 2.5  # and so much above the fleet's: what fails everywhere is no server's fault
+EJECT_PART = 1 / 3  # of the list at most
+UNREACHABLE_PART = 3 / 4  # the same where connections fail: that is no sign of load
+ANSWERED_LATELY = 2 * SECOND  # a failed connection is no failure of a server that did
+EJECT_TIME = 2 * SECOND  # doubles with each failed trial
+COLD_CAUTION = 0.8  # of what a warm server takes: a cold server's keys are cold too and cost more
+COLD_BURST = 2.0  # requests that a cold server's budget may save up
+IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
+LOST_WEIGHT = 0.2  # part of the newest attempt in the shares that idle, new and other connections lose
+LOST_ABOVE = 0.3  # two in a row: idle connections are dropped unseen
+LOST_TIMES_NEW = 2.0  # and so much above the share of the others: what they lose too is not for idling
+CONNECT_LEAST = 0.1  # share of new connections that fail; one below it is none
+CONNECT_COUNTS = 8.0  # where all fail, a server without an idle one counts as with so many more in flight
+TRUST_DOUBLES = 10 * SECOND  # the time after which idle connections are trusted for twice as long again
+
+# Further attempts.
+RETRY_BUDGET = 0.1  # further attempts earned by each first one
+RETRY_BURST = 10.0  # that may be saved up
+
+# The list.
+ASK_SPREAD = 0.5  # of the time within which to ask: many nodes starting at once spread their calls
+ASK_FIRST_PAUSE = SECOND  # doubles with each failed call
+DOUBLINGS = 4  # of that pause and of an ejection, at most
+
+TICK_TOKEN, ASK_TOKEN, LATER_TOKEN = 1, 2, 3
+MASK = (1 << 64) - 1
+
+
+def mix(value: int) -> int:
+    """A well spread 64-bit hash of a whole number, alike on every node."""
+    value = (value + 0x9E3779B97F4A7C15) & MASK
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
+    return value ^ (value >> 31)
+
+
+@dataclass(slots=True)
+class InFlight:
+    """Requests in flight, now and in the mean of late."""
+
+    count: int = 0
+    mean: float = 0.0
+    changed: int = 0
+
+    def add(self, now: int, change: int) -> None:
+        keep = exp((self.changed - now) / PERIOD)
+        self.mean = keep * self.mean + (1.0 - keep) * self.count
+        self.count += change
+        self.changed = now
+
+    def is_below(self, now: int, cap: float) -> bool:
+        """At a small share of the traffic a cap is near one or less: chance bunches a few requests where
+        the mean is far from it, and one at a time would be too much where it is less than one. So up to a
+        few spreads above the cap are let in while the mean is below it."""
+        self.add(now, 0)
+        return self.count + 1 <= cap or (self.mean < cap and self.count < cap + SPREADS * sqrt(cap))
+
+
+@dataclass(slots=True)
+class Breaker:
+    """The paper's controller for one class: at how many requests in flight at this node it meets its aim."""
+
+    aim: int
+    target: float = 0.0
+    base: float = 0.0  # the tail where little waits: followed down fast and up slowly
+    alpha: float = 0.0  # response time for each request in flight; 0 until a window has told
+    proven: float = 0.0  # requests in flight, all classes
+    typical: float = 0.0  # response time: a measure of the class's work
+    in_flight: InFlight = field(default_factory=InFlight)  # of this class
+    samples: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.target, self.typical = TARGET * self.aim, float(self.aim)
+
+    def threshold(self, start: float) -> float:
+        return max(self.target / self.alpha, PROVEN_PART * self.proven) if self.alpha else start
+
+    def update(self, in_flight: float, start: float, idle: bool) -> None:
+        """At the end of a window, with the mean of the requests in flight in it."""
+        if self.samples and in_flight:
+            self.samples.sort()
+            # An answer within the same tick took no time: a zero would divide.
+            tail = max(1.0, self.samples[int(PERCENTILE * (len(self.samples) - 1))])
+            self.typical += (1 - KEEP) * (self.samples[len(self.samples) // 2] - self.typical)
+            follow = BASE_FALLS if tail < self.base else BASE_RISES
+            self.base = self.base + follow * (tail - self.base) if self.base else tail
+            self.target = min(self.aim, max((1.0 if idle else TARGET) * self.aim, HEADROOM * self.base))
+            # Where all servers turn slow, no cap can meet the target and the plain rule falls without end.
+            self.proven = max(PROVEN_FADES * self.proven, in_flight if tail <= self.target else 0.0)
+            alpha = tail / in_flight
+            # A window within its target can't lower the cap: a quiet one would, and refuse the next burst.
+            if tail > self.target or self.target / alpha > self.threshold(start):
+                self.alpha = KEEP * (self.alpha or self.target / max(1.0, start)) + (1 - KEEP) * alpha
+        self.samples.clear()
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    """What this node knows of one server."""
+
+    entry: api.Server
+    tokens: float
+    refilled: int
+    in_flight: int = 0
+    idle: list[int] = field(default_factory=list)  # since when each connection is idle
+    fullness: float = 0.0  # share of full answers, lately
+    busy: float = 0.0  # part of its cores in use, as last reported
+    pace: float = 1.0  # its response times over what is usual for their class
+    answered: int = 0  # when it last did
+    failures: float = 0.0
+    ejected_until: int = 0
+    doublings: int = 0
+    trial: bool = False
+
+    def forgive(self) -> None:
+        self.failures = 0.0
+        self.ejected_until = 0
+        self.doublings = 0
+        self.trial = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    backend: Backend
+    sent: int
+    idle: int  # for how long its connection had been; 0: a new one
+    result: Result | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request that is unanswered or has attempts out."""
+
+    request: api.Request
+    kind: api.RequestClass
+    expires: int
+    useful_until: int  # an answer after the aim that is worth nothing is not waited for
+    attempts: list[Attempt] = field(default_factory=list)
+    closed: bool = False
+
+    def is_over(self) -> bool:
+        return self.closed and all(attempt.result is not None for attempt in self.attempts)
+
+    def may_have_run(self) -> list[Attempt]:
+        return [attempt for attempt in self.attempts if attempt.result not in NEVER_RAN]
+
+    def may_refuse(self) -> bool:
+        """A refusal says that trying again is harmless."""
+        if self.kind.repeat is Repeat.SAFE or not self.may_have_run():
+            return True
+        return self.kind.repeat is Repeat.KEYED and self.kind.group is Group.ALL and self.request.key != 0
+
+    def may_send_to(self, server: api.Server, now: int) -> bool:
+        """No effect twice: a keyed request stays with those that drop its repeats, while they do."""
+        if self.kind.repeat is Repeat.SAFE:
+            return True
+        return all(self._drops_repeat(server, earlier, now) for earlier in self.may_have_run())
+
+    def _drops_repeat(self, server: api.Server, earlier: Attempt, now: int) -> bool:
+        # Without a key no server can know the repeat.
+        if self.kind.repeat is not Repeat.KEYED or not self.request.key:
+            return False
+        if now - earlier.sent >= self.kind.window:
+            return False
+        if self.kind.group is Group.ZONE:
+            return server.zone == earlier.backend.entry.zone
+        return self.kind.group is Group.ALL or server.cell == earlier.backend.entry.cell
+
+
+@dataclass(slots=True)
+class Kind:
+    """What this node knows of the servers that the list puts into one group."""
+
+    share: float = 1.0  # of the keys that hash to them, against those of the group that can do most
+    busy: float = 0.0  # part of their cores in use, by their own reports
+    reports: int = 0
+
+
+@dataclass(slots=True)
+class Turns:
+    """The requests of one key that run in order: the first has the turn, the others wait."""
+
+    entries: deque[Open] = field(default_factory=deque)
+    rests_until: int = 0  # what may still run at a server is given this long
+
+
+class Balancer:
+    """One node's decisions: timed events in, actions out. No clock, no input or output of its own."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self._settings = settings
+        self._random = Random(seed)
+        self._breakers = [Breaker(kind.aim) for kind in settings.classes]
+        self._backends: dict[api.ServerId, Backend] = {}
+        self._ready: list[Backend] = []
+        self._table: list[Backend] = []
+        self._open: dict[int, Open] = {}
+        self._caps = [0.0] * len(settings.classes)  # requests in flight at which a class is refused
+        self._in_flight = InFlight()
+        self._arrivals = 0  # of all tenants
+        self._shares: dict[int, tuple[float, int]] = {}  # a tenant's credit, and arrivals at its last request
+        self._later: list[tuple[int, int, Callable[[int], None]]] = []  # a heap: when, number, what to do
+        self._laters = 0
+        self._lost_idle = self._lost_others = 0.0  # share of attempts without an answer, by connection
+        self._connect_failures = 0.0  # share of new connections
+        self._trusted_idle = self._distrusted = 0  # idle time of a connection that is trusted, and since when
+        self._kinds: defaultdict[int, Kind] = defaultdict(Kind)
+        self._turns: dict[int, Turns] = {}  # by key
+        self._fleet_failures = 0.0
+        self._retry_budget = RETRY_BURST
+        self._key_counts: dict[int, float] = {}  # arrivals, older ones fading
+        self._spread: dict[int, int] = {}  # hot keys: how many servers each goes to
+        self._sent = 0  # attempts to warm servers in this window
+        self._rate = 0.0  # attempts per nanosecond and unit of a warm server's weight, lately
+        self._watching = False
+        self._failed_calls = 0
+        self._actions: list[api.Action] = []
+
+    # Events.
+
+    def start(self, now: int) -> list[api.Action]:
+        """First actions; the cached list follows as an event."""
+        # Nodes that start together would cut together: each has its own phase.
+        actions: list[api.Action] = [api.SetTimer(now + self._jittered(PERIOD, 0.0), TICK_TOKEN)]
+        if self._settings.list_mode is ListMode.ON_REQUEST:
+            spread = int(self._settings.ask_within * ASK_SPREAD)
+            actions.append(api.SetTimer(now + self._jittered(spread, 0.0), ASK_TOKEN))
+        return actions
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self._actions = []
+        while self._later and self._later[0][0] <= now:
+            heappop(self._later)[2](now)
+        if isinstance(event, api.Request):
+            self._arrive(now, event)
+        elif isinstance(event, api.Outcome):
+            self._settle(now, event)
+        elif isinstance(event, api.Timer):
+            self._wake(now, event.token)
+        elif isinstance(event, api.ServerList):
+            self._follow(now, event)
+        elif isinstance(event, api.ClientGone):
+            self._close(now, event.request)
+        return self._actions
+
+    def _jittered(self, span: int, least: float) -> int:
+        return int(span * self._random.uniform(least, 1.0))
+
+    def _do_later(self, at: int, what: Callable[[int], None]) -> None:
+        """With the first event from then on; where no other may come, its caller sets a timer too."""
+        self._laters += 1
+        heappush(self._later, (at, self._laters, what))
+
+    def _wake(self, now: int, token: int) -> None:
+        if token == TICK_TOKEN:
+            self._in_flight.add(now, 0)
+            for breaker in self._breakers:
+                breaker.update(self._in_flight.mean, self._start_cap(), self._is_idle())
+            self._set_caps()
+            for backend in self._ready:
+                backend.fullness = FULL_FADES * backend.fullness
+            self._find_hot_keys()
+            self._share_by_kind()
+            self._measure_rate(now)
+            self._actions.append(api.SetTimer(now + PERIOD, TICK_TOKEN))
+        elif token == ASK_TOKEN and not self._watching:
+            self._watching = True  # or about to; a failure takes it back
+            self._actions.append(api.Watch())
+
+    # The breaker.
+
+    def _is_idle(self) -> bool:
+        """By the servers' own reports: a long tail is not from crowding then. They are late, so the aim
+        itself still binds."""
+        told = "utilization" in self._settings.report_fields
+        return told and sum(backend.busy for backend in self._ready) < IDLE_BELOW * len(self._ready)
+
+    def _start_cap(self) -> float:
+        return START_PER_SERVER * len(self._ready) / self._settings.nodes
+
+    def _set_caps(self) -> None:
+        """A class stops at its own threshold, and short of those of the classes that are worth more. All
+        stop sooner where fewer than half of all attempts are answered: overdriven servers need to rest."""
+        brake = min(1.0, 2.0 * (1.0 - self._lost_others))
+        start = self._start_cap()
+        thresholds = [breaker.threshold(start) for breaker in self._breakers]
+        values = [self._value(index) for index in range(len(thresholds))]
+        for index, own in enumerate(thresholds):
+            above = [
+                (RESERVE if value > WORTH_MORE * values[index] else 1.0) * other
+                for other, value in zip(thresholds, values, strict=True)
+                if value > WORTH_ABOVE * values[index]
+            ]
+            self._caps[index] = brake * min([own, *above])
+
+    def _admits(self, now: int, request: api.Request) -> bool:
+        part = OVER_SHARE_PART if self._is_over_share(request.tenant) else 1.0
+        return self._has_room(now, request, part * RESUBMITTED_PART if request.resubmitted else part)
+
+    def _has_room(self, now: int, request: api.Request, part: float = 1.0) -> bool:
+        least = LEAST_PER_SERVER * len(self._ready) / self._settings.nodes
+        own = self._breakers[request.class_index].in_flight
+        cap = part * self._caps[request.class_index]
+        return self._in_flight.is_below(now, cap) or own.is_below(now, least)
+
+    def _is_over_share(self, tenant: int) -> bool:
+        """Measured against the other tenants' requests at this node: what part of all traffic the node
+        carries does not matter, nor does the surging tenant's own."""
+        if tenant >= len(self._settings.tenants):
+            return False
+        self._arrivals += 1
+        share = min(0.99, self._settings.tenants[tenant].share)
+        credit, seen = self._shares.get(tenant, (SHARE_BURST, 0))
+        others = self._arrivals - 1 - seen
+        credit = min(SHARE_BURST, credit + SHARE_SLACK * share / (1.0 - share) * others)
+        over = credit < 1.0
+        self._shares[tenant] = (credit if over else credit - 1.0, self._arrivals)
+        return over
+
+    def _value(self, index: int) -> float:
+        """Worth for a unit of work."""
+        worth = self._settings.classes[index].worth
+        return worth if self._settings.worth_by_work else worth / max(1.0, self._breakers[index].typical)
+
+    # Requests.
+
+    def _arrive(self, now: int, request: api.Request) -> None:
+        kind = self._settings.classes[request.class_index]
+        if request.key:
+            self._key_counts[request.key] = self._key_counts.get(request.key, 0) + 1
+        expires = now + request.time_left
+        entry = Open(request, kind, expires, expires if kind.late_worth else min(expires, now + kind.aim))
+        send = self._line_up if kind.in_order and request.key else self._send_first
+        if not self._admits(now, request) or not send(now, entry):
+            self._refuse(entry)
+
+    def _send_first(self, now: int, entry: Open) -> bool:
+        backend = self._pick(now, entry)
+        if backend is None:
+            return False
+        self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
+        self._open[entry.request.id] = entry
+        self._send(now, entry, backend)
+        return True
+
+    def _send(self, now: int, entry: Open, backend: Backend) -> None:
+        entry.attempts.append(Attempt(backend, now, self._connect(now, backend)))
+        backend.in_flight += 1
+        backend.trial = backend.ejected_until > 0
+        if self._warmth(now, backend.entry) < 1.0:
+            backend.tokens -= 1.0
+        else:
+            self._sent += 1
+        self._in_flight.add(now, 1)
+        self._breakers[entry.request.class_index].in_flight.add(now, 1)
+        self._actions.append(api.Send(entry.request.id, backend.entry.id, max(1, entry.useful_until - now)))
+
+    def _settle(self, now: int, outcome: api.Outcome) -> None:
+        entry = self._open.get(outcome.request)
+        if entry is None or outcome.attempt >= len(entry.attempts):
+            return
+        attempt = entry.attempts[outcome.attempt]
+        if attempt.result is not None:
+            return
+        attempt.result = outcome.result
+        self._rest(now, entry, outcome.result)
+        # What was lost to a dropped connection tells no more of its server than a cancelled attempt does.
+        result = Result.CANCELLED if self._note_connection(now, attempt) else outcome.result
+        if outcome.result is Result.OK:
+            attempt.backend.busy = 0.0
+        self._note_report(attempt.backend, outcome.report)
+        if outcome.result is Result.TIMEOUT and not attempt.backend.ejected_until:
+            until = now + min(outcome.elapsed, entry.kind.aim)
+            # A server may go on with work that nobody waits for: freed at once, it would be filled again.
+            self._do_later(until, partial(self._release, attempt.backend, entry))
+        else:
+            self._release(attempt.backend, entry, now)
+        self._judge(now, attempt.backend, result)
+        entry.closed |= outcome.closed
+        again = not entry.closed and self._try_again(now, entry, outcome.result)
+        if result is outcome.result:
+            self._sample(now, entry, attempt, outcome.elapsed, again)
+        if not entry.closed and not again:
+            self._end(entry)
+        self._forget_if_done(now, entry)
+
+    def _sample(self, now: int, entry: Open, attempt: Attempt, elapsed: int, again: bool) -> None:
+        if attempt.backend.ejected_until or self._warmth(now, attempt.backend.entry) < 1.0:
+            return  # it tells of that server: silent and cold ones would close the breaker for all the others
+        breaker = self._breakers[entry.request.class_index]
+        if attempt.result is Result.OK:
+            breaker.samples.append(elapsed)
+            attempt.backend.pace += PACE_WEIGHT * (elapsed / breaker.typical - attempt.backend.pace)
+        elif attempt.result is Result.TIMEOUT:
+            breaker.samples.append(CENSORED * elapsed)
+        elif attempt.result is Result.FULL and not again:  # a fast failure, but no sign of a fast server
+            breaker.samples.append(CENSORED * entry.kind.aim)
+
+    def _release(self, backend: Backend, entry: Open, now: int) -> None:
+        backend.in_flight -= 1
+        self._in_flight.add(now, -1)
+        self._breakers[entry.request.class_index].in_flight.add(now, -1)
+
+    def _try_again(self, now: int, entry: Open, result: Result) -> bool:
+        """True if the request needs no final answer now: it went out again, or is out still."""
+        if any(attempt.result is None for attempt in entry.attempts):
+            return True
+        if now >= entry.useful_until or len(entry.attempts) >= self._settings.max_attempts:
+            return False
+        price = 0.0 if result is Result.CONNECT_FAILED else 1.0  # where nothing arrived nothing is added
+        if self._retry_budget < price:
+            return False
+        backend = self._pick(now, entry)
+        if backend is None:
+            return False
+        self._retry_budget -= price
+        self._send(now, entry, backend)
+        return True
+
+    def _end(self, entry: Open) -> None:
+        entry.closed = True
+        if entry.may_refuse():
+            self._refuse(entry)
+        else:
+            self._actions.append(api.Fail(entry.request.id))
+
+    def _refuse(self, entry: Open) -> None:
+        wait = min(entry.kind.aim, self._settings.max_retry_after) if self._settings.retry_after else 0
+        self._actions.append(api.Refuse(entry.request.id, wait))
+
+    def _close(self, now: int, request: int) -> None:
+        entry = self._open.get(request)
+        if entry is not None:
+            entry.closed = True
+            self._forget_if_done(now, entry)
+
+    def _forget_if_done(self, now: int, entry: Open) -> None:
+        if entry.is_over():
+            del self._open[entry.request.id]
+            if entry.request.key in self._turns:
+                self._pass_turn(entry.request.key, now)
+
+    # Order.
+
+    def _line_up(self, now: int, entry: Open) -> bool:
+        """Take the key's turn, or wait for it where it will come in time: refused now, the client may
+        find another node, whose queue for this key is its own."""
+        key = entry.request.key
+        turns = self._turns.get(key)
+        if turns is None:
+            if not self._send_first(now, entry):
+                return False
+            self._turns[key] = turns = Turns()
+        else:
+            typical = int(self._breakers[entry.request.class_index].typical)
+            ahead = sum(1 for other in turns.entries if not other.closed) * typical
+            latest = entry.useful_until - typical
+            if max(now, turns.rests_until) + ahead > latest:
+                return False
+            self._open[entry.request.id] = entry
+            self._do_later(latest, partial(self._give_up_waiting, entry))
+            self._actions.append(api.SetTimer(latest, LATER_TOKEN))
+        turns.entries.append(entry)
+        return True
+
+    def _give_up_waiting(self, entry: Open, now: int) -> None:
+        if not entry.attempts and not entry.closed:
+            self._end(entry)
+            self._forget_if_done(now, entry)
+
+    def _rest(self, now: int, entry: Open, result: Result) -> None:
+        """An attempt without an answer may still run: the key's next request waits for a while."""
+        turns = self._turns.get(entry.request.key) if entry.kind.in_order else None
+        if turns is not None and result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED):
+            turns.rests_until = now + self._settings.key_rest
+
+    def _pass_turn(self, key: int, now: int) -> None:
+        """Send the first that waits, once all before it are over; forget a key that nobody waits for."""
+        turns = self._turns.get(key)
+        while turns is not None:
+            while turns.entries and turns.entries[0].is_over():
+                turns.entries.popleft()
+            if turns.entries and turns.entries[0].attempts:
+                return
+            if now < turns.rests_until:
+                self._do_later(turns.rests_until, partial(self._pass_turn, key))
+                self._actions.append(api.SetTimer(turns.rests_until, LATER_TOKEN))
+                return
+            if not turns.entries:
+                del self._turns[key]
+                return
+            first = turns.entries[0]
+            if self._has_room(now, first.request) and self._send_first(now, first):
+                return
+            self._end(first)
+            del self._open[first.request.id]
+
+    # The choice of a server.
+
+    def _pick(self, now: int, entry: Open) -> Backend | None:
+        tried = [attempt.backend for attempt in entry.attempts]
+        # After a failed connection any server with an idle one is better than the less loaded of two.
+        unconnected = bool(tried) and entry.attempts[-1].result is Result.CONNECT_FAILED
+        pair: list[Backend] = []
+        for backend in self._candidates(entry):
+            if backend in pair or backend in tried or not entry.may_send_to(backend.entry, now):
+                continue
+            if self._usable(now, backend):
+                pair.append(backend)
+            if len(pair) == (DRAWS if unconnected else 2):
+                break
+        return min(pair, key=partial(self._load, now), default=None)
+
+    def _candidates(self, entry: Open) -> Iterator[Backend]:
+        """Servers in the order of this request's preference; some come more than once."""
+        if table := self._table:
+            key = entry.request.key or self._random.getrandbits(64)
+            first = self._random.randrange(self._spread.get(key, 1))
+            for draw in range(first, first + DRAWS):
+                place = mix(key + draw)
+                backend = table[place % len(table)]
+                if place >> 44 < self._kinds[backend.entry.kind].share * (1 << 20):
+                    yield backend
+            turn = mix(key) % len(self._ready)  # the head of the list would get all that finds no other
+            yield from self._ready[turn:]
+            yield from self._ready[:turn]
+
+    def _find_hot_keys(self) -> None:
+        """A key that is more than a server's work goes to as many as it needs: all nodes send it to the
+        same two, and each node's own load there is too small to tell."""
+        total = sum(self._key_counts.values())
+        fair = HOT * total / max(1, len(self._ready))
+        self._spread = {
+            key: max(1, min(len(self._ready), 1 + ceil(count / fair)))
+            for key, count in self._key_counts.items()
+            if count >= HOT_LEAST and count > fair
+        }
+        keep = min(1.0, KEY_MEMORY * len(self._ready) / max(1.0, total))
+        self._key_counts = {key: n * keep for key, n in self._key_counts.items() if n * keep >= 0.5}
+
+    def _share_by_kind(self) -> None:
+        """Where the list gives all servers the same weight they may differ all the same, and by far: a node
+        sees each too seldom, but its kind often enough. Keys that a kind gives up keep their other places.
+        Guards against any lasting difference between groups; wrong only if their reports mislead."""
+        kinds = list(self._kinds.values())
+        told = min((kind.reports for kind in kinds), default=0) >= KIND_REPORTS
+        if not told or len({backend.entry.weight for backend in self._ready}) > 1:
+            return
+        for kind in kinds:
+            kind.share /= max(KIND_LEAST, kind.busy) ** KIND_GAIN
+        most = max(kind.share for kind in kinds)
+        for kind in kinds:
+            kind.share = max(KIND_LEAST, kind.share / most)
+
+    def _measure_rate(self, now: int) -> None:
+        warm = (backend.entry for backend in self._ready if self._warmth(now, backend.entry) >= 1.0)
+        weight = sum(server.weight for server in warm)
+        if weight:
+            self._rate += (1 - KEEP) * (self._sent / weight / PERIOD - self._rate)
+        self._sent = 0
+
+    def _load(self, now: int, backend: Backend) -> float:
+        """In requests in flight; what the server itself told adds to this node's own. Where new connections
+        fail or take long, one that stands is worth a detour."""
+        busy = max(0.0, backend.busy - BUSY_ABOVE) / (1.0 - BUSY_ABOVE)
+        load = backend.in_flight + busy + FULL_COUNTS * round(backend.fullness, 1)  # no trace may break ties
+        if self._connect_failures > CONNECT_LEAST and not self._standing(now, backend):
+            load += CONNECT_COUNTS * self._connect_failures
+        return load * backend.pace / (backend.entry.weight * self._kinds[backend.entry.kind].share)
+
+    def _usable(self, now: int, backend: Backend) -> bool:
+        if backend.ejected_until and (backend.trial or now < backend.ejected_until):
+            return False
+        warmth = self._warmth(now, backend.entry)
+        if warmth >= 1.0:
+            return True
+        share = COLD_CAUTION * warmth * self._rate * backend.entry.weight
+        backend.tokens = min(COLD_BURST, backend.tokens + share * (now - backend.refilled))
+        backend.refilled = now
+        return backend.tokens >= 1.0
+
+    def _warmth(self, now: int, server: api.Server) -> float:
+        """The part of its work that a server does at least, by the time since its start."""
+        if not server.started:
+            return 1.0
+        age = max(0, now - server.started) / max(1, self._settings.cold_time)
+        return self._settings.cold_share + (1.0 - self._settings.cold_share) * age
+
+    # Connections.
+
+    def _standing(self, now: int, backend: Backend) -> int:
+        """The idle time of the connection that an attempt would get; 0 if it would need a new one."""
+        idle = now - backend.idle[-1] + 1 if backend.idle else 0
+        trusted = self._settings.idle_close
+        if self._distrusted and self._connect_failures <= self._lost_idle:  # else a new one is no better
+            doublings = min(32.0, (now - self._distrusted) / TRUST_DOUBLES)
+            trusted = min(trusted, int(self._trusted_idle * 2**doublings))
+        return idle if idle <= trusted else 0
+
+    def _connect(self, now: int, backend: Backend) -> int:
+        """Connections that are not to be trusted are closed before an attempt: what is sent on one might
+        be lost, and may not be sent again. Needless, it costs a handshake."""
+        idle = self._standing(now, backend)
+        if idle:
+            backend.idle.pop()
+        elif backend.idle:
+            backend.idle.clear()
+            self._actions.append(api.HangUp(backend.entry.id))
+        return idle
+
+    def _note_connection(self, now: int, attempt: Attempt) -> bool:
+        """True if the attempt was lost to a connection that had been dropped unseen. That guards against
+        any network that forgets idle connections, by reset or silence; it is no fault of the server."""
+        lost = attempt.result in (Result.RESET, Result.TIMEOUT)
+        if attempt.result in (Result.OK, Result.ERROR, Result.FULL):
+            attempt.backend.idle.append(now)
+        if not attempt.idle:
+            failed = attempt.result is Result.CONNECT_FAILED
+            self._connect_failures += LOST_WEIGHT * (failed - self._connect_failures)
+        if attempt.idle <= IDLE_SURE:
+            self._lost_others += LOST_WEIGHT * (lost - self._lost_others)
+            return False
+        self._lost_idle += LOST_WEIGHT * (lost - self._lost_idle)
+        if not lost or self._lost_idle < max(LOST_ABOVE, LOST_TIMES_NEW * self._lost_others):
+            return False
+        self._trusted_idle, self._distrusted = max(IDLE_SURE, attempt.idle // 2), now
+        return True
+
+    # The health of servers.
+
+    def _note_report(self, backend: Backend, report: tuple[float, ...]) -> None:
+        values = dict(zip(self._settings.report_fields, report, strict=False))
+        if "utilization" in values:
+            self._note_busy(backend, min(1.0, max(0.0, values["utilization"])))
+
+    def _note_busy(self, backend: Backend, busy: float) -> None:
+        kind = self._kinds[backend.entry.kind]
+        backend.busy = busy
+        kind.reports += "utilization" in self._settings.report_fields
+        kind.busy += max(KIND_WEIGHT, 1 / max(1, kind.reports)) * (busy - kind.busy)
+
+    def _judge(self, now: int, backend: Backend, result: Result) -> None:
+        if result is Result.TIMEOUT and not backend.ejected_until:
+            self._note_busy(backend, 1.0)  # the busiest don't answer
+        # A full server answers fast and has nothing of ours: by load in flight it would look best.
+        backend.fullness += FULL_WEIGHT * ((result is Result.FULL) - backend.fullness)
+        trial, backend.trial = backend.trial, False
+        if result in (Result.CANCELLED, Result.NOT_SENT, Result.FULL):
+            return
+        lately = now - backend.answered < ANSWERED_LATELY
+        if result is Result.OK:
+            backend.answered = now
+        elif result is Result.CONNECT_FAILED and lately:
+            return  # it serves on standing connections: slow to connect to, not down
+        failed = float(result is not Result.OK)
+        # A node that sees a server seldom can't wait for a second failure, nor can it for a second success.
+        weight = FAIL_WEIGHT if lately or result is Result.CONNECT_FAILED else EJECT_ABOVE
+        backend.failures += weight * (failed - backend.failures)
+        self._fleet_failures += FLEET_WEIGHT * (failed - self._fleet_failures)
+        if trial:
+            if failed:
+                backend.doublings = min(DOUBLINGS, backend.doublings + 1)
+                self._eject(now, backend)
+            else:
+                backend.forgive()
+        elif failed and not backend.ejected_until and self._is_outlier(backend, result):
+            self._eject(now, backend)
+
+    def _is_outlier(self, backend: Backend, result: Result) -> bool:
+        part = UNREACHABLE_PART if result is Result.CONNECT_FAILED else EJECT_PART
+        outlier = backend.failures >= EJECT_TIMES_FLEET * self._fleet_failures
+        if backend.failures < EJECT_ABOVE or not (outlier or result is Result.CONNECT_FAILED):
+            return False
+        return 1 + sum(1 for other in self._ready if other.ejected_until) <= part * len(self._ready)
+
+    def _eject(self, now: int, backend: Backend) -> None:
+        seldom = min(now - backend.answered, 4 * EJECT_TIME)  # a shorter time would pass without a visit
+        backend.ejected_until = now + self._jittered(max(seldom, EJECT_TIME << backend.doublings), 0.5)
+
+    # The list of servers.
+
+    def _follow(self, now: int, update: api.ServerList) -> None:
+        if update.kind is ListKind.FAILED:
+            self._watching = False
+            pause = ASK_FIRST_PAUSE << min(self._failed_calls, DOUBLINGS)
+            self._failed_calls += 1
+            self._ask_after(now, min(pause, self._settings.ask_within))
+            return
+        if update.kind is not ListKind.CACHED:
+            self._watching = True
+            self._failed_calls = 0
+        listed = {server.id: server for server in update.servers}
+        if update.kind is not ListKind.DELTA:
+            for backend in self._backends.values():
+                if backend.entry.id not in listed:
+                    backend.entry = backend.entry._replace(state=ServerState.GONE)
+        for server in listed.values():
+            self._enter(now, server)
+        self._rebuild()
+        if not self._ready and not self._watching and self._settings.list_mode is ListMode.ON_REQUEST:
+            self._ask_after(now, ASK_FIRST_PAUSE)  # restarted with nothing to serve from: sooner than others
+
+    def _ask_after(self, now: int, pause: int) -> None:
+        self._actions.append(api.SetTimer(now + self._jittered(pause, 0.5), ASK_TOKEN))
+
+    def _enter(self, now: int, server: api.Server) -> None:
+        if not server.weight > 0.0:  # no figure: as any other
+            server = server._replace(weight=1.0)
+        backend = self._backends.get(server.id)
+        if backend is None:
+            # A random first part of a token, so that the nodes' first requests to a cold server spread.
+            self._backends[server.id] = Backend(server, self._random.random(), now)
+            return
+        if server.started != backend.entry.started:
+            backend.forgive()
+            backend.tokens, backend.refilled = self._random.random(), now
+        backend.entry = server
+
+    def _rebuild(self) -> None:
+        # Attempts hold their server themselves: gone ones need no place here, and would fill it over months.
+        kept = {key: one for key, one in self._backends.items() if one.entry.state is not ServerState.GONE}
+        self._backends = kept
+        ids = sorted(key for key, one in self._backends.items() if one.entry.state is ServerState.READY)
+        self._ready = [self._backends[key] for key in ids]
+        self._table = self._filled_table()
+        self._set_caps()
+
+    def _filled_table(self) -> list[Backend]:
+        """Servers take slots in turn, each in its own order, as often as its weight says: even shares,
+        and a change of the list moves few keys."""
+        if not self._ready:
+            return []
+        heaviest = max(backend.entry.weight for backend in self._ready)
+        table: list[Backend | None] = [None] * TABLE_SIZE
+        places = [mix(int.from_bytes(backend.entry.id, "little")) for backend in self._ready]
+        steps = [1 + mix(place) % (TABLE_SIZE - 1) for place in places]
+        credits = [0.0] * len(places)
+        left = TABLE_SIZE
+        while left:
+            for index, backend in enumerate(self._ready):
+                credits[index] += backend.entry.weight / heaviest
+                if credits[index] < 1.0 or not left:
+                    continue
+                credits[index] -= 1.0
+                while table[places[index] % TABLE_SIZE] is not None:
+                    places[index] += steps[index]
+                table[places[index] % TABLE_SIZE] = backend
+                left -= 1
+        return [backend for backend in table if backend is not None]
