Add the real node: one asyncio process on uvloop and httptools

The settings reader moves from adapter.py to lichenspring/settings.py and works on a mapping of paths; the real configuration is a nested object, which flat() brings into the wire's text form. An empty list of tenants has no .count there, as on the wire.

--- /dev/null
+++ b/driftstair/__init__.py
@@ -0,0 +1,1 @@
+"""driftstair: a reverse-proxy node round the decisions of lichenspring."""
--- /dev/null
+++ b/driftstair/__main__.py
@@ -0,0 +1,69 @@
+"""Starts the node, and ends it when it is told to."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from driftstair.config import Config, ConfigError, load
+from driftstair.net.front import Front
+from driftstair.net.node import Node
+from driftstair.net.upstream import Pools
+
+log = logging.getLogger("driftstair")
+
+RESERVED = 40  # descriptors: the interpreter's, the loop's, the listening socket, discovery, and slack
+CLIENTS_PART = 0.55  # of the rest; the others are for servers
+
+SERVE_ON = 0.6  # s after SIGTERM: new connections go on coming for up to 0.4 s
+KILLED_AFTER = 0.7  # s after SIGTERM and the longest deadline, at the soonest
+LONGEST_DEADLINE = 3.0  # s, as far as the platform waits
+MARGIN = 0.3  # s before SIGKILL
+
+
+async def serve(config: Config) -> int:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    usable = config.sockets - RESERVED
+    clients = int(usable * CLIENTS_PART)
+    pools = Pools(usable - clients, config.dial_timeout, config.idle_close)
+    node = Node(config, pools)
+    front = Front(node, config, clients)
+    try:
+        address = front.listen()
+    except OSError as problem:
+        print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
+        return 2
+    node.start()
+    # What has been made by now stays; the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    log.info("serving on %s:%d", *address)
+    await stop.wait()
+    log.info("stopping")
+    longest = min(LONGEST_DEADLINE, max(config.deadlines) / 1e9)
+    await front.stop(SERVE_ON, longest + KILLED_AFTER - MARGIN)
+    return 0
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as problem:
+        print(f"driftstair: {problem}", file=sys.stderr)
+        return 2
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(serve(config))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/driftstair/config.py
@@ -0,0 +1,135 @@
+"""What the platform tells a node: its environment and its configuration file, checked."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from driftstair.net.discovery import HostList, ListError, parse_address, parse_list
+from lichenspring import interface as api
+from lichenspring.settings import SettingsError, Values, flat, settings_from
+
+SOCKETS_LEAST = 96  # below that no node could serve anybody
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    known: HostList
+    settings: api.Settings
+    classes: dict[bytes, int]  # by the names that stand on the wire
+    deadlines: tuple[int, ...]  # ns, of each class
+    tenants: dict[bytes, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    report_fields: tuple[bytes, ...]
+    dial_timeout: int  # ns
+    idle_close: int  # ns
+    open_cap: int  # requests that the node may hold
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The node's configuration; raises ConfigError."""
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json.load(file)
+    except OSError as problem:
+        raise ConfigError(f"BALANCER_CONFIG can't be read: {problem.strerror}") from None
+    except ValueError:
+        raise ConfigError("BALANCER_CONFIG is no JSON text") from None
+    if not isinstance(document, dict):
+        raise ConfigError("BALANCER_CONFIG holds no JSON object")
+    try:
+        return _read(environment, document)
+    except (SettingsError, ValueError) as problem:
+        raise ConfigError(f"settings: {problem}") from None
+
+
+def _read(environment: Mapping[str, str], document: dict[str, Any]) -> Config:
+    tree = _object(document, "settings")
+    mapping = dict(flat(tree))
+    settings = settings_from(mapping)
+    values = Values(mapping)
+    return Config(
+        listen=_address(environment, "BALANCER_LISTEN", document, "listen"),
+        discovery=_address(environment, "BALANCER_DISCOVERY", document, "discovery"),
+        seed=_seed(document),
+        sockets=_sockets(document),
+        known=_known(document),
+        settings=settings,
+        classes={name.encode(): index for index, name in enumerate(_names(tree, "Grades"))},
+        deadlines=values.each("Grades", lambda found, path: found.whole(f"{path}.Deadline", least=1)),
+        tenants={name.encode(): index for index, name in enumerate(_names(tree, "Tenants"))},
+        zones=_indexed(tree, "Zones"),
+        kinds=_indexed(tree, "Kinds"),
+        report_fields=tuple(word.encode() for word in values.words("Feedback.Fields")),
+        dial_timeout=values.whole("Limits.DialTimeout", least=1),
+        idle_close=values.whole("Limits.IdleClose", least=1),
+        open_cap=values.whole("Limits.OpenCap", least=1),
+    )
+
+
+def _object(holder: dict[str, Any], key: str) -> dict[str, Any]:
+    value = holder.get(key)
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key} is no object")
+    return value
+
+
+def _address(
+    environment: Mapping[str, str], variable: str, document: dict[str, Any], key: str
+) -> tuple[str, int]:
+    name, text = (variable, environment[variable]) if variable in environment else (key, document.get(key))
+    try:
+        return parse_address(text)
+    except ListError:
+        raise ConfigError(f"{name} is no address: {text!r}") from None
+
+
+def _seed(document: dict[str, Any]) -> int:
+    seed = document.get("seed")
+    try:
+        return int(seed, 16) if isinstance(seed, str) else int(seed)  # type: ignore[arg-type]
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed is unreadable: {seed!r}") from None
+
+
+def _sockets(document: dict[str, Any]) -> int:
+    sockets = _object(document, "limits").get("sockets")
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < SOCKETS_LEAST:
+        raise ConfigError(f"limits.sockets is no number from {SOCKETS_LEAST}: {sockets!r}")
+    return sockets
+
+
+def _known(document: dict[str, Any]) -> HostList:
+    try:
+        return parse_list(document.get("known"))
+    except ListError as problem:
+        raise ConfigError(f"known is unreadable: {problem}") from None
+
+
+def _names(tree: dict[str, Any], key: str) -> list[str]:
+    """The names in a list of objects; the wire's flat form would not keep their spaces and commas."""
+    found = tree.get(key) or []
+    if not all(isinstance(item, dict) and isinstance(item.get("Name"), str) for item in found):
+        raise ConfigError(f"settings: {key} has an entry without Name")
+    return [item["Name"] for item in found]
+
+
+def _indexed(tree: dict[str, Any], key: str) -> dict[str, int]:
+    found = tree.get(key)
+    if not isinstance(found, list):
+        raise ConfigError(f"settings: {key} is no list")
+    return {str(name): index for index, name in enumerate(found)}
--- /dev/null
+++ b/driftstair/net/__init__.py
@@ -0,0 +1,1 @@
+"""The node on its sockets: clients, servers and discovery."""
--- /dev/null
+++ b/driftstair/net/node.py
@@ -0,0 +1,315 @@
+"""One node: what happens on its sockets becomes the balancer's events, its actions become calls."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from dataclasses import dataclass, field
+from functools import partial
+from hashlib import blake2b
+from time import monotonic_ns, time_ns
+from typing import Protocol
+
+from driftstair.config import Config
+from driftstair.net.discovery import Discovery, Host, HostList
+from driftstair.net.upstream import Answer, Attempt, Pools
+from lichenspring import Balancer
+from lichenspring import interface as api
+from lichenspring.interface import ListKind, ListMode, Result, ServerState
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000  # ns
+TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
+MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
+WATCH_PAUSE = 1.0  # s, where lists are pushed: from the end of a watch to the next
+
+
+def digest(text: str | bytes) -> bytes:
+    """Eight bytes that stand for a name on every node alike: the module hashes no more than that of an id."""
+    return blake2b(text if isinstance(text, bytes) else text.encode(), digest_size=8).digest()
+
+
+def key_number(key: bytes) -> int:
+    return int.from_bytes(digest(key), "little") or 1
+
+
+class Client(Protocol):
+    """Who asked: gets one answer."""
+
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request as the front has read it."""
+
+    client: Client
+    head: bytes  # request line and headers for a server, but for X-Deadline and the blank line
+    body: bytes
+    class_index: int
+    tenant: int
+    key: int
+    resubmitted: bool
+    arrived: int  # monotonic ns, of its last byte
+    deadline: int  # likewise
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request that is unanswered or has attempts out."""
+
+    number: int
+    call: Call
+    watchdog: asyncio.TimerHandle | None = None
+    answered: bool = False
+    sent: int = 0  # attempts so far
+    out: dict[int, Attempt] = field(default_factory=dict)
+
+
+class Node:
+    """Owns the balancer; it sees one event at a time, each once all actions on the one before are done."""
+
+    def __init__(self, config: Config, pools: Pools) -> None:
+        self._config = config
+        self._pools = pools
+        self._balancer = Balancer(config.settings, config.seed)
+        self._loop = asyncio.get_running_loop()
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+        self._open: dict[int, Open] = {}
+        self._last_number = 0
+        self._ready: set[api.ServerId] = set()
+        self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
+        self._discovery = Discovery(
+            config.discovery, config.known.version, max(1.0, config.dial_timeout / 1e9),
+            self._list_came, self._watch_failed,
+        )  # fmt: skip
+
+    # Start and stop.
+
+    def start(self) -> None:
+        self._pools.start()
+        self._act_on(self._balancer.start(monotonic_ns()))
+        self._follow(ListKind.CACHED, self._config.known.hosts)
+        if self._config.settings.list_mode is ListMode.PUSHED:
+            self._discovery.watch()
+
+    def can_serve(self) -> bool:
+        return bool(self._ready)
+
+    def held(self) -> int:
+        """Requests that are not answered."""
+        return sum(1 for request in self._open.values() if not request.answered)
+
+    def fail_all(self) -> None:
+        """The process is about to end: whoever still waits is told."""
+        for request in list(self._open.values()):
+            self._overdue(request)
+
+    # The balancer.
+
+    def _tell(self, event: api.Event) -> None:
+        self._events.append(event)
+        if self._telling:
+            return  # no event comes in the midst of another one's actions
+        self._telling = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                self._act_on(self._decide(event))
+        finally:
+            self._telling = False
+
+    def _decide(self, event: api.Event) -> list[api.Action]:
+        try:
+            return self._balancer.handle(monotonic_ns(), event)
+        except Exception:
+            log.exception("the module failed on %r", event)
+        if isinstance(event, api.Timer):
+            # Some of the module's timers each set the next: one failure would stop them for good.
+            self._set_timer(monotonic_ns() + MENDED_AFTER, event.token)
+        elif isinstance(event, api.Request | api.Outcome):
+            number = event.id if isinstance(event, api.Request) else event.request
+            request = self._open.get(number)
+            if request is not None and not request.answered:
+                self._overdue(request, 502)
+        return []
+
+    def _act_on(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            try:
+                self._do(action)
+            except Exception:
+                log.exception("action failed: %r", action)
+
+    def _do(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.Refuse):
+            wait = action.retry_after
+            self._answer(action.request, 503, [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else [])
+        elif isinstance(action, api.Fail):
+            request = self._open.get(action.request)
+            late = request is not None and monotonic_ns() >= request.call.deadline - TRANSIT
+            self._answer(action.request, 504 if late else 502, [])
+        elif isinstance(action, api.SetTimer):
+            self._set_timer(action.at, action.token)
+        elif isinstance(action, api.HangUp):
+            pool = self._pools.get(action.server)
+            if pool is not None:
+                pool.drop_idle()
+        else:
+            self._discovery.watch()
+
+    def _set_timer(self, at: int, token: int) -> None:
+        # Rounded up to the loop's milliseconds: a timer that comes early finds nothing due yet.
+        delay = max(0, at - monotonic_ns()) // MS + 1
+        self._loop.call_later(delay / 1000, self._due, at, token)
+
+    def _due(self, at: int, token: int) -> None:
+        if monotonic_ns() < at:
+            self._set_timer(at, token)
+        else:
+            self._tell(api.Timer(token))
+
+    # Requests.
+
+    def take(self, call: Call) -> int:
+        """A client's request has come. Returns its number, for `client_gone`."""
+        self._last_number += 1
+        request = Open(self._last_number, call)
+        now = monotonic_ns()
+        left = call.deadline - TRANSIT - now
+        if left <= 0:
+            call.client.answer(504, [], b"")
+        elif len(self._open) >= self._config.open_cap:
+            call.client.answer(503, [], b"")
+        else:
+            self._open[request.number] = request
+            request.watchdog = self._loop.call_later((call.deadline - now) / 1e9, self._overdue, request)
+            self._tell(
+                api.Request(
+                    request.number, left, call.class_index, call.tenant, call.key, call.resubmitted
+                )
+            )
+        return request.number
+
+    def client_gone(self, number: int) -> None:
+        request = self._open.get(number)
+        if request is None or request.answered:
+            return
+        self._close(request)
+
+    def _overdue(self, request: Open, status: int = 504) -> None:
+        """Guards against a request that nobody answers, whatever the reason."""
+        if not request.answered:
+            request.call.client.answer(status, [], b"")
+            self._close(request)
+
+    def _close(self, request: Open) -> None:
+        """Over without an action of the module: it is told, and nothing goes on for it."""
+        self._finish(request)
+        self._tell(api.ClientGone(request.number))
+        for attempt in list(request.out.values()):
+            attempt.cancel()
+
+    def _answer(
+        self, number: int, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
+    ) -> None:
+        request = self._open.get(number)
+        if request is not None and not request.answered:
+            request.call.client.answer(status, headers, body)
+            self._finish(request)
+
+    def _finish(self, request: Open) -> None:
+        request.answered = True
+        if request.watchdog is not None:
+            request.watchdog.cancel()
+        if not request.out:
+            self._open.pop(request.number, None)
+
+    # Attempts.
+
+    def _send(self, action: api.Send) -> None:
+        request = self._open.get(action.request)
+        if request is None:
+            self._tell(api.Outcome(action.request, True, Result.NOT_SENT, 0, action.server, 0, ()))
+            return
+        index = request.sent
+        request.sent += 1
+        pool = self._pools.get(action.server)
+        if pool is None or request.answered or index >= self._config.settings.max_attempts:
+            self._tell(
+                api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
+            )
+            return
+        now = monotonic_ns()
+        latest = request.call.deadline - TRANSIT
+        expires = min(latest, now + action.time_out) if action.time_out else latest
+        ended = partial(self._ended, request, index, action.server, now)
+        attempt = Attempt(pool, request.call.head, request.call.body, expires, ended)
+        request.out[index] = attempt
+        attempt.start()
+
+    def _ended(
+        self, request: Open, index: int, server: api.ServerId, since: int,
+        result: Result, answer: Answer | None,
+    ) -> None:
+        elapsed = monotonic_ns() - since
+        del request.out[index]
+        if result is Result.OK and answer is not None and not request.answered:
+            self._answer(request.number, 200, answer.headers, answer.body)
+        if request.answered and not request.out:
+            self._open.pop(request.number, None)
+        report = self._report(answer.load) if answer is not None and answer.load else ()
+        self._tell(
+            api.Outcome(request.number, request.answered, result, elapsed, server, index, report)
+        )
+
+    def _report(self, text: bytes) -> tuple[float, ...]:
+        """The load report in the order of the settings; nothing, if a field is missing or unreadable."""
+        try:
+            values = dict(part.strip().split(b"=", 1) for part in text.split(b","))
+            return tuple(float(values[name]) for name in self._config.report_fields)
+        except (ValueError, KeyError):
+            return ()
+
+    # The list of servers.
+
+    def _list_came(self, update: HostList) -> None:
+        self._follow(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
+
+    def _watch_failed(self) -> None:
+        if self._config.settings.list_mode is ListMode.PUSHED:
+            self._loop.call_later(WATCH_PAUSE, self._discovery.watch)
+        else:
+            self._tell(api.ServerList(ListKind.FAILED, ()))
+
+    def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
+        servers = tuple(self._server(host) for host in hosts)
+        leaving = set() if kind is ListKind.DELTA else set(self._pools.servers())
+        for host, server in zip(hosts, servers, strict=True):
+            if host.state is ServerState.READY:
+                self._pools.enrol(server.id, host.address, server.started)
+                leaving.discard(server.id)
+            else:
+                leaving.add(server.id)
+        # The module is told before the others are retired: what ends by that may be sent elsewhere at once.
+        self._tell(api.ServerList(kind, servers))
+        for identity in leaving:
+            self._pools.retire(identity)
+        self._ready = set(self._pools.servers())
+
+    def _server(self, host: Host) -> api.Server:
+        started = host.started_ms * MS + self._to_monotonic if host.started_ms else 0
+        if host.started_ms and not started:
+            started = 1  # 0 stands for long ago
+        zones, kinds = self._config.zones, self._config.kinds
+        return api.Server(
+            digest(host.id), zones.get(host.zone, len(zones)), host.cell, host.state, host.weight, started,
+            kinds.get(host.kind, len(kinds)),
+        )  # fmt: skip
+
+
--- /dev/null
+++ b/driftstair/net/upstream.py
@@ -0,0 +1,366 @@
+"""Attempts at servers, and the pools of connections that carry them."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+from time import monotonic_ns
+from typing import NamedTuple, cast
+
+import httptools
+
+from lichenspring.interface import Result, ServerId
+
+BODY_MOST = 64 << 10  # bytes of an answer
+HEAD_MOST = 64 << 10
+IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
+IDLE_SWEEPS = 20  # in that time
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade", b"content-length",
+))  # fmt: skip
+"""Headers that belong to one connection, and the length, which each side states anew."""
+
+
+class Answer(NamedTuple):
+    headers: list[tuple[bytes, bytes]]  # end to end, as they came
+    body: bytes
+    load: bytes  # the load report; empty if there is none
+
+
+class Attempt:
+    """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
+
+    __slots__ = ("_body", "_connection", "_dial", "_head", "_on_end", "_timer", "done", "expires", "pool")
+
+    def __init__(
+        self, pool: Pool, head: bytes, body: bytes, expires: int,
+        on_end: Callable[[Result, Answer | None], None],
+    ) -> None:  # fmt: skip
+        self.pool = pool
+        self.expires = expires  # monotonic ns
+        self.done = False
+        self._head = head
+        self._body = body
+        self._on_end = on_end
+        self._connection: Connection | None = None
+        self._dial: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        connection = self.pool.take()
+        if connection is not None:
+            self._write(connection)
+        elif not self.pool.pools.room():
+            # The node's own want of descriptors is no failure of the server.
+            self.end(Result.NOT_SENT)
+        else:
+            self.pool.dialing.add(self)
+            limit = min(self.pool.pools.dial_timeout, self.expires - monotonic_ns())
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0, limit) / 1e9, self.end, Result.CONNECT_FAILED)
+            self._dial = loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: Connection(self.pool), *self.pool.address
+            )
+        except OSError as problem:
+            self._dial = None
+            local = problem.errno in (errno.EMFILE, errno.ENFILE)
+            self.end(Result.NOT_SENT if local else Result.CONNECT_FAILED)
+            return
+        finally:
+            self.pool.pools.sockets -= 1
+        self._dial = None
+        self.pool.dialing.discard(self)
+        if self.done:  # it ended in the moment in which the connection came up
+            connection.close()
+        elif connection.closed:
+            self.end(Result.CONNECT_FAILED)
+        else:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._write(connection)
+
+    def _write(self, connection: Connection) -> None:
+        left = self.expires - monotonic_ns()
+        if left <= 0:
+            self.pool.put(connection)
+            self.end(Result.CONNECT_FAILED)
+            return
+        self._connection = connection
+        self._timer = asyncio.get_running_loop().call_later(left / 1e9, self._expire)
+        connection.send(self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, left // 1000, self._body))
+
+    def _expire(self) -> None:
+        written = self._connection is not None and self._connection.written
+        self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
+
+    def cancel(self) -> None:
+        self.end(Result.CANCELLED)
+
+    def end(self, result: Result, answer: Answer | None = None) -> None:
+        if self.done:
+            return
+        self.done = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._dial is not None:
+            self._dial.cancel()
+        self.pool.dialing.discard(self)
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.release(self)
+        self._on_end(result, answer)
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a server; it carries one request at a time."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool = pool
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._attempt: Attempt | None = None
+        self.written = False  # the last byte of the request is with the kernel
+        self.closed = False
+        self.idle_since = 0
+        self._reusable = False
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._load = b""
+        self._not_run = False
+        self._framed = False
+        self._body: list[bytes] = []
+        self._size = 0
+        self._in_head = True
+        self._whole = False  # the answer has come
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self._pool.pools.sockets += 1
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # With no room in the buffer each write is tried at once, and what is left over tells when it is out.
+        transport.set_write_buffer_limits(high=0)
+
+    def send(self, attempt: Attempt, data: bytes) -> None:
+        transport = self._transport
+        assert transport is not None
+        self._attempt = attempt
+        self._reusable = self.written = False
+        self._forget_answer()
+        transport.write(data)
+        self.written = not transport.is_closing() and not transport.get_write_buffer_size()
+
+    def resume_writing(self) -> None:
+        self.written = self._attempt is not None
+
+    def _forget_answer(self) -> None:
+        self._status = self._size = 0
+        self._headers = []
+        self._body = []
+        self._load = b""
+        self._not_run = self._framed = self._whole = False
+        self._in_head = True
+
+    def release(self, attempt: Attempt) -> None:
+        """Its attempt has ended: back to the pool, if the whole answer has come."""
+        if self._attempt is not attempt:
+            return
+        self._attempt = None
+        if self._reusable and self.written and not self.closed:
+            self._pool.put(self)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self._attempt is None:  # nothing was asked
+            self.close()
+            return
+        head = self._in_head
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self._whole:
+                self._break()
+                return
+            self._reusable = False
+        if self._whole:
+            self._complete()
+        elif head and self._in_head:
+            self._size += len(data)
+            if self._size > HEAD_MOST:
+                self._break()
+
+    def eof_received(self) -> None:
+        if self._attempt is not None and not self._in_head and not self._framed:
+            self._complete()  # an answer with no length ends with its connection
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._pool.lost(self)
+        self._break()
+
+    def _break(self) -> None:
+        """The connection can't bring the answer any more."""
+        attempt = self._attempt
+        self._reusable = False
+        if attempt is not None:
+            attempt.end(Result.RESET if self.written else Result.CONNECT_FAILED)
+        self.close()
+
+    # What the parser finds.
+
+    def on_message_begin(self) -> None:
+        if self._whole:  # more than one answer to one request: nothing that follows can be trusted
+            self._reusable = False
+            raise ValueError("an answer that nobody asked for")
+        self._forget_answer()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        lower = name.lower()
+        if lower == b"x-load":
+            self._load = value
+        elif lower == b"x-not-run":
+            self._not_run = value.strip() == b"1"
+        elif lower in (b"content-length", b"transfer-encoding"):
+            self._framed = True
+        elif lower not in HOP_BY_HOP:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self._status = self._parser.get_status_code()
+        self._in_head = False
+        self._size = 0
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > BODY_MOST:
+            self._break()
+        elif self._attempt is not None:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        if self._status >= 200:  # an interim answer is followed by the real one
+            self._reusable = self._parser.should_keep_alive()
+            self._whole = True
+
+    def _complete(self) -> None:
+        attempt = self._attempt
+        if attempt is None:
+            return
+        if self._status == 200:
+            result = Result.OK
+        elif self._status in (503, 504) and self._not_run:
+            result = Result.FULL
+        else:
+            result = Result.ERROR
+        attempt.end(result, Answer(self._headers, b"".join(self._body), self._load))
+
+
+class Pool:
+    """The idle connections to one server. After a restart or with a new address it gets another pool."""
+
+    def __init__(self, pools: Pools, address: tuple[str, int], started: int) -> None:
+        self.pools = pools
+        self.address = address
+        self.started = started
+        self.retired = False
+        self.idle: list[Connection] = []  # the most recently used last
+        self.dialing: set[Attempt] = set()
+
+    def take(self) -> Connection | None:
+        oldest = monotonic_ns() - self.pools.idle_limit
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.closed and connection.idle_since >= oldest:
+                return connection
+            connection.close()
+        return None
+
+    def put(self, connection: Connection) -> None:
+        if self.retired:
+            connection.close()
+        else:
+            connection.idle_since = monotonic_ns()
+            self.idle.append(connection)
+
+    def lost(self, connection: Connection) -> None:
+        self.pools.sockets -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def drop_idle(self, before: int | None = None) -> None:
+        """Close the idle connections, or those that are idle since before a time."""
+        dropped = [one for one in self.idle if before is None or one.idle_since < before]
+        self.idle = self.idle[len(dropped) :]
+        for connection in dropped:
+            connection.close()
+
+    def retire(self) -> None:
+        """The server drains, is gone or restarted: nothing new may reach it, nor what waits for a dial."""
+        self.retired = True
+        self.drop_idle()
+        for attempt in list(self.dialing):
+            attempt.end(Result.NOT_SENT)
+
+
+class Pools:
+    """All pools, within the descriptors that the node may use for servers."""
+
+    def __init__(self, sockets_most: int, dial_timeout: int, idle_close: int) -> None:
+        self.sockets = 0  # open or being dialed
+        self.dial_timeout = dial_timeout
+        self.idle_limit = int(idle_close * IDLE_PART)
+        self._sockets_most = sockets_most
+        self._pools: dict[ServerId, Pool] = {}
+        self._sweep_every = idle_close * (1 - IDLE_PART) / 2 / 1e9
+
+    def start(self) -> None:
+        asyncio.get_running_loop().call_later(self._sweep_every, self._sweep)
+
+    def _sweep(self) -> None:
+        before = monotonic_ns() - self.idle_limit
+        for pool in self._pools.values():
+            pool.drop_idle(before)
+        self.start()
+
+    def get(self, server: ServerId) -> Pool | None:
+        return self._pools.get(server)
+
+    def enrol(self, server: ServerId, address: tuple[str, int], started: int) -> None:
+        pool = self._pools.get(server)
+        if pool is not None and (pool.address, pool.started) == (address, started):
+            return
+        self._pools[server] = Pool(self, address, started)
+        if pool is not None:
+            pool.retire()
+
+    def retire(self, server: ServerId) -> None:
+        pool = self._pools.pop(server, None)
+        if pool is not None:
+            pool.retire()
+
+    def servers(self) -> list[ServerId]:
+        return list(self._pools)
+
+    def room(self) -> bool:
+        """Whether one more connection may be opened; closes the longest idle one to make room."""
+        if self.sockets < self._sockets_most:
+            return True
+        idle = [pool for pool in self._pools.values() if pool.idle]
+        if not idle:
+            return False
+        # Its descriptor is free only once the transport is gone, so one is kept in reserve for each dial.
+        oldest = min(idle, key=lambda pool: pool.idle[0].idle_since)
+        oldest.idle.pop(0).close()
+        return True
--- a/lichenspring/adapter.py
+++ b/lichenspring/adapter.py
@@ -4,18 +4,16 @@
 
 import sys
 import traceback
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any, BinaryIO, TypeVar
 
 from lichenspring import interface as api
 from lichenspring import wire
 from lichenspring.balance import Balancer
+from lichenspring.settings import SettingsError, settings_from
 
 _T = TypeVar("_T")
 
-REPEATS = {"repeatable": api.Repeat.SAFE, "by_key": api.Repeat.KEYED, "once": api.Repeat.UNSAFE}
-GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
-LIST_MODES = {"pushed": api.ListMode.PUSHED, "on_request": api.ListMode.ON_REQUEST}
 LIST_KINDS = {
     0: api.ListKind.CACHED, 2: api.ListKind.DELTA, 3: api.ListKind.FULL, 4: api.ListKind.FAILED,
 }
@@ -26,114 +24,12 @@
     304: api.Result.CONNECT_FAILED, 305: api.Result.RESET, 306: api.Result.CANCELLED,
     307: api.Result.NOT_SENT,
 }
-FLAGS = {"true": True, "false": False}
-REPORT_FIELDS = {
-    "concurrent": "in_flight", "depth": "queued", "load_share": "utilization",
-    "mean_ms": "service_ms", "tps": "completed_per_s", "err_ps": "errors_per_s",
-}
 RESUBMITTED = 2  # bit of a request's options
 
 
-class SettingsError(Exception):
-    """A required setting is missing or unreadable; the text names it."""
-
-
-class _Config:
-    """The path=value lines of one instance's settings."""
-
-    def __init__(self, text: str) -> None:
-        self._values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def text(self, path: str) -> str:
-        if path not in self._values:
-            raise SettingsError(f"required setting {path} is missing")
-        return self._values[path]
-
-    def has(self, path: str) -> bool:
-        return path in self._values
-
-    def _parsed(self, path: str, parse: Callable[[str], _T]) -> _T:
-        text = self.text(path)
-        try:
-            return parse(text)
-        except (ValueError, OverflowError):
-            raise SettingsError(f"required setting {path} is unreadable: {text!r}") from None
-
-    def whole(self, path: str, least: int = 0) -> int:
-        value = self._parsed(path, int)
-        if value < least:
-            raise SettingsError(f"required setting {path} is below {least}: {value}")
-        return value
-
-    def number(self, path: str) -> float:
-        return self._parsed(path, _not_negative)
-
-    def one_of(self, path: str, table: Mapping[str, _T]) -> _T:
-        text = self.text(path)
-        if text not in table:
-            raise SettingsError(f"required setting {path} is unreadable: {text!r}")
-        return table[text]
-
-    def flag(self, path: str) -> bool:
-        return self.one_of(path, FLAGS)
-
-    def words(self, path: str) -> tuple[str, ...]:
-        return tuple(word for word in self.text(path).split(",") if word)
-
-
-def _not_negative(text: str) -> float:
-    value = float(text)
-    if not 0.0 <= value < float("inf"):
-        raise ValueError(text)
-    return value
-
-
-def _request_class(config: _Config, path: str) -> api.RequestClass:
-    return api.RequestClass(
-        aim=config.whole(f"{path}.Aim", least=1),
-        worth=config.number(f"{path}.Worth"),
-        late_worth=config.number(f"{path}.LateShare"),
-        repeat=config.one_of(f"{path}.Semantics", REPEATS),
-        group=config.one_of(f"{path}.Group", GROUPS),
-        window=config.whole(f"{path}.MemorySpan"),
-        in_order=config.has(f"{path}.OneAtATime") and config.flag(f"{path}.OneAtATime"),
-    )
-
-
-def _tenant(config: _Config, path: str) -> api.Tenant:
-    return api.Tenant(
-        share=config.number(f"{path}.Share"),
-    )
-
-
-def _each(config: _Config, path: str, read: Callable[[_Config, str], _T]) -> tuple[_T, ...]:
-    return tuple(read(config, f"{path}.{index}") for index in range(config.whole(f"{path}.count")))
-
-
-def _tenants(config: _Config) -> tuple[api.Tenant, ...]:
-    """A site may define none."""
-    return _each(config, "Tenants", _tenant) if config.has("Tenants.count") else ()
-
-
 def read_settings(text: str) -> api.Settings:
-    """Settings from the text of an instance's first message; raises SettingsError."""
-    config = _Config(text)
-    return api.Settings(
-        classes=_each(config, "Grades", _request_class),
-        tenants=_tenants(config),
-        nodes=config.whole("PeersTotal", least=1),
-        list_mode=config.one_of("MembershipMode", LIST_MODES),
-        ask_within=config.whole("Contract.AskWithin"),
-        cold_share=config.number("Contract.ColdShare"),
-        cold_time=config.whole("Contract.Cold"),
-        max_attempts=config.whole("Limits.SendCap", least=1),
-        max_retry_after=config.whole("Limits.MaxRetryAfter"),
-        retry_after=config.flag("Limits.RetryAfter"),
-        worth_by_work=config.one_of("WorthBy", {"request": False, "work": True}),
-        report_fields=tuple(REPORT_FIELDS.get(word, word) for word in config.words("Feedback.Fields")),
-        idle_close=config.whole("Limits.IdleClose"),
-        key_rest=config.whole("Contract.KeyRest") if config.has("Contract.KeyRest") else 0,
-    )
+    """Settings from the path=value lines of an instance's first message; raises SettingsError."""
+    return settings_from(dict(line.split("=", 1) for line in text.splitlines() if "=" in line))
 
 
 def _lookup(table: Mapping[int, _T], value: int, what: str) -> _T:
