Test the node over loopback sockets; answer pipelined requests before the end of their connection

Seen: of 40 pipelined requests followed by bytes that are no HTTP only the first was answered (test_pipelined_requests_are_answered_in_turn failed so). Fault: front.py, _answered took the end of reading (_ends) for the end of serving and closed with whole requests still waiting. Ruled out: the parser (all 41 messages were complete before its error) and the balancer (it was not asked). Mend: the connection ends once nothing waits any more.

--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -27,16 +27,19 @@
 MARGIN = 0.3  # s before SIGKILL
 
 
+def assemble(config: Config) -> tuple[Node, Front]:
+    usable = config.sockets - RESERVED
+    clients = int(usable * CLIENTS_PART)
+    node = Node(config, Pools(usable - clients, config.dial_timeout, config.idle_close))
+    return node, Front(node, config, clients)
+
+
 async def serve(config: Config) -> int:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    usable = config.sockets - RESERVED
-    clients = int(usable * CLIENTS_PART)
-    pools = Pools(usable - clients, config.dial_timeout, config.idle_close)
-    node = Node(config, pools)
-    front = Front(node, config, clients)
+    node, front = assemble(config)
     try:
         address = front.listen()
     except OSError as problem:
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -440,7 +440,7 @@
         transport = self._transport
         assert transport is not None
         self._busy = False
-        if self._ends:
+        if self._ends and not self._waiting:  # what came whole before the connection's end is answered yet
             # Closing with bytes unread would reset the connection, and might take the answer with it.
             transport.write_eof()
             self._loop.call_later(LINGER, transport.abort)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -80,6 +80,7 @@
         self._telling = False
         self._open: dict[int, Open] = {}
         self._last_number = 0
+        self._warned = False  # of load reports
         self._ready: set[api.ServerId] = set()
         self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
         self._discovery = Discovery(
@@ -274,6 +275,9 @@
             values = dict(part.strip().split(b"=", 1) for part in text.split(b","))
             return tuple(float(values[name]) for name in self._config.report_fields)
         except (ValueError, KeyError):
+            if not self._warned:
+                self._warned = True
+                log.warning("load reports can't be used: %r, wanted %r", text, self._config.report_fields)
             return ()
 
     # The list of servers.
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,287 @@
+"""The real node on loopback sockets, between small servers, a discovery and clients that a test scripts."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import AsyncExitStack
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, NamedTuple
+
+import uvloop
+
+from driftstair.__main__ import assemble
+from driftstair.config import load
+from driftstair.net.front import Front
+from driftstair.net.node import Node
+from lichenspring import interface as api
+
+PATIENCE = 20.0  # s: only a test that has failed waits so long
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(test, PATIENCE * 2))
+
+
+async def until(what: Callable[[], object]) -> None:
+    """Wait for something that no one tells of."""
+    async with asyncio.timeout(PATIENCE):
+        while not what():
+            await asyncio.sleep(0.002)
+
+
+class Message(NamedTuple):
+    first: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head.rstrip().split("\r\n")
+    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Message(first, headers, body)
+
+
+def answer(status: int = 200, body: bytes = b"frame", **headers: str) -> bytes:
+    lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def serves(_: Message, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer())
+
+
+def says(data: bytes, close: bool = False, abort: bool = False) -> Script:
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        if close:
+            writer.close()
+        if abort:
+            writer.transport.abort()
+
+    return script
+
+
+async def silent(_: Message, __: asyncio.StreamWriter) -> None:
+    pass
+
+
+class Server:
+    """One server; its script answers each request."""
+
+    def __init__(self, name: str, script: Script = serves) -> None:
+        self.name = name
+        self.script = script
+        self.seen: list[Message] = []
+        self.connections = 0
+        self.open = 0
+        self.state = "Ready"
+        self.started_ms = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Server:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open += 1
+        try:
+            while True:
+                message = await read_message(reader)
+                self.seen.append(message)
+                await self.script(message, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+    def entry(self) -> dict[str, Any]:
+        return {
+            "id": self.name, "addr": self.address, "zone": "room", "kind": "box", "cell": 0,
+            "state": self.state, "weight": 1.0, "started_ms": self.started_ms,
+        }  # fmt: skip
+
+
+class Discovery:
+    """Takes watches and holds them open."""
+
+    def __init__(self) -> None:
+        self.targets: list[str] = []
+        self.reply = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.address = ""
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Discovery:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.drop()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        message = await read_message(reader)
+        writer.write(self.reply)
+        self._writers.append(writer)
+        self.targets.append(message.first)
+        await reader.read()
+
+    def push_bytes(self, data: bytes) -> None:
+        self._writers[-1].write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def push(self, version: int, *servers: Server, full: bool = False) -> None:
+        entries = [server.entry() for server in servers]
+        self.push_bytes(json.dumps({"version": version, "full": full, "servers": entries}).encode() + b"\n")
+
+    def drop(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+
+def grade(name: str, semantics: str, deadline_ms: int = 10_000, aim_ms: int = 10_000) -> dict[str, Any]:
+    return {
+        "Aim": aim_ms * 10**6, "Deadline": deadline_ms * 10**6, "Group": "all", "LateShare": 0.0,
+        "MemorySpan": 5 * 10**9, "Name": name, "Semantics": semantics, "Stream": False, "Worth": 1.0,
+    }  # fmt: skip
+
+
+SETTINGS: dict[str, Any] = {
+    "Contract": {"AskWithin": 10**10, "Cold": 10**9, "ColdShare": 0.5},
+    "Feedback": {"Fields": ["load_share", "depth"], "How": "answers"},
+    "Grades": [grade("page", "repeatable"), grade("order", "once")],
+    "Kinds": ["box"], "Zones": ["room"], "Tenants": [], "MembershipMode": "on_request",
+    "Limits": {
+        "DialTimeout": 5 * 10**9, "IdleClose": 30 * 10**9, "MaxRetryAfter": 1_500_000_000, "OpenCap": 20000,
+        "RetryAfter": True, "SendCap": 5,
+    },
+    "PeersTotal": 1, "WorthBy": "request",
+}  # fmt: skip
+
+
+def configuration(*servers: Server, discovery: str = "127.0.0.1:9", **limits: Any) -> dict[str, Any]:
+    settings = copy.deepcopy(SETTINGS)
+    settings["Limits"].update(limits)
+    return {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings,
+        "known": {"version": 7, "full": True, "servers": [server.entry() for server in servers]},
+    }  # fmt: skip
+
+
+class Spy:
+    """The balancer of a node, with its events noted; a test may put a decision of its own in their place."""
+
+    def __init__(self, node: Node) -> None:
+        self.events: list[api.Event] = []
+        self.instead: Callable[[api.Event], list[api.Action] | None] = lambda event: None
+        self._balancer = node._balancer
+        node._balancer = self  # type: ignore[assignment]
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        done = self.instead(event)
+        return self._balancer.handle(now, event) if done is None else done
+
+    def outcomes(self) -> list[api.Outcome]:
+        return [event for event in self.events if isinstance(event, api.Outcome)]
+
+    def lists(self, kind: api.ListKind) -> list[api.ServerList]:
+        return [event for event in self.events if isinstance(event, api.ServerList) and event.kind is kind]
+
+
+class Rig:
+    """A node in this process."""
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self._document = document
+        self._stack = AsyncExitStack()
+        self.node: Node
+        self.front: Front
+        self.spy: Spy
+        self.address: tuple[str, int]
+
+    async def __aenter__(self) -> Rig:
+        with TemporaryDirectory() as folder:
+            path = Path(folder, "config.json")
+            path.write_text(json.dumps(self._document))
+            config = load({"BALANCER_CONFIG": str(path)})
+        self.node, self.front = assemble(config)
+        self.spy = Spy(self.node)
+        self.node._balancer.start = self.spy._balancer.start  # type: ignore[method-assign]
+        self.address = self.front.listen()
+        self.node.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.front.stop(0.0, 0.0)
+        self.node._discovery.close()
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(*self.address, limit=1 << 20))
+
+    def watch(self) -> None:
+        """Have the watch opened now; the module would ask within seconds."""
+        self.node._do(api.Watch())
+
+
+def request(
+    kind: str = "page", method: str = "POST", target: str = "/api", body: bytes = b"", **headers: str
+) -> bytes:
+    given = {"Host": "service.internal", "X-Request-Id": "9b1f03aa5c7e2d41", "X-Class": kind}
+    given |= {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in given.items() if value)
+    return f"{method} {target} HTTP/1.1\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class Client:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def read(self) -> Message:
+        async with asyncio.timeout(PATIENCE):
+            return await read_message(self.reader)
+
+    async def ask(self, data: bytes) -> Message:
+        self.writer.write(data)
+        return await self.read()
+
+    async def ended(self) -> bytes:
+        """What comes until the node has closed the connection."""
+        async with asyncio.timeout(PATIENCE):
+            try:
+                return await self.reader.read()
+            except OSError:
+                return b""
+
+
+def status(message: Message) -> int:
+    return int(message.first.split(" ")[1])
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,171 @@
+"""Connections to servers: which are kept, which are closed, and how many there may be."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from rig import (
+    Message,
+    Rig,
+    Server,
+    answer,
+    configuration,
+    request,
+    run,
+    says,
+    serves,
+    silent,
+    status,
+    until,
+)
+
+from driftstair.net.discovery import parse_list
+from driftstair.net.node import digest
+from lichenspring import interface as api
+from lichenspring.interface import Result
+
+
+def change(*servers: Server, full: bool = False):  # type: ignore[no-untyped-def]
+    return parse_list({"version": 9, "full": full, "servers": [server.entry() for server in servers]})
+
+
+async def ask_at_once(rig: Rig, count: int) -> list[int]:
+    clients = [await rig.client() for _ in range(count)]
+    return [status(got) for got in await asyncio.gather(*(client.ask(request()) for client in clients))]
+
+
+def test_connections_are_used_again_the_latest_first() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            assert await ask_at_once(rig, 2) == [200, 200]
+            assert server.connections == 2
+            (pool,) = rig.node._pools._pools.values()
+            latest = pool.idle[-1]
+            client = await rig.client()
+            for _ in range(5):
+                assert status(await client.ask(request())) == 200
+            assert server.connections == 2
+            assert pool.idle[-1] is latest
+
+    run(test())
+
+
+@pytest.mark.parametrize("reply", [answer(Connection="close"), answer().replace(b"HTTP/1.1", b"HTTP/1.0")])
+def test_a_connection_that_the_server_ends_is_not_kept(reply: bytes) -> None:
+    async def test() -> None:
+        async with Server("s-1", says(reply)) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            for count in (1, 2):
+                assert status(await client.ask(request())) == 200
+                assert server.connections == count
+            await until(lambda: rig.node._pools.sockets == 0)
+
+    run(test())
+
+
+def test_idle_connections_are_dropped_before_the_servers_limit() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server, IdleClose=200_000_000)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request())) == 200
+            await until(lambda: server.open == 0)
+            assert rig.node._pools.sockets == 0
+
+    run(test())
+
+
+def test_a_connection_that_the_server_closes_while_idle_is_forgotten() -> None:
+    async def test() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def note(message: Message, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            await serves(message, writer)
+
+        async with Server("s-1", note) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request())) == 200
+            writers[0].close()
+            await until(lambda: rig.node._pools.sockets == 0)
+            assert status(await client.ask(request("order"))) == 200
+
+    run(test())
+
+
+def test_hang_up_closes_idle_connections_only() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            assert await ask_at_once(rig, 2) == [200, 200]
+            server.script = silent
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: len(server.seen) == 3)
+            rig.node._do(api.HangUp(digest("s-1")))
+            await until(lambda: server.open == 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("state", ["Terminating", "Gone", "absent"])
+def test_a_server_that_leaves_gets_nothing_new_and_finishes_what_it_has(state: str) -> None:
+    release = asyncio.Event()
+
+    async def waits(_: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer(body=b"late"))
+
+    async def test() -> None:
+        async with Server("s-1") as server, Server("s-2") as other, Rig(configuration(server)) as rig:
+            assert await ask_at_once(rig, 3) == [200, 200, 200]
+            server.script = waits
+            client = await rig.client()
+            client.writer.write(request("order"))
+            await until(lambda: len(server.seen) == 4)
+            server.state = state
+            rig.node._list_came(change(other, full=True) if state == "absent" else change(server, other))
+            await until(lambda: server.open == 1)  # the idle ones are closed
+            assert set(await ask_at_once(rig, 4)) == {200}
+            assert (len(server.seen), len(other.seen)) == (4, 4)
+            release.set()
+            assert (await client.read()).body == b"late"
+            await until(lambda: server.open == 0)
+            assert rig.spy.outcomes()[-1].result is Result.OK
+
+    run(test())
+
+
+@pytest.mark.parametrize("moved", [False, True])
+def test_a_restarted_or_moved_server_inherits_no_connection(moved: bool) -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Server("s-1") as later, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request())) == 200
+            if moved:
+                server.address = later.address
+            else:
+                server.started_ms = 1_700_000_000_000
+            rig.node._list_came(change(server))
+            await until(lambda: server.open == 0)
+            assert status(await client.ask(request())) == 200
+            assert (server.connections, later.connections) == ((1, 1) if moved else (2, 0))
+
+    run(test())
+
+
+def test_want_of_descriptors_is_no_fault_of_a_server_and_idle_ones_make_room() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Server("s-2") as other, Rig(configuration(server)) as rig:
+            rig.node._pools._sockets_most = 2
+            assert await ask_at_once(rig, 2) == [200, 200]
+            rig.node._list_came(change(server, other))
+            rig.node._pools._sockets_most = 1
+            server.script = other.script = silent
+            clients = [await rig.client() for _ in range(3)]
+            for client in clients:
+                client.writer.write(request("order"))
+            await until(lambda: [one for one in rig.spy.outcomes() if one.result is Result.NOT_SENT])
+            assert not [one for one in rig.spy.outcomes() if one.result is Result.CONNECT_FAILED]
+            assert rig.node._pools.sockets <= 2
+
+    run(test())
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,251 @@
+"""How an attempt ends is told as the protocol's table says, and the client hears what follows from it.
+
+A class that is unsafe to repeat shows it from outside: a refusal (503) only if nothing may have run."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from rig import (
+    PATIENCE,
+    Message,
+    Rig,
+    Script,
+    Server,
+    answer,
+    configuration,
+    request,
+    run,
+    says,
+    silent,
+    status,
+    until,
+)
+
+from driftstair.net import upstream
+from driftstair.net.discovery import parse_list
+from lichenspring import interface as api
+from lichenspring.interface import Result
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TURNED_AWAY = {"X_Not_Run": "1"}
+
+
+@pytest.mark.parametrize(
+    ("script", "result", "expected"),
+    [
+        (says(answer()), Result.OK, 200),
+        (says(CHUNKED + b"2\r\nfr\r\n3\r\name\r\n0\r\n\r\n"), Result.OK, 200),
+        (says(b"HTTP/1.1 200 OK\r\n\r\nframe", close=True), Result.OK, 200),
+        (says(b"HTTP/1.1 103 Early Hints\r\n\r\n" + answer()), Result.OK, 200),
+        (says(answer(500)), Result.ERROR, 502),
+        (says(answer(404)), Result.ERROR, 502),
+        (says(answer(503)), Result.ERROR, 502),
+        (says(answer(504)), Result.ERROR, 502),
+        (says(answer(503, X_Not_Run="0")), Result.ERROR, 502),
+        (says(answer(503, **TURNED_AWAY)), Result.FULL, 503),
+        (says(answer(504, **TURNED_AWAY)), Result.FULL, 503),
+        (says(answer(500, **TURNED_AWAY)), Result.ERROR, 502),
+        (says(b"", close=True), Result.RESET, 502),
+        (says(b"", abort=True), Result.RESET, 502),
+        (says(b"HTTP/1.1 200 OK\r\nContent-Le", close=True), Result.RESET, 502),
+        (says(answer()[:-1], close=True), Result.RESET, 502),
+        (says(answer()[:-1], abort=True), Result.RESET, 502),
+        (says(CHUNKED + b"5\r\nframe\r\n", close=True), Result.RESET, 502),
+        (says(b"SSH-2.0-server\r\n"), Result.RESET, 502),
+        (says(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"), Result.RESET, 502),
+        (says(answer(body=b"x" * 65537)), Result.RESET, 502),
+    ],
+)  # fmt: skip
+def test_each_outcome(script: Script, result: Result, expected: int) -> None:
+    async def test() -> None:
+        async with Server("s-1", script) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            got = await client.ask(request("order"))
+            assert status(got) == expected
+            (outcome,) = rig.spy.outcomes()
+            assert (outcome.result, outcome.closed, outcome.attempt) == (result, result is Result.OK, 0)
+            if result is Result.OK:
+                assert got.body == b"frame"
+            assert not rig.node._open
+
+    run(test())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server:
+            server.stop()
+            async with Rig(configuration(server)) as rig:
+                client = await rig.client()
+                got = await client.ask(request("order"))
+                assert status(got) == 503
+                assert [outcome.result for outcome in rig.spy.outcomes()] == [Result.CONNECT_FAILED]
+                # Told when to come back: the class's aim, up to what clients respect.
+                assert got.headers["retry-after"] == "1.500"
+
+    run(test())
+
+
+class Unreachable:
+    """An address on loopback whose connections never come up: a listening socket with a full queue."""
+
+    def __enter__(self) -> str:
+        self._listening = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self._fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listening.getsockname())
+            self._fillers.append(filler)
+        host, port = self._listening.getsockname()
+        return f"{host}:{port}"
+
+    def __exit__(self, *_: object) -> None:
+        for one in (*self._fillers, self._listening):
+            one.close()
+
+
+def test_a_connection_that_never_comes_up_is_given_up_after_the_dial_time_out() -> None:
+    async def test() -> None:
+        server = Server("s-1")
+        with Unreachable() as server.address:
+            async with Rig(configuration(server, DialTimeout=100_000_000)) as rig:
+                client = await rig.client()
+                assert status(await client.ask(request("order"))) == 503
+                (outcome,) = rig.spy.outcomes()
+                assert outcome.result is Result.CONNECT_FAILED
+                await until(lambda: rig.node._pools.sockets == 0)
+
+    run(test())
+
+
+def test_a_server_that_drains_gets_nothing_that_waits_for_its_dial() -> None:
+    async def test() -> None:
+        server = Server("s-1")
+        with Unreachable() as server.address:
+            async with Rig(configuration(server)) as rig:
+                client = await rig.client()
+                client.writer.write(request("order"))
+                await until(lambda: rig.node._open)
+                server.state = "Terminating"
+                rig.node._list_came(parse_list({"version": 8, "full": False, "servers": [server.entry()]}))
+                assert status(await client.read()) == 503
+                assert [outcome.result for outcome in rig.spy.outcomes()] == [Result.NOT_SENT]
+
+    run(test())
+
+
+def test_no_answer_is_a_time_out_and_nothing_follows_the_final_answer() -> None:
+    async def late(_: Message, writer: asyncio.StreamWriter) -> None:
+        gone.set()
+        await asyncio.sleep(0.4)
+        writer.write(answer())
+
+    gone = asyncio.Event()
+
+    async def test() -> None:
+        async with Server("s-1", late) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request("order", X_Deadline="200m"))) in (502, 504)
+            assert [outcome.result for outcome in rig.spy.outcomes()] == [Result.TIMEOUT]
+            await until(lambda: server.open == 0)  # its connection is closed, never pooled
+            # The connection is still good, and what comes next is the next request's.
+            assert status(await client.ask(request(target="/nowhere"))) == 404
+            assert not rig.node._open
+
+    run(test())
+
+
+def test_a_request_that_the_module_keeps_is_failed_at_its_deadline() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            rig.spy.instead = lambda event: [] if isinstance(event, api.Request) else None
+            client = await rig.client()
+            assert status(await client.ask(request(X_Deadline="150m"))) == 504
+            assert [event for event in rig.spy.events if isinstance(event, api.ClientGone)]
+            assert not rig.node._open
+
+    run(test())
+
+
+def test_a_client_that_leaves_is_told_once_and_its_attempt_ends() -> None:
+    async def test() -> None:
+        async with Server("s-1", silent) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: server.seen)
+            client.writer.transport.abort()
+            await until(lambda: server.open == 0)
+            gone = [event for event in rig.spy.events if isinstance(event, api.ClientGone)]
+            assert len(gone) == 1
+            (outcome,) = rig.spy.outcomes()
+            assert (outcome.result, outcome.closed) == (Result.CANCELLED, True)
+            assert not rig.node._open
+
+    run(test())
+
+
+def test_a_failed_attempt_is_followed_by_one_at_the_other_server() -> None:
+    async def test() -> None:
+        async with (
+            Server("s-1", says(b"", abort=True)) as bad, Server("s-2") as good,
+            Rig(configuration(bad, good)) as rig,
+        ):
+            client = await rig.client()
+            for _ in range(8):
+                assert (await client.ask(request())).body == b"frame"
+            attempts = [(one.request, one.attempt) for one in rig.spy.outcomes()]
+            assert len(set(attempts)) == len(attempts) >= 8
+            assert bad.seen and good.seen
+
+    run(test())
+
+
+def test_a_second_answer_to_one_request_ends_the_connection_and_reaches_nobody() -> None:
+    async def test() -> None:
+        async with (
+            Server("s-1", says(answer() + answer(body=b"other"))) as server,
+            Rig(configuration(server)) as rig,
+        ):
+            client = await rig.client()
+            for _ in range(3):
+                assert (await client.ask(request())).body == b"frame"
+            assert server.connections == 3
+
+    run(test())
+
+
+def test_a_connection_that_breaks_before_the_last_byte_is_written_never_ran(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The server takes nothing in: the request stays partly in the node, which then sees a reset."""
+    made = upstream.Connection.connection_made
+
+    def with_small_buffer(self: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(self, transport)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", with_small_buffer)
+
+    async def test() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        listening.setblocking(False)
+        server = Server("s-1")
+        server.address = "{}:{}".format(*listening.getsockname())
+        async with Rig(configuration(server)) as rig:
+            loop = asyncio.get_running_loop()
+            client = await rig.client()
+            client.writer.write(request("order", body=b"x" * 65536))
+            accepted, _ = await asyncio.wait_for(loop.sock_accept(listening), PATIENCE)
+            await until(lambda: any(one.out[0]._connection for one in rig.node._open.values() if one.out))
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            accepted.close()
+            assert status(await client.read()) == 503
+            assert [outcome.result for outcome in rig.spy.outcomes()] == [Result.CONNECT_FAILED]
+        listening.close()
+
+    run(test())
