--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -133,6 +133,9 @@
         except (OSError, TimeoutError) as problem:
             self.failed(watch, f"no connection: {problem!r}")
 
+    def is_current(self, watch: _Watch) -> bool:
+        return watch is self._watch
+
     def received(self, watch: _Watch, line: bytes) -> None:
         if watch is not self._watch or not line.strip():
             return
@@ -190,7 +193,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        transport.write(self._owner.request())
+        if self._owner.is_current(self):
+            transport.write(self._owner.request())
+        else:  # given up while it was dialed: a watch that nobody reads is load for discovery
+            transport.abort()
 
     def data_received(self, data: bytes) -> None:
         self._heard = asyncio.get_running_loop().time()
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -108,7 +108,7 @@
             accepted.setblocking(False)
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._loop.connect_accepted_socket(lambda: ClientConnection(self), accepted)
-        except OSError as problem:
+        except Exception as problem:
             log.warning("a client was lost as it came: %r", problem)
             accepted.close()
             self._left()
@@ -166,12 +166,14 @@
         end = self._loop.time() + within
         await asyncio.sleep(serve_on)
         self.closing = True
-        self._accept()  # what waits in the kernel's queue would be reset with the socket
+        for _ in range(BACKLOG // ACCEPTS):
+            self._accept()  # what waits in the kernel's queue would be reset with the socket
         self._pause()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
         await asyncio.gather(*self._tasks)
+        await asyncio.sleep(DRAIN_LOOK)  # what those just taken in have sent already is read first
         for connection in list(self._idle):
             connection.close_if_unused()
         while self._connections and self._loop.time() < end:
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from time import monotonic_ns
 from typing import NamedTuple, cast
 
@@ -144,7 +145,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self._pool.pools.sockets += 1
-        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):  # it may be broken already
+            transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # With no room in the buffer each write is tried at once, and what is left over tells when it is out.
         transport.set_write_buffer_limits(high=0)
 
