--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -405,7 +405,6 @@
             tenant=tenants.get(fields.get(b"x-tenant", b""), len(tenants)),
             key=key_number(key) if key else 0,
             resubmitted=fields.get(b"x-retry") == b"1",
-            arrived=ready.arrived,
             deadline=ready.arrived + patience,
         )
 
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -52,8 +52,7 @@
     tenant: int
     key: int
     resubmitted: bool
-    arrived: int  # monotonic ns, of its last byte
-    deadline: int  # likewise
+    deadline: int  # monotonic ns
 
 
 @dataclass(slots=True, eq=False)
@@ -100,10 +99,6 @@
     def can_serve(self) -> bool:
         return bool(self._ready)
 
-    def held(self) -> int:
-        """Requests that are not answered."""
-        return sum(1 for request in self._open.values() if not request.answered)
-
     def fail_all(self) -> None:
         """The process is about to end: whoever still waits is told."""
         for request in list(self._open.values()):
