--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,24 @@
-PYTHON ?= python3
+# `make rehearse` and `make test` set up their environment themselves: they want python3, make and the package
+# registry. VENV names the folder for it.
+VENV ?= .venv
+PYTHON ?= $(VENV)/bin/python
+NEEDED = requirements.txt requirements-rehearsal.txt requirements-dev.txt
+
+.PHONY: rehearse test check
+
+rehearse: $(VENV)/ready
+	$(PYTHON) -m driftstair rehearse calm
+	$(PYTHON) -m driftstair rehearse slow-boxes
+
+test: $(VENV)/ready
+	$(MAKE) --no-print-directory check
 
-.PHONY: check
 check:
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 	$(PYTHON) -m pytest -q
+
+$(VENV)/ready: $(NEEDED)
+	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
+	$(VENV)/bin/pip --quiet --disable-pip-version-check install $(NEEDED:%=-r %)
+	touch $@
--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -1,4 +1,4 @@
-"""Starts the node, and ends it when it is told to."""
+"""The command line. With no subcommand it is the daemon: one node, told by the platform what to do."""
 
 from __future__ import annotations
 
@@ -6,79 +6,22 @@
 import gc
 import logging
 import os
-import signal
 import sys
+from functools import partial
 
-import uvloop
 
-from driftstair.config import Config, ConfigError, load, reload
-from driftstair.net.front import Front
-from driftstair.net.node import Node
-from driftstair.net.upstream import Pools
-
-log = logging.getLogger("driftstair")
-
-RESERVED = 40  # descriptors: the interpreter's, the loop's, the listening socket, discovery, and slack
-CLIENTS_PART = 0.55  # of the rest; the others are for servers
-
-SERVE_ON = 0.6  # s after SIGTERM at least: new connections go on coming for up to 0.4 s
-KILLED_AFTER = 0.7  # s after SIGTERM and the longest deadline, at the soonest
-LONGEST_DEADLINE = 3.0  # s, as far as the platform waits
-MARGIN = 0.3  # s before SIGKILL
-
-
-def assemble(config: Config) -> tuple[Node, Front]:
-    usable = config.sockets - RESERVED
-    clients = int(usable * CLIENTS_PART)
-    node = Node(config, Pools(usable - clients, config.dial_timeout, config.idle_close))
-    return node, Front(node, config, clients)
-
-
-def plan_end(config: Config) -> tuple[float, float]:
-    """Until when after SIGTERM all is served on, and when all must be answered, in s. Clients go on using the
-    connections that they have, and the nodes that take over may be restarting too: so what can still be
-    answered in time is taken. Guards against seconds in which no node of the tier serves."""
-    held = [kind.aim / 1e9 if not kind.late_worth else LONGEST_DEADLINE for kind in config.settings.classes]
-    longest = min(LONGEST_DEADLINE, max(config.deadlines) / 1e9)
-    within = longest + KILLED_AFTER - MARGIN
-    return max(SERVE_ON, within - min(longest, max(held))), within
-
-
-def follow_file(node: Node) -> None:
-    """SIGHUP: the file has been replaced. Whatever is wrong with the new one, the node serves on."""
-    try:
-        config = reload(os.environ)
-    except ConfigError as problem:
-        log.error("the new configuration is not used: %s", problem)
-    else:
-        node.reload(config)
-
-
-async def serve(config: Config) -> int:
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    node, front = assemble(config)
-    # Guards against the default, which ends the process and all that it holds.
-    loop.add_signal_handler(signal.SIGHUP, follow_file, node)
-    try:
-        address = front.listen()
-    except OSError as problem:
-        print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
-        return 2
-    node.start()
-    # What has been made by now stays; the collector need not look at it again.
+def settle() -> None:
+    """What has been made by now stays; the collector need not look at it again."""
     gc.collect()
     gc.freeze()
-    log.info("serving on %s:%d", *address)
-    await stop.wait()
-    log.info("stopping")
-    await front.stop(*plan_end(config))
-    return 0
 
 
-def main() -> int:
+def daemon() -> int:
+    import uvloop
+
+    from driftstair.config import ConfigError, load, reload
+    from driftstair.daemon import serve
+
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
@@ -86,7 +29,15 @@
         print(f"driftstair: {problem}", file=sys.stderr)
         return 2
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(serve(config))
+        return runner.run(serve(config, partial(reload, os.environ), ready=settle))
+
+
+def main() -> int:
+    if len(sys.argv) > 1:
+        from driftstair.commands import run  # not loaded for the daemon
+
+        return run(sys.argv[1:])
+    return daemon()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/driftstair/commands.py
@@ -0,0 +1,41 @@
+"""The subcommands: one parser for all. Each subsystem adds its own, and is loaded when it is asked for."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable, Sequence
+
+Run = Callable[[argparse.Namespace], int]
+
+EXTRAS = {"rich": "rehearsal", "pydantic": "rehearsal", "tomli_w": "rehearsal"}
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="driftstair",
+        description="A reverse-proxy node. With no subcommand it is the daemon.",
+    )
+    commands = top.add_subparsers(title="subcommands", metavar="COMMAND", required=True)
+
+    from driftstair.rehearsal.options import add
+
+    add(commands)
+    return top
+
+
+def run(arguments: Sequence[str]) -> int:
+    """The exit status: 2 for bad use."""
+    found = parser().parse_args(arguments)
+    chosen: Run = found.run
+    try:
+        return chosen(found)
+    except ModuleNotFoundError as problem:
+        extra = EXTRAS.get(problem.name or "")
+        if extra is None:
+            raise
+        print(
+            f"driftstair: this command wants {problem.name}: pip install 'driftstair[{extra}]'",
+            file=sys.stderr,
+        )
+        return 2
--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -4,11 +4,10 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
-from driftstair.net.discovery import HostList, ListError, parse_address, parse_list
-from lichenspring import interface as api
+from driftstair.hosts import HostList, ListError, parse_address, parse_list
+from driftstair.settings import Config
 from lichenspring.settings import SettingsError, Values, flat, settings_from
 
 SOCKETS_LEAST = 96  # below that no node could serve anybody
@@ -18,25 +17,6 @@
     """The configuration can't be used; the text names the key."""
 
 
-@dataclass(slots=True, frozen=True)
-class Config:
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
-    seed: int
-    sockets: int  # file descriptors that the process may hold
-    known: HostList
-    settings: api.Settings
-    classes: dict[bytes, int]  # by the names that stand on the wire
-    deadlines: tuple[int, ...]  # ns, of each class
-    tenants: dict[bytes, int]
-    zones: dict[str, int]
-    kinds: dict[str, int]
-    report_fields: tuple[bytes, ...]
-    dial_timeout: int  # ns
-    idle_close: int  # ns
-    open_cap: int  # requests that the node may hold
-
-
 def load(environment: Mapping[str, str]) -> Config:
     """The node's configuration; raises ConfigError."""
     path = environment.get("BALANCER_CONFIG")
@@ -51,10 +31,7 @@
         raise ConfigError("BALANCER_CONFIG is no JSON text") from None
     if not isinstance(document, dict):
         raise ConfigError("BALANCER_CONFIG holds no JSON object")
-    try:
-        return _read(environment, document)
-    except (SettingsError, ValueError) as problem:
-        raise ConfigError(f"settings: {problem}") from None
+    return read(environment, document)
 
 
 def reload(environment: Mapping[str, str]) -> Config:
@@ -63,7 +40,15 @@
     return load({name: text for name, text in environment.items() if name != "BALANCER_DISCOVERY"})
 
 
-def _read(environment: Mapping[str, str], document: dict[str, Any]) -> Config:
+def read(environment: Mapping[str, str], document: dict[str, Any]) -> Config:
+    """The configuration from the object that its file holds; raises ConfigError."""
+    try:
+        return _checked(environment, document)
+    except (SettingsError, ValueError) as problem:
+        raise ConfigError(f"settings: {problem}") from None
+
+
+def _checked(environment: Mapping[str, str], document: dict[str, Any]) -> Config:
     tree = _object(document, "settings")
     mapping = dict(flat(tree))
     settings = settings_from(mapping)
--- /dev/null
+++ b/driftstair/daemon.py
@@ -0,0 +1,81 @@
+"""One node from its start to its end, on whatever machine it is given."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Callable
+
+from driftstair.config import ConfigError
+from driftstair.net.front import Front
+from driftstair.net.node import Node
+from driftstair.net.system import SOCKETS, System
+from driftstair.net.upstream import Pools
+from driftstair.settings import Config
+
+log = logging.getLogger("driftstair")
+
+RESERVED = 40  # descriptors: the interpreter's, the loop's, the listening socket, discovery, and slack
+CLIENTS_PART = 0.55  # of the rest; the others are for servers
+
+SERVE_ON = 0.6  # s after SIGTERM at least: new connections go on coming for up to 0.4 s
+KILLED_AFTER = 0.7  # s after SIGTERM and the longest deadline, at the soonest
+LONGEST_DEADLINE = 3.0  # s, as far as the platform waits
+MARGIN = 0.3  # s before SIGKILL
+
+
+def assemble(config: Config, system: System = SOCKETS) -> tuple[Node, Front]:
+    usable = config.sockets - RESERVED
+    clients = int(usable * CLIENTS_PART)
+    pools = Pools(usable - clients, config.dial_timeout, config.idle_close, system)
+    node = Node(config, pools, system)
+    return node, Front(node, config, clients, system)
+
+
+def plan_end(config: Config) -> tuple[float, float]:
+    """Until when after SIGTERM all is served on, and when all must be answered, in s. Clients go on using the
+    connections that they have, and the nodes that take over may be restarting too: so what can still be
+    answered in time is taken. Guards against seconds in which no node of the tier serves."""
+    held = [kind.aim / 1e9 if not kind.late_worth else LONGEST_DEADLINE for kind in config.settings.classes]
+    longest = min(LONGEST_DEADLINE, max(config.deadlines) / 1e9)
+    within = longest + KILLED_AFTER - MARGIN
+    return max(SERVE_ON, within - min(longest, max(held))), within
+
+
+def follow_file(node: Node, reread: Callable[[], Config]) -> None:
+    """SIGHUP: the file has been replaced. Whatever is wrong with the new one, the node serves on."""
+    try:
+        config = reread()
+    except ConfigError as problem:
+        log.error("the new configuration is not used: %s", problem)
+    else:
+        node.reload(config)
+
+
+async def serve(
+    config: Config, reread: Callable[[], Config], system: System = SOCKETS,
+    ready: Callable[[], None] = lambda: None,
+) -> int:  # fmt: skip
+    """The node's life; its exit status. `reread`: the configuration as it is told now, or ConfigError;
+    `ready` is called once clients are served."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node, front = assemble(config, system)
+    # Guards against the default, which ends the process and all that it holds.
+    loop.add_signal_handler(signal.SIGHUP, follow_file, node, reread)
+    try:
+        address = front.listen()
+    except OSError as problem:
+        print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
+        return 2
+    node.start()
+    ready()
+    log.info("serving on %s:%d", *address)
+    await stop.wait()
+    log.info("stopping")
+    await front.stop(*plan_end(config))
+    return 0
--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -1,98 +1,23 @@
-"""The list of servers: its form, and the watch that keeps it current."""
+"""The watch that keeps the list of servers current."""
 
 from __future__ import annotations
 
 import asyncio
-import ipaddress
 import json
 import logging
 from collections.abc import Callable
-from math import inf
-from typing import Any, NamedTuple, cast
+from typing import cast
 
 import httptools
 
-from lichenspring.interface import ServerState
+from driftstair.hosts import HostList, ListError, parse_list
+from driftstair.net.system import System
 
 log = logging.getLogger(__name__)
 
 SILENCE = 7.0  # s without a byte: an open watch brings one at least every 2 s
 LINE_MOST = 4 << 20  # bytes of one change
 
-STATES = {
-    "Ready": ServerState.READY,
-    "Terminating": ServerState.DRAINING,
-    "Gone": ServerState.GONE,
-}
-
-
-class ListError(Exception):
-    """A list of servers that can't be used; the text says why."""
-
-
-class Host(NamedTuple):
-    """One entry of the list."""
-
-    id: str
-    address: tuple[str, int]
-    zone: str
-    kind: str
-    cell: int
-    state: ServerState
-    weight: float
-    started_ms: int  # Unix time; 0: long ago
-
-
-class HostList(NamedTuple):
-    version: int
-    full: bool
-    hosts: tuple[Host, ...]
-
-
-def parse_address(text: object) -> tuple[str, int]:
-    """Host and port of an address; there is no DNS, so the host is a number."""
-    if not isinstance(text, str):
-        raise ListError(f"no address: {text!r}")
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        number = int(port)
-    except ValueError:
-        raise ListError(f"no address: {text!r}") from None
-    if not 0 <= number < 1 << 16:
-        raise ListError(f"no port: {text!r}")
-    return host, number
-
-
-def parse_list(document: object) -> HostList:
-    """A whole list or a change of it, from its JSON form; raises ListError."""
-    if not isinstance(document, dict):
-        raise ListError("it is no object")
-    version, servers = document.get("version"), document.get("servers")
-    if not isinstance(version, int) or isinstance(version, bool) or not isinstance(servers, list):
-        raise ListError("version or servers is missing")
-    return HostList(version, document.get("full") is True, tuple(_host(entry) for entry in servers))
-
-
-def _host(entry: Any) -> Host:
-    try:
-        state = STATES[entry["state"]]
-        # One that is gone may have no address any more.
-        gone = state is ServerState.GONE
-        address = ("", 0) if gone else parse_address(entry["addr"])
-        if not isinstance(entry["id"], str):
-            raise ValueError("id is no text")
-        weight = float(entry.get("weight", 1.0))
-        return Host(
-            entry["id"], address, str(entry.get("zone", "")), str(entry.get("kind", "")),
-            int(entry.get("cell", 0)), state,
-            # Without end it would leave all others without keys; no figure is as any other.
-            weight if 0.0 < weight < inf else 1.0,
-            max(0, int(entry.get("started_ms", 0))),
-        )  # fmt: skip
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as problem:
-        raise ListError(f"bad entry: {problem!r}") from None
-
 
 class Discovery:
     """Keeps one watch at most, opened when it is told to. Each watch that ends is reported once."""
@@ -104,7 +29,9 @@
         dial_timeout: float,
         on_list: Callable[[HostList], None],
         on_failed: Callable[[], None],
+        system: System,
     ) -> None:
+        self._system = system
         self._address = address
         self._version = version
         self._dial_timeout = dial_timeout
@@ -143,10 +70,9 @@
         return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
 
     async def _open(self, watch: _Watch) -> None:
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._dial_timeout):
-                await loop.create_connection(lambda: watch, *self._address)
+                await self._system.dial(lambda: watch, self._address)
         except (OSError, TimeoutError) as problem:
             self.failed(watch, f"no connection: {problem!r}")
 
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -5,14 +5,13 @@
 import asyncio
 import errno
 import logging
-import socket
 from http import HTTPStatus
-from time import monotonic_ns
-from typing import cast
+from typing import Any, cast
 
-from driftstair.config import Config
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
+from driftstair.net.system import SOCKETS, Listener, System
+from driftstair.settings import Config
 
 log = logging.getLogger(__name__)
 
@@ -40,14 +39,18 @@
 class Front:
     """The listening socket and all connections that came from it."""
 
-    def __init__(self, node: Node, config: Config, connections_most: int) -> None:
+    def __init__(
+        self, node: Node, config: Config, connections_most: int, system: System = SOCKETS
+    ) -> None:
         self.node = node
         self.config = config
+        self.now = system.monotonic_ns
+        self._system = system
         self.closing = False  # answers end their connections
         self.stopping = False  # `/up` sends clients elsewhere
         self._most = connections_most
         self._loop = asyncio.get_running_loop()
-        self._socket: socket.socket | None = None
+        self._listener: Listener | None = None
         self._accepting = False
         self._looks_again = False
         self._open = 0
@@ -58,36 +61,30 @@
         self._idle: dict[ClientConnection, float] = {}
         self._reading: dict[ClientConnection, float] = {}  # in the midst of a later request
         self._lingering: dict[ClientConnection, float] = {}  # rejected
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
 
     def listen(self) -> tuple[str, int]:
-        host, port = self.config.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind((host, port))
-        self._socket.listen(BACKLOG)
+        self._listener = self._system.listen(self.config.listen, BACKLOG)
         self._resume()
         self._loop.call_later(SWEEP, self._sweep)
-        address = self._socket.getsockname()
-        return address[0], address[1]
+        return self._listener.address
 
     # Accepting. The loop is only asked for new connections while there is a place for them: at a full
     # table they wait in the kernel's queue, and a socket that stays readable costs nothing.
 
     def _pause(self) -> None:
-        if self._accepting and self._socket is not None:
+        if self._accepting and self._listener is not None:
             self._accepting = False
-            self._loop.remove_reader(self._socket)
+            self._listener.pause()
 
     def _resume(self) -> None:
-        if not self._accepting and self._socket is not None:
+        if not self._accepting and self._listener is not None:
             self._accepting = True
-            self._loop.add_reader(self._socket, self._accept)
+            self._listener.resume(self._accept)
 
     def _accept(self) -> None:
-        if self._socket is None:
+        listener = self._listener
+        if listener is None:
             return
         for _ in range(ACCEPTS):
             if self._open >= self._most and not self._evict():
@@ -95,7 +92,7 @@
                 self._look_again()  # soon: the usual clients wait in the same queue
                 return
             try:
-                accepted, _ = self._socket.accept()
+                accepted = listener.accept()
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as problem:
@@ -107,15 +104,16 @@
                     return
                 continue  # that one client is gone already
             self._open += 1
-            task = self._loop.create_task(self._enter(accepted))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task = self._loop.create_task(self._enter(listener, accepted))
+            self._tasks[task] = None
+            task.add_done_callback(self._entered)
 
-    async def _enter(self, accepted: socket.socket) -> None:
+    def _entered(self, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(task, None)
+
+    async def _enter(self, listener: Listener, accepted: Any) -> None:
         try:
-            accepted.setblocking(False)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self), accepted)
+            await listener.adopt(lambda: ClientConnection(self), accepted)
         except Exception as problem:
             log.warning("a client was lost as it came: %r", problem)
             accepted.close()
@@ -231,9 +229,9 @@
         for _ in range(BACKLOG // ACCEPTS):
             self._accept()  # what waits in the kernel's queue would be reset with the socket
         self._pause()
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
         await asyncio.gather(*self._tasks)
         await asyncio.sleep(DRAIN_LOOK)  # what those just taken in have sent already is read first
         for connection in [*self._new, *self._idle]:
@@ -251,7 +249,7 @@
         self._front = front
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = Reader(front.config)
+        self._reader = Reader(front.config, front.now)
         self._number = 0  # of the request that the node holds; 0: none
         self._busy = False
         self._keep_alive = True
@@ -393,7 +391,7 @@
         self._ends = not keep
         if transport.get_write_buffer_size():
             # A client that reads too slowly gets nothing after its deadline: it has given up by then.
-            left = self._deadline - monotonic_ns() if self._deadline else SLOW_READER * 1e9
+            left = self._deadline - self._front.now() if self._deadline else SLOW_READER * 1e9
             self._slow_reader = self._loop.call_later(max(0.0, left / 1e9), transport.abort)
         else:
             self._answered()
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -9,12 +9,13 @@
 from functools import partial
 from hashlib import blake2b
 from math import inf
-from time import monotonic_ns, time_ns
 from typing import Protocol
 
-from driftstair.config import Config
-from driftstair.net.discovery import Discovery, Host, HostList
+from driftstair.hosts import Host, HostList
+from driftstair.net.discovery import Discovery
+from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Answer, Attempt, Pools
+from driftstair.settings import Config
 from lichenspring import Balancer
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ListMode, Result, ServerState
@@ -73,8 +74,9 @@
 class Node:
     """Owns the balancer; it sees one event at a time, each once all actions on the one before are done."""
 
-    def __init__(self, config: Config, pools: Pools) -> None:
+    def __init__(self, config: Config, pools: Pools, system: System = SOCKETS) -> None:
         self._config = config
+        self._now = system.monotonic_ns
         self._pools = pools
         self._balancer = Balancer(config.settings, config.seed)
         self._loop = asyncio.get_running_loop()
@@ -85,17 +87,18 @@
         self._last_number = 0
         self._warned = False  # of load reports
         self._ready: set[api.ServerId] = set()
-        self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
+        # Fixed: a start time must translate alike each time.
+        self._to_monotonic = system.monotonic_ns() - system.time_ns()
         self._discovery = Discovery(
             config.discovery, config.known.version, max(1.0, config.dial_timeout / 1e9),
-            self._list_came, self._watch_failed,
+            self._list_came, self._watch_failed, system,
         )  # fmt: skip
 
     # Start and stop.
 
     def start(self) -> None:
         self._pools.start()
-        self._act_on(self._balancer.start(monotonic_ns()))
+        self._act_on(self._balancer.start(self._now()))
         self._follow(ListKind.CACHED, self._config.known.hosts)
         if self._config.settings.list_mode is ListMode.PUSHED:
             self._discovery.watch()
@@ -135,12 +138,12 @@
 
     def _decide(self, event: api.Event) -> list[api.Action]:
         try:
-            return self._balancer.handle(monotonic_ns(), event)
+            return self._balancer.handle(self._now(), event)
         except Exception:
             log.exception("the module failed on %r", event)
         if isinstance(event, api.Timer):
             # Some of the module's timers each set the next: one failure would stop them for good.
-            self._set_timer(monotonic_ns() + MENDED_AFTER, event.token)
+            self._set_timer(self._now() + MENDED_AFTER, event.token)
         elif isinstance(event, api.Request | api.Outcome):
             number = event.id if isinstance(event, api.Request) else event.request
             request = self._open.get(number)
@@ -163,7 +166,7 @@
             self._answer(action.request, 503, [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else [])
         elif isinstance(action, api.Fail):
             request = self._open.get(action.request)
-            late = request is not None and monotonic_ns() >= request.call.deadline - TRANSIT
+            late = request is not None and self._now() >= request.call.deadline - TRANSIT
             self._answer(action.request, 504 if late else 502, [])
         elif isinstance(action, api.SetTimer):
             self._set_timer(action.at, action.token)
@@ -176,11 +179,11 @@
 
     def _set_timer(self, at: int, token: int) -> None:
         # Rounded up to the loop's milliseconds: a timer that comes early finds nothing due yet.
-        delay = max(0, at - monotonic_ns()) // MS + 1
+        delay = max(0, at - self._now()) // MS + 1
         self._loop.call_later(delay / 1000, self._due, at, token)
 
     def _due(self, at: int, token: int) -> None:
-        if monotonic_ns() < at:
+        if self._now() < at:
             self._set_timer(at, token)
         else:
             self._tell(api.Timer(token))
@@ -191,7 +194,7 @@
         """A client's request has come. Returns its number, for `client_gone`."""
         self._last_number += 1
         request = Open(self._last_number, call)
-        now = monotonic_ns()
+        now = self._now()
         left = call.deadline - TRANSIT - now
         if left <= 0:
             call.client.answer(504, [], b"")
@@ -263,7 +266,7 @@
                 api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
             )
             return
-        now = monotonic_ns()
+        now = self._now()
         latest = request.call.deadline - TRANSIT
         expires = min(latest, now + action.time_out) if action.time_out else latest
         ended = partial(self._ended, request, index, action.server, now)
@@ -275,7 +278,7 @@
         self, request: Open, index: int, server: api.ServerId, since: int,
         result: Result, answer: Answer | None,
     ) -> None:
-        elapsed = monotonic_ns() - since
+        elapsed = self._now() - since
         del request.out[index]
         if answer is not None and not request.answered:
             if result is Result.OK:
@@ -318,13 +321,14 @@
 
     def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
         servers = tuple(self._server(host) for host in hosts)
-        leaving = set() if kind is ListKind.DELTA else set(self._pools.servers())
+        # In the order of the list: a set's order would differ from one process to the next.
+        leaving = {} if kind is ListKind.DELTA else dict.fromkeys(self._pools.servers())
         for host, server in zip(hosts, servers, strict=True):
             if host.state is ServerState.READY:
                 self._pools.enrol(server.id, host.address, server.started)
-                leaving.discard(server.id)
+                leaving.pop(server.id, None)
             else:
-                leaving.add(server.id)
+                leaving[server.id] = None
         # The module is told before the others are retired: what ends by that may be sent elsewhere at once.
         self._tell(api.ServerList(kind, servers))
         for identity in leaving:
--- a/driftstair/net/request.py
+++ b/driftstair/net/request.py
@@ -4,12 +4,12 @@
 
 import re
 from collections import deque
-from time import monotonic_ns
+from collections.abc import Callable
 
 import httptools
 
-from driftstair.config import Config
 from driftstair.net.upstream import BODY_MOST, HEAD_MOST, HOP_BY_HOP
+from driftstair.settings import Config
 from lichenspring.interface import Repeat
 
 FIELDS_MOST = 100  # headers
@@ -102,7 +102,8 @@
 class Reader:
     """Bytes to requests. Ends with the first one that is refused: `error` is the status of its answer."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, now: Callable[[], int]) -> None:
+        self._now = now
         self.ready: deque[Incoming] = deque()
         self.error = 0
         self._config = config
@@ -206,5 +207,5 @@
         incoming, self._incoming = self._incoming, None
         assert incoming is not None and self._parser is not None
         incoming.keep_alive = self._parser.should_keep_alive()
-        incoming.arrived = monotonic_ns()
+        incoming.arrived = self._now()
         self.ready.append(incoming)
--- /dev/null
+++ b/driftstair/net/system.py
@@ -0,0 +1,115 @@
+"""What the node takes from the machine it runs on: clocks, listening sockets and connections.
+
+One seam, so that the same node serves real sockets and, in the rehearsal kit, a network that exists in
+memory and a clock that jumps (the way of `trio`'s clock and network, which tests replace). Timers and tasks
+come from the running asyncio loop; chance comes from the seed of the configuration.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any, Protocol
+
+Factory = Callable[[], asyncio.BaseProtocol]
+
+
+class Listener(Protocol):
+    """A listening socket. An accepted connection is held by `adopt`, or closed."""
+
+    address: tuple[str, int]
+
+    def resume(self, ready: Callable[[], None]) -> None:
+        """Call `ready` in each turn of the loop in which a connection waits."""
+
+    def pause(self) -> None:
+        """Leave connections in the accept queue."""
+
+    def accept(self) -> Any:
+        """The next connection; raises BlockingIOError if none waits, and OSError as accept(2) does."""
+
+    async def adopt(self, factory: Factory, accepted: Any) -> None:
+        """Give an accepted connection its protocol. On an error the caller closes it."""
+
+    def close(self) -> None: ...
+
+
+class System(Protocol):
+    """Times are whole nanoseconds."""
+
+    def monotonic_ns(self) -> int: ...
+
+    def time_ns(self) -> int: ...
+
+    def listen(self, address: tuple[str, int], backlog: int) -> Listener:
+        """Raises OSError."""
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        """A connection; raises OSError, and waits for as long as nothing answers."""
+
+    def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """Set up a connection that came up for requests one at a time. What is returned tells whether it is
+        quiet: nothing has come, nor its end, that the loop has not read yet."""
+
+
+class SocketListener:
+    def __init__(self, address: tuple[str, int], backlog: int) -> None:
+        host, port = address
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._loop = asyncio.get_running_loop()
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._socket.setblocking(False)
+            self._socket.bind((host, port))
+            self._socket.listen(backlog)
+        except OSError:
+            self._socket.close()
+            raise
+        self.address: tuple[str, int] = self._socket.getsockname()[:2]
+
+    def resume(self, ready: Callable[[], None]) -> None:
+        self._loop.add_reader(self._socket, ready)
+
+    def pause(self) -> None:
+        self._loop.remove_reader(self._socket)
+
+    def accept(self) -> socket.socket:
+        return self._socket.accept()[0]
+
+    async def adopt(self, factory: Factory, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await self._loop.connect_accepted_socket(factory, accepted)
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class SocketSystem:
+    """Real clocks and sockets."""
+
+    monotonic_ns = staticmethod(time.monotonic_ns)
+    time_ns = staticmethod(time.time_ns)
+
+    def listen(self, address: tuple[str, int], backlog: int) -> SocketListener:
+        return SocketListener(address, backlog)
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        _, protocol = await asyncio.get_running_loop().create_connection(factory, *address)
+        return protocol
+
+    def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        own = transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(own.fileno(), select.POLLIN)
+        with suppress(OSError):  # it may be broken already
+            own.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return lambda: not poll.poll(0)
+
+
+SOCKETS = SocketSystem()
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -4,15 +4,12 @@
 
 import asyncio
 import errno
-import select
-import socket
 from collections.abc import Callable
-from contextlib import suppress
-from time import monotonic_ns
 from typing import NamedTuple, cast
 
 import httptools
 
+from driftstair.net.system import SOCKETS, System
 from lichenspring.interface import Result, ServerId
 
 BODY_MOST = 64 << 10  # bytes of an answer
@@ -63,15 +60,17 @@
             # The node's own want of descriptors is no failure of the server.
             self.end(Result.NOT_SENT)
         else:
-            self.pool.dialing.add(self)
-            self._expires_at(min(self.expires, monotonic_ns() + self.pool.pools.dial_timeout))
+            self.pool.dialing[self] = None
+            pools = self.pool.pools
+            self._expires_at(min(self.expires, pools.now() + pools.dial_timeout))
             self._dial = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
         self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
         try:
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: Connection(self.pool), *self.pool.address
+            connection = cast(
+                Connection,
+                await self.pool.pools.system.dial(lambda: Connection(self.pool), self.pool.address),
             )
         except OSError as problem:
             self._dial = None
@@ -81,7 +80,7 @@
         finally:
             self.pool.pools.sockets -= 1
         self._dial = None
-        self.pool.dialing.discard(self)
+        self.pool.dialing.pop(self, None)
         if self.done:  # it ended in the moment in which the connection came up
             connection.close()
         elif connection.closed:
@@ -92,7 +91,7 @@
             self._write(connection)
 
     def _write(self, connection: Connection) -> None:
-        left = self.expires - monotonic_ns()
+        left = self.expires - self.pool.pools.now()
         if left <= 0:
             self.pool.put(connection)
             self.end(Result.CONNECT_FAILED)
@@ -105,11 +104,11 @@
         # The loop counts in whole milliseconds and rounds. Guards against a time-out that comes a little
         # early: the module would find time left, and spend a further attempt that has none on each of the
         # other servers, to each of which it would look like a failure.
-        delay = max(0, at - monotonic_ns()) // 1_000_000 + 1
+        delay = max(0, at - self.pool.pools.now()) // 1_000_000 + 1
         self._timer = asyncio.get_running_loop().call_later(delay / 1000, self._expire, at)
 
     def _expire(self, at: int) -> None:
-        if monotonic_ns() < at:
+        if self.pool.pools.now() < at:
             self._expires_at(at)
             return
         written = self._connection is not None and self._connection.written
@@ -126,7 +125,7 @@
             self._timer.cancel()
         if self._dial is not None:
             self._dial.cancel()
-        self.pool.dialing.discard(self)
+        self.pool.dialing.pop(self, None)
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.release(self)
@@ -139,7 +138,7 @@
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
         self._transport: asyncio.Transport | None = None
-        self._poll = select.poll()
+        self._quiet: Callable[[], bool] = bool  # not once it is up
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._attempt: Attempt | None = None
         self.written = False  # the last byte of the request is with the kernel
@@ -159,17 +158,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self._pool.pools.sockets += 1
-        own = transport.get_extra_info("socket")
-        self._poll.register(own.fileno(), select.POLLIN)
-        with suppress(OSError):  # it may be broken already
-            own.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._quiet = self._pool.pools.system.prepare(transport)
         # With no room in the buffer each write is tried at once, and what is left over tells when it is out.
         transport.set_write_buffer_limits(high=0)
 
     def is_quiet(self) -> bool:
         """Nothing has come that was not asked for, nor the end. Guards against a second copy of an answer
         that is with the kernel still: the next client would get it for its own."""
-        return not self._poll.poll(0)
+        return self._quiet()
 
     def send(self, attempt: Attempt, data: bytes) -> None:
         transport = self._transport
@@ -313,10 +309,10 @@
         self.started = started
         self.retired = False
         self.idle: list[Connection] = []  # the most recently used last
-        self.dialing: set[Attempt] = set()
+        self.dialing: dict[Attempt, None] = {}  # in the order in which they began
 
     def take(self) -> Connection | None:
-        now = monotonic_ns()
+        now = self.pools.now()
         for index in range(len(self.idle) - 1, -1, -1):
             connection = self.idle[index]
             if connection.idle_since > now - REST:
@@ -335,7 +331,7 @@
         if self.retired:
             connection.close()
         else:
-            connection.idle_since = monotonic_ns()
+            connection.idle_since = self.pools.now()
             self.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
@@ -361,7 +357,11 @@
 class Pools:
     """All pools, within the descriptors that the node may use for servers."""
 
-    def __init__(self, sockets_most: int, dial_timeout: int, idle_close: int) -> None:
+    def __init__(
+        self, sockets_most: int, dial_timeout: int, idle_close: int, system: System = SOCKETS
+    ) -> None:
+        self.system = system
+        self.now = system.monotonic_ns
         self.sockets = 0  # open or being dialed
         self.dial_timeout = dial_timeout
         self.idle_limit = int(idle_close * IDLE_PART)
@@ -373,7 +373,7 @@
         asyncio.get_running_loop().call_later(self._sweep_every, self._sweep)
 
     def _sweep(self) -> None:
-        before = monotonic_ns() - self.idle_limit
+        before = self.now() - self.idle_limit
         for pool in self._pools.values():
             pool.drop_idle(before)
         self.start()
--- /dev/null
+++ b/driftstair/rehearsal/ground.py
@@ -0,0 +1,54 @@
+"""What a rehearsal is played on: `virtual` in memory, `sockets` on loopback. The director knows only this."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from driftstair.rehearsal.stands.place import Place
+
+
+class NodeProcess(Protocol):
+    """One node of the tier: a machine, and the daemon on it while it runs."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def running(self) -> bool: ...
+
+    def address(self) -> tuple[str, int]:
+        """Where it listens, or will."""
+
+    def start(self, document: dict[str, Any]) -> None: ...
+
+    def kill(self) -> None:
+        """SIGKILL."""
+
+    def terminate(self) -> None:
+        """SIGTERM."""
+
+    def reload(self, document: dict[str, Any]) -> None:
+        """Its file is replaced, and it gets SIGHUP."""
+
+    def vanish(self) -> None: ...
+
+    def come_back(self) -> None: ...
+
+    def descriptors(self) -> int:
+        """In use now."""
+
+
+class Ground(Protocol):
+    def place(self, name: str) -> Place:
+        """A machine for a stand-in."""
+
+    def node(self, name: str, ended: Callable[[str, str], None]) -> NodeProcess:
+        """A machine for a node. `ended(name, why)` is called when its process ends by itself; `why` is empty
+        for an end with status 0."""
+
+    def stuck(self) -> str:
+        """What waits for something that can never happen, or nothing."""
+
+    def finish(self) -> None:
+        """The director has seen all that it wants."""
--- /dev/null
+++ b/driftstair/rehearsal/report/html.py
@@ -0,0 +1,307 @@
+"""The report as one page that needs nothing else: plots over one time axis, then tables.
+
+The plots are SVG made here: a plotting library would weigh more than the kit, and a page that loads one would
+need the network.
+"""
+
+from __future__ import annotations
+
+from html import escape
+from typing import Any
+
+from driftstair.rehearsal.account import REASONS
+from driftstair.rehearsal.report.build import Report
+
+WIDTH, LEFT, RIGHT = 1060, 70, 130
+HEIGHT, TOP, BOTTOM = 150, 24, 22
+ROW = 12  # of one box in the map
+COLOURS = ("#2b6cb0", "#c05621", "#2f855a", "#6b46c1", "#b83280", "#718096", "#975a16", "#285e61")
+REASON_COLOURS = {
+    "late": "#d69e2e", "refused": "#dd6b20", "failed": "#c53030", "gave up": "#822727",
+    "unreachable": "#4a5568", "cut off": "#a0aec0",
+}  # fmt: skip
+
+STYLE = """
+body { font: 14px/1.45 system-ui, sans-serif; margin: 2em auto; max-width: 1100px; color: #1a202c; }
+h1 { font-size: 1.4em; margin: 0 } h2 { font-size: 1.05em; margin: 1.6em 0 .3em }
+p.sub { color: #4a5568; margin: .2em 0 1em }
+table { border-collapse: collapse; margin: .3em 0 1em }
+td, th { padding: .15em .8em .15em 0; text-align: right; font-variant-numeric: tabular-nums }
+td:first-child, th:first-child, td.text { text-align: left }
+th { color: #4a5568; font-weight: 600; border-bottom: 1px solid #cbd5e0 }
+.kept { color: #276749; font-weight: 600 } .broken { color: #9b2c2c; font-weight: 600 }
+pre { background: #fff5f5; border-left: 3px solid #c53030; padding: .6em 1em; white-space: pre-wrap }
+svg { display: block } text { font: 11px system-ui, sans-serif; fill: #4a5568 }
+.title { font-weight: 600; fill: #1a202c }
+"""
+
+
+class Axis:
+    """The time axis that all plots share, in s."""
+
+    def __init__(self, begin: float, end: float) -> None:
+        self.begin, self.end = begin, max(end, begin + 1.0)
+
+    def x(self, at: float) -> float:
+        at = min(max(at, self.begin), self.end)
+        return LEFT + (WIDTH - LEFT - RIGHT) * (at - self.begin) / (self.end - self.begin)
+
+    def ticks(self) -> list[float]:
+        span = self.end - self.begin
+        step = next(one for one in (1, 2, 5, 10, 20, 30, 60, 120, 300, 600, 1800, 3600, 7200, 14400)
+                    if span / one <= 16)  # fmt: skip
+        first = -(-self.begin // step) * step
+        return [first + index * step for index in range(int((self.end - first) // step) + 1)]
+
+
+def page(report: Report) -> str:
+    of = report["scenario"]
+    last = max(
+        [one["at"] + 1 for one in report["seconds"]] + [one["at"] for one in report["samples"]] + [1.0]
+    )
+    axis = Axis(0.0, last)
+    plots = [
+        _service(report, axis),
+        _asked(report, axis),
+        _lines(report, axis, "in flight, by node", "in_flight"),
+        _boxes(report, axis),
+        _lines(report, axis, "descriptors, by node", "descriptors"),
+    ]
+    where = "virtual time" if report["ground"] == "virtual" else "loopback sockets"
+    subtitle = (
+        f"{of['nodes']} nodes, {of['boxes']} boxes, {of['rate']:g} requests/s for {of['seconds']:g} s, seed "
+        f"{of['seed']}, {where}"
+    )
+    return "".join(
+        (
+            "<!doctype html><html lang='en'><head><meta charset='utf-8'>",
+            f"<title>{escape(of['name'])}</title><style>{STYLE}</style></head><body>",
+            f"<h1>{escape(of['name'])}</h1>",
+            f"<p class='sub'>{escape(of['title'])}<br>{escape(subtitle)}</p>",
+            _verdict(report),
+            *plots,
+            _losses(report),
+            _events(report),
+            "</body></html>\n",
+        )
+    )
+
+
+def _verdict(report: Report) -> str:
+    found = report["verdict"]
+    parts = [f"<p>Service <b>{report['service']:.3f}</b>: worth answered in time over worth asked for. "]
+    if found["breaks"]:
+        parts.append(f"<span class='broken'>Rules broken {found['breaks']} times.</span>")
+    else:
+        parts.append(
+            f"<span class='kept'>All four rules kept over {found['requests_judged']} requests.</span>"
+        )
+    if found["crashes"]:
+        parts.append(f" <span class='broken'>{found['crashes']} crashes.</span>")
+    if report["ended"] != "whole":
+        parts.append(f" <span class='broken'>{escape(report['ended'])}</span>")
+    parts.append("</p>")
+    lines = [
+        f"{one['at']:.3f} s  rule {one['rule']}, {one['name']}: {one['node']} {one['box']} {one['request']}\n"
+        f"    {one['evidence']}"
+        for one in report["breaks"][:20]
+    ]
+    lines += [
+        f"{one['at']:.3f} s  {one['node']} crashed: {one['what']}\n    " + "\n    ".join(one["trace"])
+        for one in report["crashes"][:10]
+    ]
+    if lines:
+        parts.append(f"<pre>{escape(chr(10).join(lines))}</pre>")
+    return "".join(parts)
+
+
+# Plots.
+
+
+def _frame(title: str, axis: Axis, height: int, troubles: list[dict[str, Any]], inside: str) -> str:
+    bottom = height - BOTTOM
+    marks = []
+    for index, one in enumerate(troubles):
+        x1, x2 = axis.x(one["from"]), axis.x(one["to"])
+        shade = COLOURS[index % len(COLOURS)]
+        marks.append(
+            f"<rect x='{x1:.1f}' y='{TOP}' width='{max(1.0, x2 - x1):.1f}' height='{bottom - TOP}' "
+            f"fill='{shade}' opacity='.10'><title>{escape(one['kind'])}</title></rect>"
+        )
+    ticks = "".join(
+        f"<line x1='{axis.x(at):.1f}' x2='{axis.x(at):.1f}' y1='{bottom}' y2='{bottom + 4}' "
+        f"stroke='#a0aec0'/>"
+        f"<text x='{axis.x(at):.1f}' y='{bottom + 16}' text-anchor='middle'>{at:g} s</text>"
+        for at in axis.ticks()
+    )
+    return (
+        f"<svg viewBox='0 0 {WIDTH} {height}' width='{WIDTH}' height='{height}' role='img'>"
+        f"<text class='title' x='{LEFT}' y='15'>{escape(title)}</text>{''.join(marks)}{inside}"
+        f"<line x1='{LEFT}' x2='{WIDTH - RIGHT}' y1='{bottom}' y2='{bottom}' stroke='#a0aec0'/>{ticks}</svg>"
+    )
+
+
+def _scale(top: float, height: int) -> str:
+    bottom = height - BOTTOM
+    return "".join(
+        f"<text x='{LEFT - 6}' y='{y + 4:.0f}' text-anchor='end'>{value:g}</text>"
+        f"<line x1='{LEFT}' x2='{WIDTH - RIGHT}' y1='{y}' y2='{y}' stroke='#edf2f7'/>"
+        for value, y in ((top, TOP), (round(top / 2, 3), (TOP + bottom) / 2), (0, bottom))
+    )
+
+
+def _step(points: list[tuple[float, float]], axis: Axis, top: float, height: int) -> str:
+    """A line through (s, value)."""
+    bottom = height - BOTTOM
+    return " ".join(
+        f"{axis.x(at):.1f},{bottom - (bottom - TOP) * min(1.0, value / top if top else 0.0):.1f}"
+        for at, value in points
+    )
+
+
+def _service(report: Report, axis: Axis) -> str:
+    height = HEIGHT + 14 * len(report["troubles"])
+    body = HEIGHT
+    points = [
+        (one["at"] + 0.5, one["worth_served"] / one["worth"] if one["worth"] else 1.0)
+        for one in report["seconds"]
+    ]
+    line = (
+        f"<polyline points='{_step(points, axis, 1.0, body)}' fill='none' stroke='#2f855a' "
+        f"stroke-width='1.8'/>"
+    )
+    names = "".join(
+        f"<rect x='{axis.x(one['from']):.1f}' y='{body + 14 * index}' height='10' rx='2' "
+        f"width='{max(2.0, axis.x(one['to']) - axis.x(one['from'])):.1f}' "
+        f"fill='{COLOURS[index % len(COLOURS)]}' opacity='.55'/>"
+        f"<text x='{min(axis.x(one['to']) + 4, WIDTH - RIGHT):.1f}' y='{body + 9 + 14 * index}'>"
+        f"{escape(one['kind'])}</text>"
+        for index, one in enumerate(report["troubles"])
+    )
+    inner = _frame(
+        "service by worth, by when it was asked", axis, body, report["troubles"], _scale(1.0, body) + line
+    )
+    return f"<svg viewBox='0 0 {WIDTH} {height}' width='{WIDTH}' height='{height}'>{inner}{names}</svg>"
+
+
+def _asked(report: Report, axis: Axis) -> str:
+    seconds = report["seconds"]
+    top = float(max([one["asked"] for one in seconds] + [1]))
+    bottom = HEIGHT - BOTTOM
+    bars = []
+    for one in seconds:
+        x1, x2 = axis.x(one["at"]), axis.x(one["at"] + 1)
+        y = float(bottom)
+        for reason in REASONS:
+            number = one["lost"].get(reason, 0)
+            if number:
+                tall = (bottom - TOP) * number / top
+                y -= tall
+                bars.append(
+                    f"<rect x='{x1:.1f}' y='{y:.1f}' width='{max(0.5, x2 - x1 - 0.4):.1f}' "
+                    f"height='{tall:.1f}' fill='{REASON_COLOURS[reason]}'/>"
+                )
+    points = [(one["at"] + 0.5, float(one["asked"])) for one in seconds]
+    line = f"<polyline points='{_step(points, axis, top, HEIGHT)}' fill='none' stroke='#2b6cb0'/>"
+    shown = [("first tries", "#2b6cb0")] + [
+        (reason, REASON_COLOURS[reason]) for reason in REASONS if reason in report["lost"]
+    ]
+    inside = _scale(top, HEIGHT) + "".join(bars) + line + _legend(shown)
+    return _frame("first tries a second, and those lost, by reason", axis, HEIGHT, report["troubles"], inside)
+
+
+def _legend(shown: list[tuple[str, str]]) -> str:
+    return "".join(
+        f"<rect x='{WIDTH - RIGHT + 8}' y='{TOP + 14 * index}' width='10' height='10' fill='{colour}'/>"
+        f"<text x='{WIDTH - RIGHT + 22}' y='{TOP + 9 + 14 * index}'>{escape(name)}</text>"
+        for index, (name, colour) in enumerate(shown[:8])
+    )
+
+
+def _lines(report: Report, axis: Axis, title: str, key: str) -> str:
+    samples = report["samples"]
+    names = list(samples[0][key]) if samples else []
+    top = float(max([value for one in samples for value in one[key].values()] + [1]))
+    lines = ""
+    for index, name in enumerate(names):
+        points = [(one["at"], float(one[key].get(name, 0))) for one in samples]
+        colour = COLOURS[index % len(COLOURS)]
+        lines += (
+            f"<polyline points='{_step(points, axis, top, HEIGHT)}' fill='none' stroke='{colour}' "
+            f"opacity='.85'/>"
+        )
+    legend = _legend([(name, COLOURS[index % len(COLOURS)]) for index, name in enumerate(names)])
+    return _frame(title, axis, HEIGHT, report["troubles"], _scale(top, HEIGHT) + lines + legend)
+
+
+def _boxes(report: Report, axis: Axis) -> str:
+    """A map: one row a box, darker where more requests are held for each that it can work on at once."""
+    samples = report["samples"]
+    names = list(report["boxes"])
+    height = TOP + BOTTOM + ROW * max(1, len(names))
+    top = max([one["held"] for sample in samples for one in sample["boxes"].values()] + [1])
+    cells = []
+    for sample, following in zip(samples, [*samples[1:], None], strict=True):
+        x1 = axis.x(sample["at"])
+        x2 = axis.x(following["at"] if following else sample["at"] + 1)
+        for row, name in enumerate(names):
+            one = sample["boxes"].get(name)
+            if one is None:
+                continue
+            part = (one["held"] / top) ** 0.6
+            red, green, blue = (round(247 - part * gap) for gap in (60, 190, 205))
+            cells.append(
+                f"<rect x='{x1:.1f}' y='{TOP + ROW * row}' width='{x2 - x1 + 0.3:.1f}' height='{ROW - 1}' "
+                f"fill='rgb({red},{green},{blue})'><title>{name}: {one['held']} held, "
+                f"{one['waiting']} waiting, cores {one['busy']:.0%}, "
+                f"{one['connections']} connections</title></rect>"
+            )
+    labels = "".join(
+        f"<text x='{LEFT - 6}' y='{TOP + ROW * row + 9}' text-anchor='end'>{name}</text>"
+        f"<text x='{WIDTH - RIGHT + 8}' y='{TOP + ROW * row + 9}'>"
+        f"{escape(report['boxes'][name]['kind'])}</text>"
+        for row, name in enumerate(names)
+    )
+    return _frame(
+        f"requests held by each box (darkest: {top})",
+        axis,
+        height,
+        report["troubles"],
+        "".join(cells) + labels,
+    )
+
+
+# Tables.
+
+
+def _losses(report: Report) -> str:
+    reasons = [reason for reason in REASONS if reason in report["lost"]]
+    out = []
+    for title, groups in (
+        ("class", {**report["classes"], "all": report}),
+        ("phase", report["phases"]),
+        ("tenant", report["tenants"]),
+    ):
+        head = "".join(
+            f"<th>{escape(one)}</th>"
+            for one in (title, "asked", "service", "p50 ms", "p95 ms", "p99 ms", *reasons)
+        )
+        rows = []
+        for name, group in groups.items():
+            times = [group["latency_ms"][part] for part in ("p50", "p95", "p99")]
+            cells = [
+                escape(name), str(group["asked"]), f"{group['service']:.3f}",
+                *("" if value is None else f"{value:.0f}" for value in times),
+                *(str(group["lost"].get(reason, {}).get("requests", "")) for reason in reasons),
+            ]  # fmt: skip
+            rows.append("<tr>" + "".join(f"<td>{cell}</td>" for cell in cells) + "</tr>")
+        out.append(f"<h2>By {title}</h2><table><tr>{head}</tr>{''.join(rows)}</table>")
+    return "".join(out)
+
+
+def _events(report: Report) -> str:
+    rows = "".join(
+        f"<tr><td>{one['at']:.2f} s</td><td class='text'>{escape(one['what'])}</td></tr>"
+        for one in report["events"]
+    )
+    return f"<h2>What happened</h2><table>{rows}</table>" if rows else ""
--- /dev/null
+++ b/driftstair/rehearsal/scenario.py
@@ -0,0 +1,336 @@
+"""What a rehearsal plays: the fleet, the load and the troubles, as types, with the figures that they start
+from.
+
+A scenario file is TOML; `load` reads it. Every table and key may be left out: the defaults are a fleet like
+the one that the operators describe. Durations are numbers whose key names the unit (`_s`, `_ms`, `_us`);
+shares and factors are plain numbers. A figure that is one number or a pair `[low, high]` is drawn from the
+pair by the seed.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+
+Number = Annotated[float, Field(strict=True, allow_inf_nan=False)]
+Positive = Annotated[Number, Field(gt=0)]
+NotNegative = Annotated[Number, Field(ge=0)]
+AtLeastOne = Annotated[Number, Field(ge=1)]
+Share = Annotated[Number, Field(ge=0, le=1)]
+Whole = Annotated[int, Field(strict=True)]
+Count = Annotated[Whole, Field(ge=1)]
+Flag = Annotated[bool, Field(strict=True)]
+Label = Annotated[str, Field(pattern=r"^[0-9A-Za-z]([0-9A-Za-z ._-]{0,62}[0-9A-Za-z])?$")]
+Name = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z._-]{0,63}$")]
+
+
+def _ends(value: Any) -> Any:
+    """One number stands for both ends."""
+    ends = value if isinstance(value, list | tuple) else (value, value)
+    if len(ends) != 2 or not all(isinstance(end, int | float) and not isinstance(end, bool) for end in ends):
+        raise ValueError("wants a number, or a pair [low, high]")
+    low, high = ends
+    if not 0 <= low <= high < float("inf"):
+        raise ValueError(f"wants 0 <= low <= high, not [{low:g}, {high:g}]")
+    return float(low), float(high)
+
+
+def _chosen(value: Any) -> Any:
+    names = isinstance(value, list | tuple) and value and all(isinstance(one, str) for one in value)
+    if value is not None and not names and (not isinstance(value, int) or isinstance(value, bool)):
+        raise ValueError("wants how many, or a list of names")
+    return value
+
+
+Range = Annotated[tuple[float, float], BeforeValidator(_ends)]
+Chosen = Annotated[int | tuple[str, ...] | None, BeforeValidator(_chosen)]
+
+
+class _Table(BaseModel):
+    """A table of the file: a key that is not listed is an error."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Load(_Table):
+    rate: Positive = 420.0  # first tries a second, of all clients together
+    keys: Count = 1200  # distinct ones
+    key_skew: NotNegative = 0.95  # exponent of Zipf's law: how much more popular the popular are
+
+
+class Class(_Table):
+    name: Name
+    share: Positive
+    work_ms: Range  # mean, on a core of speed 1
+    waits_ms: Range = (0.0, 0.0)  # mean, on others: holds a slot of the box, no core
+    spread: NotNegative = 0.45  # coefficient of variation of the work
+    wanted_ms: Positive = 500.0  # an answer later than this is worth nothing
+    given_up_ms: Positive = 2000.0  # the client waits no longer
+    worth: NotNegative = 1.0
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    repeats_dropped_s: NotNegative = 5.0  # keyed: boxes remember a repeat for so long
+    body_bytes: Annotated[Whole, Field(ge=0, le=60_000)] = 1500  # of the answer
+
+
+class Tenant(_Table):
+    name: Name
+    share: Positive
+
+
+class Nodes(_Table):
+    count: Annotated[Whole, Field(ge=1, le=64)] = 3
+    descriptors: Annotated[Whole, Field(ge=96)] = 1024
+    memory_mb: Count = 192
+    attempts: Annotated[Whole, Field(ge=1, le=16)] = 5  # of one request at most
+    retry_after_most_s: NotNegative = 2.0
+    dial_timeout_ms: Positive = 200.0
+    open_most: Count = 20_000  # requests that a node may hold
+
+
+class Kind(_Table):
+    name: Name
+    share: Positive
+    cores: Count = 6
+    speed: Range = (0.85, 1.1)  # of a core; 1 is the yardstick
+    slots_per_core: Range = (8.0, 8.0)  # requests in work
+    waiting_per_core: Range = (2.5, 2.5)  # requests that wait for a slot; more are turned away
+    cold_share: Share = 0.2  # of its work that it does when it starts
+    cold_s: NotNegative = 20.0  # until it does all
+    thrash: NotNegative = 0.25  # how much less it does for each request a core beyond `thrash_at`
+    thrash_at: NotNegative = 10.0
+    connections_per_core: Positive = 30.0
+    connection_tax: Share = 0.1  # of its work, when its table of connections is full
+    handshake_us: NotNegative = 1100.0  # work for each new connection
+    idle_s: Positive = 30.0  # it closes a connection that rests for so long
+    error_share: Share = 0.0005  # answers that are 500
+    cancel: Literal["none", "queued"] = "queued"  # what stops when its client is gone
+    key_gain: Share = 0.43  # of the work saved where the key was met lately
+    key_memory_s: NotNegative = 7.0
+    keys_per_core: NotNegative = 10.0
+
+
+class Jam(_Table):
+    """A box that has had far too much for a while turns slower until it has been mostly idle."""
+
+    at: Positive = 5.5  # more requests than cores + this x root of cores
+    over_s: Positive = 2.0
+    slower: AtLeastOne = 2.7
+    rest_s: Positive = 3.4
+    below: Share = 0.33  # of its cores in use
+    most_s: Positive = 25.0
+
+
+class Reports(_Table):
+    every_ms: Range = (440.0, 1400.0)
+    late_ms: Range = (230.0, 460.0)
+    noise: NotNegative = 0.04
+
+
+class Boxes(_Table):
+    count: Annotated[Whole, Field(ge=1, le=4096)] = 12
+    kind: tuple[Kind, ...] = ()  # left out: half `fast-six`, half `plain-six`
+    jam: Jam | None = None  # left out: boxes don't jam
+    reports: Reports = Field(default_factory=Reports)
+    grace_s: NotNegative = 6.0  # from when it drains to when it is gone
+
+
+class BoxList(_Table):
+    mode: Literal["asked", "pushed"] = "asked"
+    notice_s: Range = (0.4, 1.6)  # from a change to when it is told
+    silent_notice_s: Range = (4.2, 13.0)  # the same for a machine that vanished
+    lines_per_s: Positive = 200.0  # of the list, that it can send in all
+    call_lines: NotNegative = 40.0  # that a call costs besides
+    timeout_ms: Positive = 3000.0
+    ask_within_s: Positive = 10.0  # a node that asks less often counts as told
+
+
+class FrontLayer(_Table):
+    notice_s: Range = (1.9, 3.7)  # it sends on to a dead node for so long
+
+
+class Clients(_Table):
+    retries: Annotated[Whole, Field(ge=0, le=16)] = 2
+    try_share: Range = (0.5, 0.8)  # of the give-up time, that one try gets
+    backoff_ms: Range = (20.0, 160.0)  # first wait; it doubles
+    honour: Share = 0.85  # of clients that wait as `Retry-After` asks
+    mark_retries: Flag = True
+    connections_share: Share = 0.33  # of a node's descriptors, that clients may hold
+    idle_s: Positive = 20.0
+
+
+class Net(_Table):
+    client_ms: NotNegative = 0.6  # one way
+    inside_ms: NotNegative = 0.2
+    jitter: NotNegative = 0.2
+
+
+class Rules(_Table):
+    drain_grace_s: Positive = 1.0
+    cold_multiple: Positive = 3.0
+    cold_window_s: Positive = 1.5
+    answer_grace_ms: Positive = 50.0
+
+
+class Phase(_Table):
+    """From `at_s` on, until the next one."""
+
+    name: Label
+    at_s: NotNegative
+    rate: NotNegative = 1.0  # times that of [load]
+    ramp_s: NotNegative = 0.0  # evenly from the rate before
+    shares: dict[str, NotNegative] = {}  # by class: times its share
+
+
+class _Trouble(_Table):
+    kind: str
+    at_s: NotNegative
+    for_s: Positive = 10.0
+
+
+class _AtBoxes(_Trouble):
+    """Which boxes: by name, or so many, or a part of them, drawn by the seed, of a kind if one is named."""
+
+    boxes: Chosen = None
+    part: Share | None = None
+    of_kind: str | None = None
+
+
+class _AtNodes(_Trouble):
+    nodes: Chosen = 1
+
+
+class SlowBoxes(_AtBoxes):
+    kind: Literal["slow-boxes"]
+    times: AtLeastOne = 5.0
+
+
+class EverythingSlow(_Trouble):
+    kind: Literal["everything-slow"]
+    times: AtLeastOne = 2.0
+
+
+class BoxDies(_AtBoxes):
+    """Its process is killed; it starts again, cold, when the trouble ends."""
+
+    kind: Literal["box-dies"]
+
+
+class BoxVanishes(_AtBoxes):
+    """Its machine is cut off in silence; it is back, with what it held, when the trouble ends."""
+
+    kind: Literal["box-vanishes"]
+
+
+class BoxErrors(_AtBoxes):
+    kind: Literal["box-errors"]
+    share: Share = 0.5
+
+
+class Replace(_AtBoxes):
+    """Boxes drain one after the other through `for_s`; each is gone after its grace, and a new one with a new
+    name starts, cold, at the same address or at one of its own."""
+
+    kind: Literal["replace"]
+    same_address: Flag = True
+
+
+class TrafficJump(_Trouble):
+    kind: Literal["traffic-jump"]
+    times: Positive = 2.0
+    rise_s: NotNegative = 0.5
+    fall_s: NotNegative = 0.5
+
+
+class Surge(_Trouble):
+    """One class asks so many times more; the others as before."""
+
+    kind: Literal["surge"]
+    of_class: str
+    times: Positive = 3.0
+
+
+class ListOutage(_Trouble):
+    kind: Literal["list-outage"]
+    silent: Flag = False  # nothing comes back, in place of a refusal
+
+
+class ListLag(_Trouble):
+    kind: Literal["list-lag"]
+    extra_s: Positive = 6.0
+
+
+class ListMoves(_Trouble):
+    """The list is at another address from then on, and the nodes are told by SIGHUP; the old one takes no new
+    connection and ends the open ones after 1.5 s."""
+
+    kind: Literal["list-moves"]
+
+
+class NodeDies(_AtNodes):
+    """Killed outright; it starts again, with its last list of boxes, when the trouble ends."""
+
+    kind: Literal["node-dies"]
+
+
+class NodeVanishes(_AtNodes):
+    """Its machine is cut off in silence, and back when the trouble ends."""
+
+    kind: Literal["node-vanishes"]
+
+
+class NodeRestarts(_AtNodes):
+    """Told to end by SIGTERM, one after the other through `for_s`, and started again."""
+
+    kind: Literal["node-restarts"]
+
+
+AnyTrouble = (
+    SlowBoxes | EverythingSlow | BoxDies | BoxVanishes | BoxErrors | Replace | TrafficJump | Surge |
+    ListOutage | ListLag | ListMoves | NodeDies | NodeVanishes | NodeRestarts
+)  # fmt: skip
+Trouble = Annotated[AnyTrouble, Field(discriminator="kind")]
+
+
+class Scenario(_Table):
+    version: Literal[1]
+    name: Name = "scenario"
+    title: str = ""
+    extends: str | None = None  # a shipped scenario whose tables this one's keys replace
+    seed: Annotated[Whole, Field(ge=0)] = 1
+    seconds: Annotated[Number, Field(gt=0, le=86_400)] = 30.0
+    load: Load = Field(default_factory=Load)
+    classes: tuple[Class, ...] = Field(default=(), alias="class")  # left out: the four captions classes
+    tenants: tuple[Tenant, ...] = Field(default=(), alias="tenant")
+    nodes: Nodes = Field(default_factory=Nodes)
+    boxes: Boxes = Field(default_factory=Boxes)
+    list: BoxList = Field(default_factory=BoxList)
+    front: FrontLayer = Field(default_factory=FrontLayer)
+    clients: Clients = Field(default_factory=Clients)
+    network: Net = Field(default_factory=Net)
+    rules: Rules = Field(default_factory=Rules)
+    phases: tuple[Phase, ...] = Field(default=(), alias="phase")
+    troubles: tuple[Trouble, ...] = Field(default=(), alias="trouble")
+
+
+CLASSES = (
+    Class(name="paid-live", share=12, work_ms=(75.0, 140.0), waits_ms=(56.0, 100.0), wanted_ms=600,
+          given_up_ms=3000, worth=12),
+    Class(name="track-fetch", share=40, work_ms=(92.0, 170.0), waits_ms=(68.0, 130.0), wanted_ms=500,
+          given_up_ms=1000),
+    Class(name="seek-chunk", share=24, work_ms=(100.0, 190.0), waits_ms=(39.0, 72.0), wanted_ms=400,
+          given_up_ms=2000),
+    Class(name="full-render", share=24, work_ms=(140.0, 260.0), waits_ms=(110.0, 200.0), wanted_ms=1000,
+          given_up_ms=5000),
+)  # fmt: skip
+
+TENANTS = (
+    Tenant(name="broadcaster", share=3),
+    Tenant(name="series", share=5),
+    Tenant(name="partners", share=2),
+)
+
+KINDS = (
+    Kind(name="fast-six", share=0.5, speed=(1.3, 1.7), cold_share=0.2, cold_s=18),
+    Kind(name="plain-six", share=0.5, speed=(0.85, 1.1), cold_share=0.2, cold_s=20),
+)
--- /dev/null
+++ b/driftstair/rehearsal/sim/system.py
@@ -0,0 +1,39 @@
+"""The simulated machine behind the daemon's seam (`driftstair.net.system.System`)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from driftstair.net.system import Factory, Listener, System
+from driftstair.rehearsal.sim.loop import ProcessLoop
+from driftstair.rehearsal.sim.network import Machine
+from driftstair.rehearsal.sim.stream import Endpoint
+
+
+class SimulatedSystem(System):
+    """Clocks, listening and dialing of one process on one machine. `wall_offset`: ns by which this machine's
+    wall clock is ahead of the others'."""
+
+    def __init__(self, machine: Machine, loop: ProcessLoop, wall_offset: int = 0) -> None:
+        self._machine = machine
+        self._loop = loop
+        self._scheduler = machine.network.scheduler
+        self._wall_offset = wall_offset
+
+    def monotonic_ns(self) -> int:
+        return self._scheduler.now
+
+    def time_ns(self) -> int:
+        return self._scheduler.epoch + self._scheduler.now + self._wall_offset
+
+    def listen(self, address: tuple[str, int], backlog: int) -> Listener:
+        return cast(Listener, self._machine.listen(self._loop, address, backlog))
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        return await self._machine.network.dial(self._loop, self._machine, factory, address)
+
+    def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        endpoint = cast(Endpoint, transport)
+        return lambda: not endpoint.has_unread()
--- /dev/null
+++ b/driftstair/rehearsal/troubles.py
@@ -0,0 +1,243 @@
+"""Phases and troubles: each kind of trouble turns something on a running rehearsal, and knows how to end
+it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from driftstair.rehearsal import scenario as model
+from driftstair.rehearsal import wire
+from driftstair.rehearsal.seeds import random_for
+from driftstair.rehearsal.stands.box import Box
+from driftstair.rehearsal.wire import HostState
+
+if TYPE_CHECKING:
+    from driftstair.rehearsal.director import Rehearsal
+
+End = Callable[[], None]
+FOREVER = 1 << 62  # ns
+
+
+class Troubles:
+    def __init__(self, stage: Rehearsal) -> None:
+        self._stage = stage
+        self._phase_rate = 1.0
+
+    def enter_phase(self, phase: model.Phase) -> None:
+        now = self._stage.now()
+        before = self._phase_rate
+        self._phase_rate = phase.rate
+        ramp = int(phase.ramp_s * 1e9)
+
+        def times(at: int) -> float:
+            part = 1.0 if at >= now + ramp else (at - now) / ramp
+            return float(before + (phase.rate - before) * part)
+
+        self._stage.load.phase = phase.name
+        self._stage.load.set_times("phase", times)
+        self._stage.load.set_classes("phase", phase.shares)
+        self._stage.say(f"phase {phase.name}")
+
+    def _choose_boxes(self, trouble: model._AtBoxes, index: int) -> list[Box]:
+        running = [
+            box for box in self._stage.boxes.values()
+            if box.running and trouble.of_kind in (None, box.kind.name)
+        ]  # fmt: skip
+        if isinstance(trouble.boxes, tuple):
+            return [box for box in running if box.name in trouble.boxes]
+        if trouble.boxes is not None:
+            wanted = trouble.boxes
+        else:
+            wanted = max(1, round((trouble.part or 0.0) * len(running)))
+        random = random_for(self._stage.seed, "trouble", index)
+        return random.sample(running, min(len(running), wanted))
+
+    def _choose_nodes(self, trouble: model._AtNodes, index: int) -> list[str]:
+        if isinstance(trouble.nodes, tuple):
+            return list(trouble.nodes)
+        random = random_for(self._stage.seed, "trouble", index)
+        return random.sample(self._stage.node_names, trouble.nodes or 1)
+
+    def begin(self, trouble: model.AnyTrouble, index: int) -> None:
+        if self._stage.over:
+            return
+        now = self._stage.now()
+        self._stage.spans.append((now, now + int(trouble.for_s * 1e9), trouble.kind))
+        end = self._HANDLERS[type(trouble)](self, trouble, index)
+        self._stage.after(trouble.for_s, self._end, trouble, end)
+
+    def _end(self, trouble: model.AnyTrouble, end: End) -> None:
+        if not self._stage.over:
+            end()
+
+    def _slow_boxes(self, trouble: model.SlowBoxes, index: int) -> End:
+        boxes = self._choose_boxes(trouble, index)
+        self._stage.say(f"{_names(boxes)} {trouble.times:g} times slower")
+        return self._slowed(boxes, trouble.times)
+
+    def _everything_slow(self, trouble: model.EverythingSlow, index: int) -> End:
+        self._stage.say(f"all boxes {trouble.times:g} times slower")
+        return self._slowed(list(self._stage.boxes.values()), trouble.times)
+
+    def _slowed(self, boxes: list[Box], times: float) -> End:
+        for box in boxes:
+            if box.running:
+                box.set_slow(box.engine.slow * times)
+
+        def end() -> None:
+            self._stage.say(f"{_names(boxes)} as fast as before")
+            for box in boxes:
+                if box.running:
+                    box.set_slow(max(1.0, box.engine.slow / times))
+
+        return end
+
+    def _boxes_die(self, trouble: model.BoxDies, index: int) -> End:
+        boxes = self._choose_boxes(trouble, index)
+        for box in boxes:
+            self._stage.box_dies(box)
+
+        def end() -> None:
+            for box in boxes:
+                self._stage.box_starts(box)
+
+        return end
+
+    def _boxes_vanish(self, trouble: model.BoxVanishes, index: int) -> End:
+        boxes = self._choose_boxes(trouble, index)
+        for box in boxes:
+            self._stage.say(f"box {box.name} is cut off in silence")
+            box.place.vanish()
+            self._stage.cuts[box.name] = (self._stage.now(), FOREVER)
+            self._stage.tell_list(box, HostState.GONE, silent=True)
+
+        def end() -> None:
+            for box in boxes:
+                self._stage.say(f"box {box.name} is back")
+                box.place.come_back()
+                self._end_cut(box.name)
+                self._stage.tell_list(box, HostState.READY)
+
+        return end
+
+    def _end_cut(self, name: str) -> None:
+        self._stage.cuts[name] = (self._stage.cuts[name][0], self._stage.now())
+
+    def _boxes_err(self, trouble: model.BoxErrors, index: int) -> End:
+        boxes = self._choose_boxes(trouble, index)
+        self._stage.say(f"{_names(boxes)}: {trouble.share:.0%} of answers are errors")
+        for box in boxes:
+            box.error_share = trouble.share
+
+        def end() -> None:
+            for box in boxes:
+                box.error_share = box.kind.error_share
+
+        return end
+
+    def _replace_boxes(self, trouble: model.Replace, index: int) -> End:
+        boxes = self._choose_boxes(trouble, index)
+        for place, box in enumerate(boxes):
+            self._stage.after(
+                trouble.for_s * place / len(boxes), self._stage.replace, box, trouble.same_address
+            )
+        return lambda: None
+
+    def _jump(self, trouble: model.TrafficJump, index: int) -> End:
+        began = self._stage.now()
+        ends = began + int(trouble.for_s * 1e9)
+
+        def times(at: int) -> float:
+            rise = 1.0 if not trouble.rise_s else min(1.0, (at - began) / (trouble.rise_s * 1e9))
+            fall = 1.0 if not trouble.fall_s else min(1.0, max(0.0, (ends - at) / (trouble.fall_s * 1e9)))
+            return 1.0 + (trouble.times - 1.0) * min(rise, fall)
+
+        self._stage.say(f"{trouble.times:g} times the traffic")
+        self._stage.load.set_times(index, times)
+        return lambda: self._stage.load.set_times(index, None)
+
+    def _surge(self, trouble: model.Surge, index: int) -> End:
+        self._stage.say(f"{trouble.times:g} times the {trouble.of_class}")
+        self._stage.load.set_classes(index, {trouble.of_class: trouble.times})
+        return lambda: self._stage.load.set_classes(index, None)
+
+    def _list_out(self, trouble: model.ListOutage, index: int) -> End:
+        self._stage.say("the box list is out of reach")
+        self._stage.box_list.go_down(trouble.silent)
+
+        def end() -> None:
+            self._stage.say("the box list is back")
+            self._stage.box_list.come_up()
+
+        return end
+
+    def _list_lags(self, trouble: model.ListLag, index: int) -> End:
+        self._stage.say(f"the box list runs {trouble.extra_s:g} s further behind")
+        self._stage.box_list.extra_lag += trouble.extra_s
+
+        def end() -> None:
+            self._stage.box_list.extra_lag -= trouble.extra_s
+
+        return end
+
+    def _list_moves(self, trouble: model.ListMoves, index: int) -> End:
+        self._stage.say("the box list moves to another address")
+        self._stage.box_list.move()
+        for name, node in self._stage.nodes.items():
+            if node.running:
+                node.reload(self._stage.document(name))
+        return lambda: None
+
+    def _nodes_die(self, trouble: model.NodeDies, index: int) -> End:
+        names = self._choose_nodes(trouble, index)
+        for name in names:
+            self._stage.kill(name)
+
+        def end() -> None:
+            for name in names:
+                if not self._stage.nodes[name].running:
+                    self._stage.start_node(name)
+
+        return end
+
+    def _nodes_vanish(self, trouble: model.NodeVanishes, index: int) -> End:
+        names = self._choose_nodes(trouble, index)
+        for name in names:
+            self._stage.say(f"{name} is cut off in silence")
+            self._stage.vanished.add(name)
+            self._stage.nodes[name].vanish()
+            self._stage.cuts[name] = (self._stage.now(), FOREVER)
+            self._stage.note(wire.NodeDown(self._stage.now(), name))
+            self._stage.front.node_dies(name)
+
+        def end() -> None:
+            for name in names:
+                self._stage.say(f"{name} is back")
+                self._stage.vanished.discard(name)
+                self._stage.nodes[name].come_back()
+                self._end_cut(name)
+                self._stage.note(wire.NodeUp(self._stage.now(), name, anew=False))
+                self._stage.front.node_starts(name, self._stage.nodes[name].address(), lambda: None)
+
+        return end
+
+    def _nodes_restart(self, trouble: model.NodeRestarts, index: int) -> End:
+        names = self._choose_nodes(trouble, index)
+        for place, name in enumerate(names):
+            self._stage.after(trouble.for_s * place / len(names), self._stage.restart, name)
+        return lambda: None
+
+    _HANDLERS: ClassVar[dict[type, Callable[[Any, Any, int], End]]] = {
+        model.SlowBoxes: _slow_boxes, model.EverythingSlow: _everything_slow, model.BoxDies: _boxes_die,
+        model.BoxVanishes: _boxes_vanish, model.BoxErrors: _boxes_err, model.Replace: _replace_boxes,
+        model.TrafficJump: _jump, model.Surge: _surge, model.ListOutage: _list_out,
+        model.ListLag: _list_lags, model.ListMoves: _list_moves, model.NodeDies: _nodes_die,
+        model.NodeVanishes: _nodes_vanish, model.NodeRestarts: _nodes_restart,
+    }  # fmt: skip
+
+
+def _names(boxes: list[Box]) -> str:
+    if len(boxes) > 4:
+        return f"{len(boxes)} boxes"
+    return "box " + ", ".join(box.name for box in boxes) if boxes else "no box"
--- /dev/null
+++ b/driftstair/rehearsal/virtual.py
@@ -0,0 +1,276 @@
+"""The ground of virtual time: each node is the shipped daemon's own `serve`, on a simulated machine."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import traceback
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+from driftstair.config import read
+from driftstair.daemon import serve
+from driftstair.rehearsal.director import Rehearsal
+from driftstair.rehearsal.scenario import Scenario
+from driftstair.rehearsal.seeds import seed_for
+from driftstair.rehearsal.sim.loop import ProcessLoop, enter
+from driftstair.rehearsal.sim.network import Link, Network
+from driftstair.rehearsal.sim.scheduler import Deadlock, Runaway, Scheduler
+from driftstair.rehearsal.sim.stream import Endpoint
+from driftstair.rehearsal.sim.system import SimulatedSystem
+from driftstair.settings import Config
+
+EPOCH = 1_767_225_600_000_000_000  # ns: the wall clock starts at 2026-01-01 00:00 UTC
+PORT = 3000
+FOREVER = 1 << 62
+TRACE_MOST = 12  # frames of a crash that are kept
+STARTED = 0.0005  # s that a process needs before it runs
+
+
+class SimulatedPlace:
+    """A stand-in's machine."""
+
+    def __init__(self, ground: VirtualGround, name: str, host: str) -> None:
+        self.name = name
+        self.host = host
+        self._ground = ground
+        self._machine = ground.network.add(name, host)
+        self.restart()
+
+    def restart(self) -> None:
+        ground = self._ground
+        self.loop = ground.new_loop(self.name, ground.stand_in_failed)
+        self.system = SimulatedSystem(self._machine, self.loop)
+
+    def now(self) -> int:
+        return self._ground.scheduler.now
+
+    def unix_ms(self, at: int) -> int:
+        return (self._ground.scheduler.epoch + at) // 1_000_000
+
+    def reset(self, transport: asyncio.Transport) -> None:
+        cast(Endpoint, transport).reset()
+
+    def die(self) -> None:
+        self._machine.reset_all()
+        self.loop.kill()
+
+    def vanish(self) -> None:
+        self._machine.vanish()
+
+    def come_back(self) -> None:
+        self._machine.come_back()
+
+
+class SimulatedNode:
+    """A node's machine, and the daemon on it."""
+
+    def __init__(
+        self, ground: VirtualGround, name: str, host: str, descriptors: int,
+        ended: Callable[[str, str], None],
+    ) -> None:  # fmt: skip
+        self.name = name
+        self.running = False
+        self.loop: ProcessLoop | None = None
+        self.machine = ground.network.add(name, host, descriptors)
+        self._ground = ground
+        self._ended = ended
+        self._document: dict[str, Any] = {}
+
+    def address(self) -> tuple[str, int]:
+        return self.machine.host, PORT
+
+    def start(self, document: dict[str, Any]) -> None:
+        ground = self._ground
+        self._document = document
+        self.running = True
+        self.loop = loop = ground.new_loop(self.name, self._crash)
+        system = SimulatedSystem(self.machine, loop)
+        # Only in its next turn: the process that starts it is another.
+        loop.call_later(STARTED, self._main, loop, system)
+
+    def _main(self, loop: ProcessLoop, system: SimulatedSystem) -> None:
+        config = read({}, self._document)
+        task = loop.create_task(serve(config, self._reread, system))
+        task.add_done_callback(lambda done: self._over(loop, done))
+
+    def _reread(self) -> Config:
+        return read({}, self._document)
+
+    def _over(self, loop: ProcessLoop, task: asyncio.Task[int]) -> None:
+        if task.cancelled() or loop.dead:
+            return
+        problem = task.exception()
+        self._stop()
+        if problem is not None:
+            self._ended(self.name, f"{type(problem).__name__}: {problem}")
+        else:
+            status = task.result()
+            self._ended(self.name, f"status {status}" if status else "")
+
+    def _crash(self, message: str, problem: BaseException | None) -> None:
+        self._ground.crashed(self.name, message, problem)
+
+    def _stop(self) -> None:
+        self.running = False
+        self.machine.reset_all()
+        if self.loop is not None:
+            self.loop.kill()
+
+    def kill(self) -> None:
+        self._stop()
+
+    def terminate(self) -> None:
+        assert self.loop is not None
+        if not self.loop.signal(signal.SIGTERM):
+            self._stop()
+            self._ended(self.name, "ended by SIGTERM")
+
+    def reload(self, document: dict[str, Any]) -> None:
+        assert self.loop is not None
+        self._document = document
+        if not self.loop.signal(signal.SIGHUP):
+            self._stop()
+            self._ended(self.name, "ended by SIGHUP")
+
+    def vanish(self) -> None:
+        self.machine.vanish()
+
+    def come_back(self) -> None:
+        self.machine.come_back()
+
+    def descriptors(self) -> int:
+        return self.machine.descriptors
+
+
+class VirtualGround:
+    def __init__(self, scenario: Scenario) -> None:
+        self.scheduler = Scheduler(EPOCH)
+        net = scenario.network
+        outside = Link(int(net.client_ms * 1e6), net.jitter)
+        inside = Link(int(net.inside_ms * 1e6), net.jitter)
+        self.network = Network(self.scheduler, seed_for(scenario.seed, "network"), inside)
+        self.network.between = lambda one, other: outside if "clients" in (one.name, other.name) else None
+        self.rehearsal: Rehearsal | None = None
+        self._descriptors = scenario.nodes.descriptors
+        self._hosts = 0
+        self._nodes: list[SimulatedNode] = []
+
+    def new_loop(self, name: str, on_crash: Callable[[str, BaseException | None], None]) -> ProcessLoop:
+        return ProcessLoop(self.scheduler, name, on_crash)  # type: ignore[abstract]
+
+    def _host(self) -> str:
+        self._hosts += 1
+        return f"10.{self._hosts >> 16 & 255}.{self._hosts >> 8 & 255}.{self._hosts & 255}"
+
+    def place(self, name: str) -> SimulatedPlace:
+        return SimulatedPlace(self, name, self._host())
+
+    def node(self, name: str, ended: Callable[[str, str], None]) -> SimulatedNode:
+        node = SimulatedNode(self, name, self._host(), self._descriptors, ended)
+        self._nodes.append(node)
+        return node
+
+    def stuck(self) -> str:
+        """A node that runs, and for which nothing can ever happen again."""
+        for node in self._nodes:
+            loop = node.loop
+            if not node.running or loop is None or node.machine.descriptors:
+                continue
+            if not self.scheduler.has_work(loop):
+                waits = ", ".join(loop.waiting()) or "nothing"
+                return f"{node.name} runs, but can never go on: it waits in {waits}"
+        return ""
+
+    def finish(self) -> None:
+        self.scheduler.stop()
+
+    def stand_in_failed(self, message: str, problem: BaseException | None) -> None:
+        """A bug of the kit is none of the daemon: the run ends with it."""
+        raise RuntimeError(f"the rehearsal kit itself failed: {message}") from problem
+
+    def crashed(self, node: str, message: str, problem: BaseException | None) -> None:
+        assert self.rehearsal is not None
+        what = f"{type(problem).__name__}: {problem}" if problem is not None else message
+        self.rehearsal.crashed(node, what, trace_of(problem))
+
+
+def trace_of(problem: BaseException | None) -> list[str]:
+    """The frames of an exception by module, line and function: no path of a machine."""
+    if problem is None:
+        return []
+    frames = traceback.extract_tb(problem.__traceback__)[-TRACE_MOST:]
+    return [f"{_module(frame.filename)}:{frame.lineno} {frame.name}" for frame in frames]
+
+
+def _module(path: str) -> str:
+    parts = Path(path).parts
+    for root in ("driftstair", "lichenspring"):
+        if root in parts:
+            return "/".join(parts[len(parts) - 1 - parts[::-1].index(root) :])
+    return parts[-1]
+
+
+class LogCatcher(logging.Handler):
+    """The daemon's log lines, with the node that wrote them. What it logs with an exception, it has caught
+    itself: a failure of the daemon all the same."""
+
+    def __init__(self, ground: VirtualGround, lines: list[tuple[int, str, str, str]]) -> None:
+        super().__init__(logging.INFO)
+        self._ground = ground
+        self._lines = lines
+
+    def emit(self, record: logging.LogRecord) -> None:
+        loop = asyncio._get_running_loop()
+        node = loop.name if isinstance(loop, ProcessLoop) else "?"
+        text = record.getMessage()
+        self._lines.append((self._ground.scheduler.now, node, record.levelname, text))
+        if record.exc_info and record.exc_info[1] is not None:
+            self._ground.crashed(node, text, record.exc_info[1])
+
+
+def play(
+    scenario: Scenario, tick: Callable[[float], None] = lambda _: None,
+    interrupted: Callable[[], bool] = lambda: False, prepare: Callable[[Rehearsal], None] = lambda _: None,
+) -> tuple[Rehearsal, list[tuple[int, str, str, str]], int]:  # fmt: skip
+    """One run in virtual time: the rehearsal as it ended, the nodes' log lines (ns, node, level, text) and
+    the number of events. `interrupted` is asked now and then; `prepare` sees the rehearsal before it
+    starts."""
+    ground = VirtualGround(scenario)
+    ground.scheduler.interrupted = interrupted
+    lines: list[tuple[int, str, str, str]] = []
+    catcher = LogCatcher(ground, lines)
+    logger = logging.getLogger("driftstair")
+    kept = logger.level, logger.propagate
+    logger.addHandler(catcher)
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    before = asyncio._get_running_loop()
+    enter(None)
+    try:
+        rehearsal = Rehearsal(scenario, ground, tick)
+        ground.rehearsal = rehearsal
+        prepare(rehearsal)
+        place = cast(SimulatedPlace, rehearsal.place)
+        place.loop.call_soon(rehearsal.start)
+        try:
+            ground.scheduler.run(FOREVER, enter)
+        except Deadlock as problem:
+            rehearsal.deadlocked(f"{problem}; waiting: {_all_waiting(ground)}")
+        except Runaway as problem:
+            rehearsal.deadlocked(str(problem))
+        if interrupted():
+            rehearsal.interrupt()
+    finally:
+        enter(cast(Any, before))
+        logger.removeHandler(catcher)
+        logger.setLevel(kept[0])
+        logger.propagate = kept[1]
+    return rehearsal, lines, ground.scheduler.events
+
+
+def _all_waiting(ground: VirtualGround) -> str:
+    found = [f"{node.name} in {task}" for node in ground._nodes if node.loop for task in node.loop.waiting()]
+    return ", ".join(found) or "no node"
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,10 +14,11 @@
 
 import uvloop
 
-from driftstair.__main__ import assemble
-from driftstair.config import Config, load
+from driftstair.config import load
+from driftstair.daemon import assemble
 from driftstair.net.front import Front
 from driftstair.net.node import Node
+from driftstair.settings import Config
 from lichenspring import interface as api
 
 PATIENCE = 20.0  # s: only a test that has failed waits so long
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -22,8 +22,8 @@
     until,
 )
 
+from driftstair.hosts import parse_list
 from driftstair.net import upstream
-from driftstair.net.discovery import parse_list
 from driftstair.net.node import digest
 from lichenspring import interface as api
 from lichenspring.interface import Result
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,8 +10,8 @@
 import pytest
 from rig import Discovery, Rig, Server, configuration, request, run, until
 
+from driftstair.hosts import parse_address
 from driftstair.net import discovery
-from driftstair.net.discovery import parse_address
 from driftstair.net.node import digest
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -29,14 +29,20 @@
     until,
 )
 
-from driftstair.__main__ import SERVE_ON, plan_end
 from driftstair.config import load
+from driftstair.daemon import SERVE_ON, plan_end
 
 ROOT = Path(__file__).parent.parent
 
 
 # The program, but with time enough after SIGTERM that a slow machine gives the same verdict.
-SLOWER = "import sys, driftstair.__main__ as program; program.SERVE_ON = 2.0; sys.exit(program.main())"
+SLOWER = """
+import sys
+import driftstair.daemon
+from driftstair.__main__ import main
+driftstair.daemon.SERVE_ON = 2.0
+sys.exit(main())
+"""
 
 
 async def start(
