Limits per route in a service file: matched, proved at load, narrowing the module by data

Need: paid-live loses its worth within moments, full-render can wait; one time-out for all serves neither, and a bad file must be refused before it does harm.

The module takes limits as data of a request (attempts, time-outs, outcomes, back-off, share of the cap) and a new event, Copy; it still picks the server, retries and refuses. Without a file nothing of it is imported.

--- a/benchmarks/request.py
+++ b/benchmarks/request.py
@@ -111,7 +111,7 @@
     return int(text.split("VmRSS:")[1].split()[0]) / 1024
 
 
-async def one_round(tree: Path, requests: int, connections: int) -> dict[str, float]:
+async def one_round(tree: Path, requests: int, connections: int, service: str = "") -> dict[str, float]:
     loop = asyncio.get_running_loop()
     boxes = [await loop.create_server(Box, "127.0.0.1", 0) for _ in range(2)]
     addresses = [":".join(map(str, box.sockets[0].getsockname())) for box in boxes]
@@ -119,7 +119,8 @@
         path = Path(folder, "config.json")
         path.write_text(json.dumps(document(addresses)))
         process = subprocess.Popen(
-            [sys.executable, "-m", "driftstair"], cwd=tree, stderr=subprocess.PIPE, text=True,
+            [sys.executable, "-m", "driftstair", *(("--service", service) if service else ())],
+            cwd=tree, stderr=subprocess.PIPE, text=True,
             env={**os.environ, "BALANCER_CONFIG": str(path)},
         )  # fmt: skip
         try:
--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -16,7 +16,7 @@
     gc.freeze()
 
 
-def daemon() -> int:
+def daemon(service_file: str = "") -> int:
     import uvloop
 
     from driftstair.config import ConfigError, load, reload
@@ -28,16 +28,32 @@
     except ConfigError as problem:
         print(f"driftstair: {problem}", file=sys.stderr)
         return 2
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(serve(config, partial(reload, os.environ), ready=settle))
+    service_file = service_file or os.environ.get("DRIFTSTAIR_SERVICE", "")
+    if not service_file:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(serve(config, partial(reload, os.environ), ready=settle))
+    from driftstair.service.load import ServiceError  # not loaded without such a file
+    from driftstair.service.use import ServiceFile
 
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            service = ServiceFile(service_file)
+            return runner.run(serve(config, partial(reload, os.environ), ready=settle, service=service))
+    except ServiceError as problem:
+        for one in problem.problems:
+            print(f"driftstair: {one}", file=sys.stderr)
+        return 2
 
-def main() -> int:
-    if len(sys.argv) > 1:
-        from driftstair.commands import run  # not loaded for the daemon
 
-        return run(sys.argv[1:])
-    return daemon()
+def main() -> int:
+    words = sys.argv[1:]
+    if not words:
+        return daemon()
+    if words[0] == "--service" and len(words) == 2:
+        return daemon(words[1])
+    from driftstair.commands import run  # not loaded for the daemon
+
+    return run(words)
 
 
 if __name__ == "__main__":
--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -8,7 +8,7 @@
 
 Run = Callable[[argparse.Namespace], int]
 
-EXTRAS = {"rich": "rehearsal", "pydantic": "rehearsal", "tomli_w": "rehearsal"}
+EXTRAS = {"rich": "rehearsal", "pydantic": "service", "tomli_w": "rehearsal"}
 
 
 def parser() -> argparse.ArgumentParser:
@@ -18,9 +18,13 @@
     )
     commands = top.add_subparsers(title="subcommands", metavar="COMMAND", required=True)
 
-    from driftstair.rehearsal.options import add
+    from driftstair.rehearsal import options as rehearsal
+    from driftstair.service import options as service
 
-    add(commands)
+    top.add_argument("--service", metavar="FILE", help="the daemon with a service file (or "
+        "DRIFTSTAIR_SERVICE)")
+    rehearsal.add(commands)
+    service.add(commands)
     return top
 
 
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from driftstair.config import ConfigError
 from driftstair.net.front import Front
@@ -15,6 +16,10 @@
 from driftstair.net.upstream import Pools
 from driftstair.settings import Config
 
+if TYPE_CHECKING:
+    from driftstair.limits.table import Table
+    from driftstair.service.use import ServiceFile
+
 log = logging.getLogger("driftstair")
 
 RESERVED = 40  # descriptors: the interpreter's, the loop's, the listening socket, discovery, and slack
@@ -26,11 +31,17 @@
 MARGIN = 0.3  # s before SIGKILL
 
 
-def assemble(config: Config, system: System = SOCKETS) -> tuple[Node, Front]:
+def shares(config: Config) -> tuple[int, int]:
+    """Descriptors for clients and for servers."""
     usable = config.sockets - RESERVED
     clients = int(usable * CLIENTS_PART)
-    pools = Pools(usable - clients, config.dial_timeout, config.idle_close, system)
-    node = Node(config, pools, system)
+    return clients, usable - clients
+
+
+def assemble(config: Config, system: System = SOCKETS, limits: Table | None = None) -> tuple[Node, Front]:
+    clients, servers = shares(config)
+    pools = Pools(servers, config.dial_timeout, config.idle_close, system)
+    node = Node(config, pools, system, limits)
     return node, Front(node, config, clients, system)
 
 
@@ -44,29 +55,41 @@
     return max(SERVE_ON, within - min(longest, max(held))), within
 
 
-def follow_file(node: Node, reread: Callable[[], Config]) -> None:
-    """SIGHUP: the file has been replaced. Whatever is wrong with the new one, the node serves on."""
+def follow_files(
+    node: Node, config: Config, reread: Callable[[], Config], service: ServiceFile | None
+) -> None:
+    """SIGHUP: files have been replaced. Whatever is wrong with one, the node serves on as before."""
     try:
         config = reread()
     except ConfigError as problem:
         log.error("the new configuration is not used: %s", problem)
     else:
         node.reload(config)
+    if service is not None:
+        from driftstair.service.load import ServiceError
+
+        try:
+            node.limit(service.table(config, shares(config)[0]))
+        except ServiceError as problem:
+            for one in problem.problems:
+                log.error("the new service file is not used: %s", one)
 
 
 async def serve(
     config: Config, reread: Callable[[], Config], system: System = SOCKETS,
-    ready: Callable[[], None] = lambda: None,
+    ready: Callable[[], None] = lambda: None, service: ServiceFile | None = None,
 ) -> int:  # fmt: skip
     """The node's life; its exit status. `reread`: the configuration as it is told now, or ConfigError;
-    `ready` is called once clients are served."""
+    `ready` is called once clients are served; `service`: what the platform does not tell. Raises ServiceError
+    if that can't be used at the start."""
+    limits = None if service is None else service.table(config, shares(config)[0])
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node, front = assemble(config, system)
+    node, front = assemble(config, system, limits)
     # Guards against the default, which ends the process and all that it holds.
-    loop.add_signal_handler(signal.SIGHUP, follow_file, node, reread)
+    loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service)
     try:
         address = front.listen()
     except OSError as problem:
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -6,13 +6,16 @@
 import errno
 import logging
 from http import HTTPStatus
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.net.system import SOCKETS, Listener, System
 from driftstair.settings import Config
 
+if TYPE_CHECKING:
+    from driftstair.limits.routes import Asked
+
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
@@ -249,7 +252,7 @@
         self._front = front
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = Reader(front.config, front.now)
+        self._reader = Reader(front.config, front.now, front.node.serves)
         self._number = 0  # of the request that the node holds; 0: none
         self._busy = False
         self._keep_alive = True
@@ -367,8 +370,20 @@
             key=key_number(key) if key else 0,
             resubmitted=fields.get(b"x-retry") == b"1",
             deadline=incoming.arrived + incoming.patience,
+            asked=self._asked(incoming) if self._front.node.limits is not None else None,
         )
 
+    def _asked(self, incoming: Incoming) -> Asked:
+        """The request in the terms of routes."""
+        from driftstair.limits.routes import Asked  # not loaded where there are none
+
+        fields = incoming.fields
+        return Asked(
+            fields[b"x-class"].decode("latin-1"), fields.get(b"x-tenant", b"").decode("latin-1"),
+            incoming.method.decode("latin-1"), incoming.path.decode("latin-1"), fields,
+            fields.get(b"x-key", b"").decode("latin-1"),
+        )  # fmt: skip
+
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         transport = self._transport
         assert transport is not None
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -9,7 +9,7 @@
 from functools import partial
 from hashlib import blake2b
 from math import inf
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from driftstair.hosts import Host, HostList
 from driftstair.net.discovery import Discovery
@@ -20,6 +20,10 @@
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ListMode, Result, ServerState
 
+if TYPE_CHECKING:
+    from driftstair.limits.routes import Asked
+    from driftstair.limits.table import Table
+
 log = logging.getLogger(__name__)
 
 MS = 1_000_000  # ns
@@ -57,6 +61,7 @@
     key: int
     resubmitted: bool
     deadline: int  # monotonic ns
+    asked: Asked | None = None  # in the terms of routes, where there are any
 
 
 @dataclass(slots=True, eq=False)
@@ -74,11 +79,16 @@
 class Node:
     """Owns the balancer; it sees one event at a time, each once all actions on the one before are done."""
 
-    def __init__(self, config: Config, pools: Pools, system: System = SOCKETS) -> None:
+    def __init__(
+        self, config: Config, pools: Pools, system: System = SOCKETS, limits: Table | None = None
+    ) -> None:
+        self.limits = limits  # routes of the service file
         self._config = config
         self._now = system.monotonic_ns
         self._pools = pools
-        self._balancer = Balancer(config.settings, config.seed)
+        self._balancer: api.Module = Balancer(config.settings, config.seed)
+        if limits is not None:
+            self._balancer = limits.limited(self._balancer, config.settings)
         self._loop = asyncio.get_running_loop()
         self._events: deque[api.Event] = deque()
         self._telling = False
@@ -114,6 +124,17 @@
         self._config = replace(self._config, discovery=config.discovery)
         self._discovery.move(config.discovery)
 
+    def limit(self, limits: Table) -> None:
+        """Other routes, for requests from now on. Only where there were some from the start."""
+        assert isinstance(self._balancer, limits.kind)
+        self._balancer.replace(self._now(), limits.rules)
+        self.limits = limits
+        log.info("limits of %s", limits.source)
+
+    def serves(self, path: bytes) -> bool:
+        """Whether a path beside the platform's is served."""
+        return self.limits is not None and self.limits.serves(path)
+
     def can_serve(self) -> bool:
         return bool(self._ready)
 
@@ -196,6 +217,7 @@
         request = Open(self._last_number, call)
         now = self._now()
         left = call.deadline - TRANSIT - now
+        rules = self.limits.find(call.asked) if self.limits is not None and call.asked is not None else None
         if left <= 0:
             call.client.answer(504, [], b"")
         elif call.identity in self._identities:
@@ -203,13 +225,16 @@
             call.client.answer(409, [], b"")
         elif len(self._open) >= self._config.open_cap:
             call.client.answer(503, [], b"")
+        elif rules is not None and 0 < rules.body < len(call.body):
+            call.client.answer(413, [], b"")
         else:
             self._open[request.number] = request
             self._identities.add(call.identity)
             request.watchdog = self._loop.call_later((call.deadline - now) / 1e9, self._overdue, request)
             self._tell(
                 api.Request(
-                    request.number, left, call.class_index, call.tenant, call.key, call.resubmitted
+                    request.number, left, call.class_index, call.tenant, call.key, call.resubmitted,
+                    None if rules is None else rules.handed,
                 )
             )
         return request.number
@@ -270,7 +295,8 @@
         latest = request.call.deadline - TRANSIT
         expires = min(latest, now + action.time_out) if action.time_out else latest
         ended = partial(self._ended, request, index, action.server, now)
-        attempt = Attempt(pool, request.call.head, request.call.body, expires, ended)
+        call = request.call
+        attempt = Attempt(pool, call.head, call.body, expires, ended, action.first_byte)
         request.out[index] = attempt
         attempt.start()
 
--- a/driftstair/net/request.py
+++ b/driftstair/net/request.py
@@ -56,12 +56,13 @@
         self.patience = 0  # ns
         self.arrived = 0  # monotonic ns
 
-    def check(self, config: Config) -> None:
-        """Once the head has come; raises Rejected. The parser has seen to the framing."""
+    def check(self, config: Config, serves: Callable[[bytes], bool]) -> None:
+        """Once the head has come; raises Rejected. The parser has seen to the framing. `serves` tells of
+        paths beside the platform's."""
         self.path = self.url.split(b"?", 1)[0]
         if self.path == UP:
             return
-        if self.path != API:
+        if self.path != API and not serves(self.path):
             raise Rejected(404)
         if self.method not in (b"GET", b"POST"):
             raise Rejected(405)
@@ -102,8 +103,11 @@
 class Reader:
     """Bytes to requests. Ends with the first one that is refused: `error` is the status of its answer."""
 
-    def __init__(self, config: Config, now: Callable[[], int]) -> None:
+    def __init__(
+        self, config: Config, now: Callable[[], int], serves: Callable[[bytes], bool] = lambda _: False
+    ) -> None:
         self._now = now
+        self._serves = serves
         self.ready: deque[Incoming] = deque()
         self.error = 0
         self._config = config
@@ -191,7 +195,7 @@
         assert incoming is not None and self._parser is not None
         incoming.method = self._parser.get_method()
         incoming.check_length()
-        incoming.check(self._config)
+        incoming.check(self._config, self._serves)
         incoming.expects = incoming.fields.get(b"expect", b"").lower() == b"100-continue"
         incoming.size = 0
         self._in_body = True
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -36,14 +36,18 @@
 class Attempt:
     """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
 
-    __slots__ = ("_body", "_connection", "_dial", "_head", "_on_end", "_timer", "done", "expires", "pool")
+    __slots__ = (
+        "_body", "_connection", "_dial", "_head", "_on_end", "_timer", "done", "expires", "first_byte",
+        "pool",
+    )  # fmt: skip
 
     def __init__(
         self, pool: Pool, head: bytes, body: bytes, expires: int,
-        on_end: Callable[[Result, Answer | None], None],
+        on_end: Callable[[Result, Answer | None], None], first_byte: int = 0,
     ) -> None:  # fmt: skip
         self.pool = pool
         self.expires = expires  # monotonic ns
+        self.first_byte = first_byte  # ns until the answer must have begun; 0: no such limit, or it has
         self.done = False
         self._head = head
         self._body = body
@@ -97,7 +101,8 @@
             self.end(Result.CONNECT_FAILED)
             return
         self._connection = connection
-        self._expires_at(self.expires)
+        first = self.pool.pools.now() + self.first_byte if self.first_byte else self.expires
+        self._expires_at(min(first, self.expires))
         connection.send(self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, left // 1000, self._body))
 
     def _expires_at(self, at: int) -> None:
@@ -114,6 +119,13 @@
         written = self._connection is not None and self._connection.written
         self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
 
+    def begins(self) -> None:
+        """The first byte of its answer has come: from now on the whole time counts."""
+        self.first_byte = 0
+        if self._timer is not None:
+            self._timer.cancel()
+        self._expires_at(self.expires)
+
     def cancel(self) -> None:
         self.end(Result.CANCELLED)
 
@@ -205,6 +217,8 @@
         if self._attempt is None or self._parser is None:  # nothing was asked
             self.close()
             return
+        if self._attempt.first_byte:
+            self._attempt.begins()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/driftstair/rehearsal/command.py
+++ b/driftstair/rehearsal/command.py
@@ -52,7 +52,7 @@
     """What the command line sets, as a file that extends the scenario would."""
     given = {
         "seed": options.seed, "nodes.count": options.nodes, "boxes.count": options.boxes,
-        "load.rate": options.rate, "seconds": options.seconds,
+        "load.rate": options.rate, "seconds": options.seconds, "nodes.service": options.service,
     }  # fmt: skip
     return by_path({path: value for path, value in given.items() if value is not None})
 
@@ -121,6 +121,7 @@
 
 
 def _rehearse(scenario: Scenario, options: argparse.Namespace, console: Console) -> int:
+    _check_service(scenario)
     for path in (options.json, options.html):
         _check_writable(path)
     began = time.monotonic()
@@ -138,6 +139,25 @@
     return status_of(report)
 
 
+def _check_service(scenario: Scenario) -> None:
+    """A file that the nodes would not start with is no rehearsal."""
+    if scenario.nodes.service is not None:
+        from driftstair.config import read
+        from driftstair.daemon import shares
+        from driftstair.rehearsal import platform
+        from driftstair.service.load import ServiceError
+        from driftstair.service.use import ServiceFile
+
+        known = {"version": 1, "full": True, "servers": []}
+        nowhere = ("127.0.0.1", 1)
+        config = read({}, platform.document(scenario, "n0", nowhere, nowhere, 1, known))
+        try:
+            ServiceFile(scenario.nodes.service).table(config, shares(config)[0])
+        except ServiceError as problem:
+            first, more = problem.problems[0], len(problem.problems) - 1
+            raise UseError(f"{first}" + (f" (and {more} more)" if more else "")) from None
+
+
 def status_of(report: Report) -> int:
     verdict = report["verdict"]
     stuck = report["ended"].startswith("stuck")
--- a/driftstair/rehearsal/options.py
+++ b/driftstair/rehearsal/options.py
@@ -30,6 +30,7 @@
     rehearse.add_argument("--boxes", type=int, metavar="N")
     rehearse.add_argument("--rate", type=float, metavar="R", help="first tries a second")
     rehearse.add_argument("--seconds", type=float, metavar="S")
+    rehearse.add_argument("--service", metavar="FILE", help="nodes with this service file")
     rehearse.add_argument("--json", metavar="FILE", help="write the report; - for standard output")
     rehearse.add_argument("--html", metavar="FILE", help="write the report as one page with plots")
     rehearse.add_argument("--sockets", action="store_true", help="real daemons on loopback, in real time")
--- a/driftstair/rehearsal/report/build.py
+++ b/driftstair/rehearsal/report/build.py
@@ -48,6 +48,8 @@
             "breaks_by_rule": {str(rule): number for rule, number in by_rule.items()},
             "crashes": len(of.crashes),
             "requests_judged": of.checker.judged,
+            "first_attempts": of.checker.first_attempts,
+            "further_attempts": of.checker.further_attempts,
         },
         **whole,
         "classes": {kind.name: _group(account.by_class[kind.name]) for kind in load.classes(scenario)
--- a/driftstair/rehearsal/rules.py
+++ b/driftstair/rehearsal/rules.py
@@ -108,6 +108,8 @@
         self.breaks: list[Break] = []
         self.fallen: list[tuple[int, str]] = []  # boxes pushed over by nodes that could not know
         self.judged = 0  # requests
+        self.first_attempts: dict[str, int] = {}  # at boxes, by class
+        self.further_attempts: dict[str, int] = {}
         self._book = book
         self._asks: dict[bytes, _Ask] = {}
         self._due: list[tuple[int, bytes]] = []
@@ -251,6 +253,8 @@
             self._broken(1, seen.at, f"sent to a box {late:.0f} ms after its final answer, {ask.status}",
                          seen.request, seen.box, seen.node)  # fmt: skip
         self._check_repeat(seen, ask)
+        counted = self.further_attempts if ask.attempts else self.first_attempts
+        counted[ask.kind] = counted.get(ask.kind, 0) + 1
         attempt = _Attempt(seen.attempt, seen.box, seen.at)
         ask.attempts.append(attempt)
         self._attempts[seen.attempt] = (seen.request, attempt)
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -86,6 +86,7 @@
     retry_after_most_s: NotNegative = 2.0
     dial_timeout_ms: Positive = 200.0
     open_most: Count = 20_000  # requests that a node may hold
+    service: str | None = None  # a service file that all nodes use, by its path
 
 
 class Kind(_Table):
--- /dev/null
+++ b/driftstair/service/schema.py
@@ -0,0 +1,103 @@
+"""The tables of the service file, as types. What is left out of a table is as without the file."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+
+from driftstair.service.units import Duration, NotNegative, Positive, Share, Size, SomeTime, Whole
+
+Name = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z._-]{0,63}$")]
+Outcome = Literal["error", "full", "timeout", "connect", "reset"]
+
+
+def _several(value: Any) -> Any:
+    """One name stands for a list of one."""
+    return (value,) if isinstance(value, str) else value
+
+
+Names = Annotated[tuple[str, ...], BeforeValidator(_several), Field(min_length=1)]
+
+
+class Table(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Match(Table):
+    """All that is named must hold; what is left out matches anything."""
+
+    classes: Names | None = Field(default=None, alias="class")
+    tenant: Names | None = None
+    method: Annotated[tuple[Literal["GET", "POST"], ...] | None, BeforeValidator(_several)] = None
+    path: str | None = None  # exact, a prefix that ends in *, or a template with {parts}
+    header: dict[str, str] = {}  # names to values; "*" for any value
+    key: str | None = None  # a prefix of X-Key
+
+
+class Timeouts(Table):
+    total: SomeTime | None = None  # from the request's last byte to the final answer
+    attempt: SomeTime | None = None
+    first_byte: SomeTime | None = None  # of an attempt, until its answer begins
+
+
+class Budget(Table):
+    """Tokens: each first try earns `share` of one, `floor` come each second; at most `burst` are saved."""
+
+    share: Share = 0.1
+    floor: NotNegative = 0.0
+    burst: NotNegative = 10.0
+
+
+class Retry(Table):
+    attempts: Annotated[Whole, Field(ge=1, le=16)] | None = None  # copies included
+    on: tuple[Outcome, ...] | None = None
+    backoff: Duration = 0
+    backoff_most: SomeTime | None = None  # left out: ten times the first
+    jitter: Share = 0.5
+    budget: Budget | None = None
+
+
+class SecondCopy(Table):
+    """One of `after` and `at`."""
+
+    after: SomeTime | None = None
+    at: Annotated[Share, Field(ge=0.5, lt=1.0)] | None = None  # of the route's own latencies
+    budget: Budget = Budget(share=0.05, burst=5.0)
+
+
+class Rate(Table):
+    per_s: Positive
+    burst: Annotated[float, Field(strict=True, ge=1, allow_inf_nan=False)] = 10.0
+    by: Literal["route", "tenant"] = "route"  # one bucket for the route, or one for each tenant on it
+
+
+class Admit(Table):
+    in_flight: Annotated[Whole, Field(ge=1)] | None = None
+    rate: Rate | None = None
+    body: Size | None = None
+    priority: Literal["normal", "low", "lowest"] = "normal"
+
+
+class Route(Table):
+    name: Name
+    match: Match = Match()
+    timeout: Timeouts = Timeouts()
+    retry: Retry = Retry()
+    copy_: SecondCopy | None = Field(default=None, alias="copy")
+    admit: Admit = Admit()
+
+
+class Fleet(Table):
+    """What the operators know of the fleet, for the proof at load."""
+
+    box_per_s: Positive | None = None  # requests a second that a warm box carries
+    per_s: Positive | None = None  # and the whole fleet
+    client_tries: Annotated[Whole, Field(ge=1, le=16)] = 3  # of one request, by its client
+    amplification_most: Annotated[float, Field(strict=True, ge=1, allow_inf_nan=False)] = 6.0
+
+
+class Service(Table):
+    version: Literal[1]
+    route: tuple[Route, ...] = ()
+    fleet: Fleet = Fleet()
--- a/lichenspring/adapter.py
+++ b/lichenspring/adapter.py
@@ -125,7 +125,7 @@
 
 def _encode(action: api.Action) -> bytes:
     if isinstance(action, api.Send):
-        return wire.encode_action(wire.Out.FORWARD, *action)
+        return wire.encode_action(wire.Out.FORWARD, action.request, action.server, action.time_out)
     if isinstance(action, api.Refuse):
         return wire.encode_action(wire.Out.BUSY, *action)
     if isinstance(action, api.Fail):
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -204,6 +204,7 @@
     useful_until: int  # an answer after the aim that is worth nothing is not waited for
     attempts: list[Attempt] = field(default_factory=list)
     closed: bool = False
+    waits: bool = False  # backs off before its next attempt
 
     def is_over(self) -> bool:
         return self.closed and all(attempt.result is not None for attempt in self.attempts)
@@ -308,6 +309,8 @@
             self._follow(now, event)
         elif isinstance(event, api.ClientGone):
             self._close(now, event.request)
+        elif isinstance(event, api.Copy):
+            self._copy(now, event.request)
         return self._actions
 
     def _jittered(self, span: int, least: float) -> int:
@@ -363,6 +366,8 @@
 
     def _admits(self, now: int, request: api.Request) -> bool:
         part = OVER_SHARE_PART if self._is_over_share(request.tenant) else 1.0
+        if request.limits is not None:
+            part *= request.limits.admitted
         return self._has_room(now, request, part * RESUBMITTED_PART if request.resubmitted else part)
 
     def _has_room(self, now: int, request: api.Request, part: float = 1.0) -> bool:
@@ -421,7 +426,11 @@
             self._sent += 1
         self._in_flight.add(now, 1)
         self._breakers[entry.request.class_index].in_flight.add(now, 1)
-        self._actions.append(api.Send(entry.request.id, backend.entry.id, max(1, entry.useful_until - now)))
+        time_out, first_byte = max(1, entry.useful_until - now), 0
+        limits = entry.request.limits
+        if limits is not None:
+            time_out, first_byte = min(time_out, limits.time_out or time_out), limits.first_byte
+        self._actions.append(api.Send(entry.request.id, backend.entry.id, time_out, first_byte))
 
     def _settle(self, now: int, outcome: api.Outcome) -> None:
         entry = self._open.get(outcome.request)
@@ -449,7 +458,7 @@
             self._release(attempt.backend, entry, now)
         self._judge(now, attempt.backend, result, entry.request.class_index)
         entry.closed |= outcome.closed
-        again = not entry.closed and self._try_again(now, entry, outcome.result)
+        again = not entry.closed and self._try_again(now, entry, outcome)
         if result is outcome.result:
             self._sample(now, entry, attempt, outcome.elapsed, again)
         if not entry.closed and not again:
@@ -476,13 +485,47 @@
         self._in_flight.add(now, -1)
         self._breakers[entry.request.class_index].in_flight.add(now, -1)
 
-    def _try_again(self, now: int, entry: Open, result: Result) -> bool:
-        """True if the request needs no final answer now: it went out again, or is out still."""
-        if any(attempt.result is None for attempt in entry.attempts):
+    def _try_again(self, now: int, entry: Open, outcome: api.Outcome) -> bool:
+        """True if the request needs no final answer now: it goes out again, or is out still."""
+        if entry.waits or any(attempt.result is None for attempt in entry.attempts):
             return True
-        left = entry.useful_until - now
-        if left <= RETRY_LEAST * self._typical(entry) or len(entry.attempts) >= self._settings.max_attempts:
-            return False
+        limits = entry.request.limits
+        if limits is None:
+            return self._has_another(now, entry) and self._send_again(now, entry, outcome.result)
+        wait = min(limits.back_off << min(32, len(entry.attempts) - 1), limits.back_off_most)
+        wait -= int(limits.jitter * wait * self._random.random()) if wait else 0
+        may = outcome.may_retry and outcome.result in limits.again and self._has_another(now + wait, entry)
+        if not may or not wait:
+            return may and self._send_again(now, entry, outcome.result)
+        entry.waits = True
+        self._do_later(now + wait, partial(self._after_back_off, entry, outcome.result))
+        self._actions.append(api.SetTimer(now + wait, LATER_TOKEN))
+        return True
+
+    def _after_back_off(self, entry: Open, result: Result, now: int) -> None:
+        entry.waits = False
+        if not entry.closed and not (self._has_another(now, entry) and self._send_again(now, entry, result)):
+            self._end(entry)
+            self._forget_if_done(now, entry)
+
+    def _has_another(self, now: int, entry: Open) -> bool:
+        """Neither time nor number forbids another attempt."""
+        limits = entry.request.limits
+        most = self._settings.max_attempts
+        most = most if limits is None else min(most, limits.attempts)
+        return entry.useful_until - now > RETRY_LEAST * self._typical(entry) and len(entry.attempts) < most
+
+    def _copy(self, now: int, request: int) -> None:
+        """Never to a box that is cold: it would be sent work that another one is at already."""
+        entry = self._open.get(request)
+        if entry is None or entry.closed or entry.waits or entry.kind.repeat is not Repeat.SAFE:
+            return
+        out = sum(attempt.result is None for attempt in entry.attempts)
+        backend = self._pick(now, entry, warm=True) if out == 1 and self._has_another(now, entry) else None
+        if backend is not None:
+            self._send(now, entry, backend)
+
+    def _send_again(self, now: int, entry: Open, result: Result) -> bool:
         price = 0.0 if result is Result.CONNECT_FAILED else 1.0  # where nothing arrived nothing is added
         if self._retry_budget < price:
             return False
@@ -573,7 +616,7 @@
 
     # The choice of a server.
 
-    def _pick(self, now: int, entry: Open) -> Backend | None:
+    def _pick(self, now: int, entry: Open, warm: bool = False) -> Backend | None:
         tried = [attempt.backend for attempt in entry.attempts]
         # After a failed connection any server with an idle one is better than the less loaded of two.
         unconnected = bool(tried) and entry.attempts[-1].result is Result.CONNECT_FAILED
@@ -582,7 +625,7 @@
         for backend in self._candidates(entry):
             if backend in (*pair, *full, *tried) or not entry.may_send_to(backend.entry, now):
                 continue
-            if self._usable(now, backend):
+            if self._usable(now, backend) and not (warm and self._warmth(now, backend.entry) < 1.0):
                 is_full = backend.fullness[entry.request.class_index] > FULL_ABOVE
                 (full if is_full else pair).append(backend)
             if len(pair) == (DRAWS if unconnected else 2):
--- a/lichenspring/interface.py
+++ b/lichenspring/interface.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 ServerId = bytes
 
@@ -143,6 +143,20 @@
     servers: tuple[Server, ...]
 
 
+class Limits(NamedTuple):
+    """What narrows the decisions on one request, beyond the settings. It never widens them."""
+
+    attempts: int  # at most, copies included
+    time_out: int  # of one attempt; 0: as long as the answer is of use
+    first_byte: int  # of one attempt, until its answer begins; 0: none
+    again: frozenset[Result]  # results after which another attempt may be made
+    back_off: int  # before the first further attempt; it doubles; 0: at once
+    back_off_most: int
+    jitter: float  # part of a back-off that is left to chance, 0 to 1
+    admitted: float  # part of its class's cap that it may fill, 0 to 1
+    route: int = 0  # for whoever set them
+
+
 class Request(NamedTuple):
     id: int
     time_left: int
@@ -150,6 +164,7 @@
     tenant: int
     key: int  # 0: none
     resubmitted: bool  # the client says that it tried before
+    limits: Limits | None = None
 
 
 class Outcome(NamedTuple):
@@ -160,6 +175,13 @@
     server: ServerId
     attempt: int
     report: tuple[float, ...]
+    may_retry: bool = True  # no budget forbids another attempt
+
+
+class Copy(NamedTuple):
+    """A second attempt is wanted while the first is out; made if the rules and the servers allow one."""
+
+    request: int
 
 
 class ClientGone(NamedTuple):
@@ -170,13 +192,14 @@
     token: int
 
 
-Event = ServerList | Request | Outcome | ClientGone | Timer
+Event = ServerList | Request | Outcome | Copy | ClientGone | Timer
 
 
 class Send(NamedTuple):
     request: int
     server: ServerId
     time_out: int  # 0: until the client gives up
+    first_byte: int = 0  # an answer that has not begun by then is not waited for; 0: as for the whole
 
 
 class Refuse(NamedTuple):
@@ -208,3 +231,11 @@
 
 
 Action = Send | Refuse | Fail | HangUp | SetTimer | Watch
+
+
+class Module(Protocol):
+    """What takes the events and gives the actions: the balancer, or what narrows it."""
+
+    def start(self, now: int) -> list[Action]: ...
+
+    def handle(self, now: int, event: Event) -> list[Action]: ...
--- /dev/null
+++ b/tests/limits/test_budgets.py
@@ -0,0 +1,95 @@
+"""Buckets and percentiles."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from driftstair.limits.budgets import SECOND, Bucket
+from driftstair.limits.latency import FADE_AT, Latencies
+
+MS = 1_000_000
+
+
+def test_a_bucket_is_full_at_first_and_earns_with_time() -> None:
+    bucket = Bucket(2.0, 3.0, 0)
+    assert [bucket.take(0) for _ in range(4)] == [True, True, True, False]
+    assert bucket.until(0) == SECOND // 2 + 1
+    assert not bucket.take(SECOND // 2 - MS)
+    assert bucket.take(SECOND // 2 + MS)
+    assert [bucket.take(100 * SECOND) for _ in range(4)] == [True, True, True, False]
+
+
+def test_what_is_earned_by_others_never_passes_the_burst() -> None:
+    bucket = Bucket(0.0, 2.0, 0)
+    for _ in range(100):
+        bucket.earn(0, 0.5)
+    assert bucket.tokens == 2.0 and bucket.until(0) == 0
+    bucket.take(0, 2.0)
+    assert bucket.until(0) == 0  # time alone never brings it
+    bucket.earn(0, 0.5)
+    assert not bucket.take(0)
+
+
+def test_a_clock_that_jumps_back_earns_nothing_and_goes_on_from_there() -> None:
+    bucket = Bucket(1.0, 5.0, 100 * SECOND)
+    bucket.take(100 * SECOND, 5.0)
+    assert not bucket.take(10 * SECOND)
+    assert bucket.take(11 * SECOND + MS)
+    bucket.take(11 * SECOND + MS, bucket.tokens)
+    assert bucket.has(10**18, 5.0) and not bucket.has(10**18, 5.1)  # ahead: full, no more
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    st.floats(0, 50), st.floats(1, 20),
+    st.lists(st.tuples(st.integers(-SECOND, SECOND), st.booleans()), max_size=200),
+)  # fmt: skip
+def test_no_more_is_taken_than_was_there_and_earned(
+    per_s: float, burst: float, steps: list[tuple[int, bool]]
+) -> None:
+    now = forward = taken = 0
+    bucket = Bucket(per_s, burst, 0)
+    for step, take in steps:
+        now += step
+        forward += max(0, step)
+        taken += take and bucket.take(now)
+        assert 0.0 <= bucket.tokens <= burst
+    assert taken <= burst + per_s * forward / SECOND + 1e-6
+
+
+def test_a_reload_is_no_new_burst() -> None:
+    old, new = Bucket(0.0, 10.0, 0), Bucket(0.0, 4.0, 0)
+    old.take(0, 9.0)
+    new.carry_over(old, 0)
+    assert new.tokens == 1.0
+    full = Bucket(0.0, 4.0, 0)
+    full.carry_over(Bucket(0.0, 10.0, 0), 0)
+    assert full.tokens == 4.0
+
+
+def test_a_percentile_is_close_and_needs_some_samples() -> None:
+    random = Random(1)
+    latencies = Latencies()
+    values = sorted(int(random.lognormvariate(18, 0.5)) for _ in range(1500))
+    for value in values[:49]:
+        latencies.add(value)
+    assert latencies.percentile(0.9) == 0
+    for value in values[49:]:
+        latencies.add(value)
+    for part in (0.5, 0.9, 0.99):
+        exact = values[int(part * len(values))]
+        assert 0.95 * exact <= latencies.percentile(part) <= 1.1 * exact
+
+
+def test_old_latencies_fade() -> None:
+    latencies = Latencies()
+    for _ in range(FADE_AT):
+        latencies.add(10 * MS)
+    for _ in range(4 * FADE_AT):
+        latencies.add(500 * MS)
+    assert latencies.percentile(0.5) > 400 * MS
+    latencies.add(10**15)  # beyond the last bucket
+    latencies.add(0)
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -477,3 +477,33 @@
         text = Path(module.__file__ or "").read_text()
         for own in ("import socket", "import select", "import time", "from time", "import random"):
             assert own not in text, (module.__name__, own)
+
+
+def test_nodes_under_a_service_file_keep_the_rules_and_their_promises(tmp_path: Path) -> None:
+    service = tmp_path / "service.toml"
+    service.write_text(
+        'version = 1\n[[route]]\nname = "paid"\nmatch = { class = "paid-live" }\n'
+        'retry = { attempts = 1 }\n[[route]]\nname = "rest"\n'
+        'retry = { attempts = 2, backoff = "20ms", budget = { share = 0.05, burst = 2.0 } }\n'
+    )
+    trouble = {"kind": "box-errors", "part": 1.0, "share": 0.5}
+    plain = Run(small(trouble, seconds=8.0))
+    run = Run(small(trouble, seconds=8.0, nodes={"count": 2, "service": str(service)}))
+    assert plain.kept() and run.kept()
+    first, further = (run.report["verdict"][key] for key in ("first_attempts", "further_attempts"))
+    assert further.get("paid-live", 0) == 0 < plain.report["verdict"]["further_attempts"]["paid-live"]
+    rest = sum(number for kind, number in first.items() if kind != "paid-live")
+    assert 0 < sum(further.values()) <= 2 * 2.0 + 0.05 * rest
+
+
+def test_a_service_file_that_is_refused_ends_the_run_in_one_line(tmp_path: Path) -> None:
+    service = tmp_path / "service.toml"
+    service.write_text("version = 1\n[[route]]\nname = 3\n")
+    path = tmp_path / "many.toml"
+    path.write_text(MANY)
+    done = subprocess.run(
+        [sys.executable, "-m", "driftstair", "rehearse", str(path), "--service", str(service)],
+        cwd=ROOT, capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr.startswith(f"driftstair: {service}:3: route[0].name:") and done.stderr.count("\n") == 1
