--- a/driftstair/limits/limited.py
+++ b/driftstair/limits/limited.py
@@ -144,7 +144,7 @@
         sent = entry.sent.pop(outcome.attempt)
         entry.out -= 1
         state = entry.state
-        if outcome.result is Result.OK:
+        if outcome.result is Result.OK and state.rules.copy_at:
             state.latencies.add(now - sent)
         budget = state.retries
         # Where nothing arrived nothing is added to the boxes' load, and no budget is asked.
