Rehearsal: a node is signalled only once it has served for a second

Cause: on sockets a node that dies and comes back may get the SIGHUP of a moving list before its handlers stand, and ends by it: seen once in a fresh environment, as a crash with status -1 that is none of the daemon's. The platform promises no SIGHUP in a node's first second; the kit did not keep that.

Change: SIGHUP and SIGTERM wait until the node has served for a second, on both grounds; a test in virtual time.

--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -35,6 +35,7 @@
 DOWN_FOR = 0.5  # s between the end of a planned restart's old process and the new one
 COMES_LATER = 1_000_000_000  # ns after a cut, in which what it held back may come
 TAKEN_IN = 200_000_000  # ns after a cut: on real sockets what connected meanwhile is accepted then
+SETTLED = 1_000_000_000  # ns that a node serves before it is signalled
 LONGEST_DEADLINE = 3.0  # s that the platform waits at most
 
 
@@ -88,6 +89,7 @@
         self._numbers = count(1)
         self._box_count = scenario.boxes.count
         self._ending: dict[str, bool] = {}
+        self._ready: dict[str, int] = {}  # since when each node serves, ns
         self._lives = dict.fromkeys(self.node_names, 0)
         self.vanished: set[str] = set()
         self.cuts: dict[str, tuple[int, int]] = {}  # machines that were cut off in silence, from and to
@@ -308,7 +310,26 @@
             self.say(f"{name} starts again")
         node.start(document)
         self.note(wire.NodeUp(self.now(), name))
-        self.front.node_starts(name, node.address(), lambda: None)
+        self._ready.pop(name, None)
+        self.front.node_starts(name, node.address(), lambda: self._is_ready(name))
+
+    def _is_ready(self, name: str) -> None:
+        self._ready[name] = self.now()
+
+    def when_settled(self, name: str, what: Callable[[str], None]) -> None:
+        """A node is signalled only once it has served for a second, as the platform promises: before its
+        handlers stand, a signal would end it. Seen on sockets, where a process takes a while to start."""
+        if self.over or not self.nodes[name].running:
+            return
+        ready = self._ready.get(name)
+        if ready is not None and self.now() - ready >= SETTLED:
+            what(name)
+        else:
+            self.after(0.1, self.when_settled, name, what)
+
+    def reload(self, name: str) -> None:
+        """Its file is replaced, and it gets SIGHUP."""
+        self.when_settled(name, lambda one: self.nodes[one].reload(self.document(one)))
 
     def _node_ended(self, name: str, why: str) -> None:
         """Its process has ended by itself."""
@@ -334,8 +355,9 @@
             self.front.node_dies(name)
 
     def restart(self, name: str) -> None:
-        if not self.nodes[name].running:
-            return
+        self.when_settled(name, self._restart)
+
+    def _restart(self, name: str) -> None:
         self.say(f"{name} is told to end")
         self._ending[name] = True
         self.front.node_ends(name)
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -507,3 +507,16 @@
     )  # fmt: skip
     assert done.returncode == 2 and done.stdout == ""
     assert done.stderr.startswith(f"driftstair: {service}:3: route[0].name:") and done.stderr.count("\n") == 1
+
+
+def test_a_node_that_has_only_started_is_signalled_once_it_has_served_for_a_second() -> None:
+    """Before its handlers stand a signal ends a process: the platform promises not to send one."""
+    dies = {"kind": "node-dies", "nodes": ["n0"], "at_s": 1.0, "for_s": 1.0}
+    moves = {"kind": "list-moves", "at_s": 2.05}
+    restarts = {"kind": "node-restarts", "nodes": ["n0"], "at_s": 2.1}
+    run = Run(small(dies, moves, restarts, seconds=8.0))
+    assert run.kept()
+    moved = [at for at, name, _, text in run.log if name == "n0" and "discovery is at" in text]
+    assert min(moved) - run.began >= 3_000_000_000
+    (told,) = [one.at for one in run.rehearsal.events if one.what == "n0 is told to end"]
+    assert told - run.began >= 3_000_000_000
