Read again: one hash for module and kit, routes' terms built by their table, dead parts out

Cause: a reading of the whole change. The kit had written the module's mix() again and two of the daemon's figures of a planned end; the front imported the routes' type anew for each request under a service file; six names were set or defined and never read.

Change: the kit calls lichenspring.balance.mix and takes KILLED_AFTER and LONGEST_DEADLINE from the daemon; Table.asked builds what routes go by; what nobody read is gone. No behaviour, bound or assertion changed.

--- a/driftstair/limits/limited.py
+++ b/driftstair/limits/limited.py
@@ -42,7 +42,6 @@
         self._wanted: list[tuple[int, int]] = []  # second copies: when, of which request
         self._states: list[State] = []
         self._rules = list(rules)
-        self.refused = 0
 
     def start(self, now: int) -> list[api.Action]:
         self._states = [State(rules, now) for rules in self._rules]
@@ -114,7 +113,6 @@
         return bucket
 
     def _refuse(self, request: api.Request, wait: int) -> list[api.Action]:
-        self.refused += 1
         settings = self._settings
         least = settings.classes[request.class_index].aim
         told = (
--- a/driftstair/limits/narrow.py
+++ b/driftstair/limits/narrow.py
@@ -19,7 +19,6 @@
 MAY_HAVE_RUN = ("error", "timeout", "reset")
 ADMITTED = {"normal": 1.0, "low": 0.7, "lowest": 0.4}  # of the class's cap
 BACK_OFF_MOST = 10  # times the first, where the file says nothing
-NO_COPY = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +52,7 @@
     )  # fmt: skip
     return Rules(
         route.name, handed, times.total or 0, route.admit.body or 0, route.admit.in_flight or 0,
-        route.admit.rate, retry.budget, (copy.after or 0) if copy else NO_COPY,
+        route.admit.rate, retry.budget, (copy.after or 0) if copy else 0,
         (copy.at or 0.0) if copy else 0.0, copy.budget if copy else None,
     )  # fmt: skip
 
--- a/driftstair/limits/table.py
+++ b/driftstair/limits/table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from driftstair.limits.limited import Limited
 from driftstair.limits.narrow import Rules, rules_of
 from driftstair.limits.routes import Asked, Pattern, Routes
@@ -21,6 +23,15 @@
             rules_of(route, index, settings.max_attempts) for index, route in enumerate(service.route)
         ]
 
+    @staticmethod
+    def asked(method: bytes, path: bytes, fields: Mapping[bytes, bytes]) -> Asked:
+        """A request off the wire, in the terms of routes."""
+        return Asked(
+            fields[b"x-class"].decode("latin-1"), fields.get(b"x-tenant", b"").decode("latin-1"),
+            method.decode("latin-1"), path.decode("latin-1"), fields,
+            fields.get(b"x-key", b"").decode("latin-1"),
+        )  # fmt: skip
+
     def find(self, asked: Asked) -> Rules | None:
         index = self.routes.find(asked)
         return None if index is None else self.rules[index]
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -6,16 +6,13 @@
 import errno
 import logging
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, cast
 
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.net.system import SOCKETS, Listener, System
 from driftstair.settings import Config
 
-if TYPE_CHECKING:
-    from driftstair.limits.routes import Asked
-
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
@@ -359,6 +356,7 @@
     def _call(self, incoming: Incoming) -> Call:
         """The request in the node's terms."""
         fields, tenants = incoming.fields, self._front.config.tenants
+        limits = self._front.node.limits
         key = fields.get(b"x-key")
         return Call(
             client=self,
@@ -370,20 +368,9 @@
             key=key_number(key) if key else 0,
             resubmitted=fields.get(b"x-retry") == b"1",
             deadline=incoming.arrived + incoming.patience,
-            asked=self._asked(incoming) if self._front.node.limits is not None else None,
+            asked=limits.asked(incoming.method, incoming.path, fields) if limits is not None else None,
         )
 
-    def _asked(self, incoming: Incoming) -> Asked:
-        """The request in the terms of routes."""
-        from driftstair.limits.routes import Asked  # not loaded where there are none
-
-        fields = incoming.fields
-        return Asked(
-            fields[b"x-class"].decode("latin-1"), fields.get(b"x-tenant", b"").decode("latin-1"),
-            incoming.method.decode("latin-1"), incoming.path.decode("latin-1"), fields,
-            fields.get(b"x-key", b"").decode("latin-1"),
-        )  # fmt: skip
-
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         transport = self._transport
         assert transport is not None
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -12,6 +12,7 @@
 from itertools import count
 from random import Random
 
+from driftstair.daemon import KILLED_AFTER, LONGEST_DEADLINE
 from driftstair.rehearsal import load, platform, wire
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.account import Account
@@ -31,12 +32,10 @@
 
 READY_WITHIN = 30.0  # s; clients come then, all nodes up or not
 STILL = 2.0  # s that a run goes on after its last request, to see what still comes
-KILLED_AFTER = 0.7  # s after SIGTERM and the longest deadline
 DOWN_FOR = 0.5  # s between the end of a planned restart's old process and the new one
 COMES_LATER = 1_000_000_000  # ns after a cut, in which what it held back may come
 TAKEN_IN = 200_000_000  # ns after a cut: on real sockets what connected meanwhile is accepted then
 SETTLED = 1_000_000_000  # ns that a node serves before it is signalled
-LONGEST_DEADLINE = 3.0  # s that the platform waits at most
 
 
 @dataclass(slots=True)
--- a/driftstair/rehearsal/rules.py
+++ b/driftstair/rehearsal/rules.py
@@ -140,9 +140,6 @@
         self._look_at_clock(now)
         return self.breaks
 
-    def open_requests(self) -> int:
-        return sum(ask.open and not ask.voided for ask in self._asks.values())
-
     def _broken(
         self, rule: int, at: int, evidence: str, request: bytes = b"", box: str = "", node: str = ""
     ) -> None:
--- a/driftstair/rehearsal/stands/clients.py
+++ b/driftstair/rehearsal/stands/clients.py
@@ -15,7 +15,8 @@
 from driftstair.rehearsal.stands.front import FrontLayer
 from driftstair.rehearsal.stands.http1 import MessageReader, WireError, status_of
 from driftstair.rehearsal.stands.place import Place
-from driftstair.rehearsal.stands.workload import Choice, Kind, Workload, mix, zipf
+from driftstair.rehearsal.stands.workload import Choice, Kind, Workload, zipf
+from lichenspring.balance import mix
 
 NOBODY_ASKS = 0.05  # s until the next look, while the load is none
 IDLE_LOOK = 1.0  # s
@@ -40,7 +41,7 @@
     """A first try and all that follows it."""
 
     __slots__ = (
-        "began", "connect_failures", "due", "honours", "key", "kind", "open", "phase", "tenant", "tries",
+        "began", "due", "honours", "key", "kind", "open", "phase", "tenant", "tries",
         "why",
     )  # fmt: skip
 
@@ -303,10 +304,6 @@
             pool.close_idle(before)
         self.place.loop.call_later(IDLE_LOOK, self._look_at_idle)
 
-    def connections(self, node: str) -> int:
-        pool = self._pools.get(node)
-        return pool.open if pool is not None else 0
-
 
 def _seconds(text: bytes) -> float:
     try:
--- a/driftstair/rehearsal/stands/engine.py
+++ b/driftstair/rehearsal/stands/engine.py
@@ -76,7 +76,6 @@
         self.started = started if cold else started - figures.cold_time
         self.connections = 0
         self.slow = 1.0  # a trouble's factor
-        self.jammed_until = 0.0
         self.jams = 0
         self._random = random
         self._now = started
--- a/driftstair/rehearsal/stands/workload.py
+++ b/driftstair/rehearsal/stands/workload.py
@@ -14,19 +14,12 @@
 from statistics import NormalDist
 
 from driftstair.rehearsal.scenario import Class
+from lichenspring.balance import mix
 
 _MASK = (1 << 64) - 1
 _NORMAL = NormalDist()
 
 
-def mix(value: int) -> int:
-    """A well-mixed 64-bit number from another (the finalizer of SplitMix64: Steele et al., OOPSLA 2014)."""
-    value = (value + 0x9E3779B97F4A7C15) & _MASK
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
-    return value ^ (value >> 31)
-
-
 @dataclass(frozen=True, slots=True)
 class Kind:
     """A class as drawn for one run. Times in s, work in core-seconds."""
