Clients' connections by a policy of their own; time-outs that crowding does not explain left out

Change: driftstair/admission keeps the table of clients without I/O: a censored survival estimate of how long clients stay away, an index of worth for each kind and age, a lane for newcomers, answers that say Connection: close where a place would be held for nothing. lichenspring/breaker.py is the breaker, moved out, with a tail that takes in time-outs as far as the answers explain them, a proof of three quarters, a brake over a dozen attempts.

--- /dev/null
+++ b/driftstair/admission/__init__.py
@@ -0,0 +1,10 @@
+"""Who may hold a connection: the table of a node's clients as a policy without I/O, on one clock.
+
+`returns.py` learns how long clients that come back stay away, `crowd.py` how many come and what they bring,
+and `places.py` decides with both which connection makes room for another, and which is kept after an answer.
+Sockets belong to `driftstair.net.front`, which tells what happens and closes what it is told to close.
+"""
+
+from driftstair.admission.places import Limits, Places
+
+__all__ = ["Limits", "Places"]
--- /dev/null
+++ b/driftstair/admission/places.py
@@ -0,0 +1,358 @@
+"""The table of client connections: who holds a place, who is asked to give it up, and who goes first.
+
+Nothing is closed early while there is room. There are two bounds: what the node can hold itself (`most`), and
+what clients may hold at it in all (`held`), where the platform tells one; the second binds the clients, so
+idle connections that nobody uses keep others from opening any, and a node only sees that nobody comes. So
+room is kept for those that are expected (`Crowd.need`), under both bounds.
+
+Where room is short, connections go in this order, and one with an open request never does:
+
+1. rejected ones, whose answer is out, and those that were told to go and stay (`lingers`, `leaves`);
+2. newcomers that have brought nothing within their grace;
+3. those that have begun a request and don't go on, after `HEAD_LEAST`;
+4. idle ones, the least worth first, as long as newcomers bring more in the same place, and newcomers hold no
+   more than their lane.
+
+4 is what protects those that ask and read. The lane is as wide as newcomers that ask need it (`_lane`), so a
+crowd that says nothing does not widen it: its connections only make room for one another. A client that does
+not read its answer has an open request: closing it would lose that, so it stays until its deadline, which the
+front sees to.
+
+Work for an event is bounded whatever the count: an idle connection moves through the buckets of its age, once
+each, `MOVES` of all in an event; the choice looks at the fronts of buckets only.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+from enum import Enum
+from itertools import takewhile
+from math import ceil
+from typing import Generic, TypeVar
+
+from driftstair.admission.crowd import Crowd
+from driftstair.admission.returns import BUCKETS, ENDS, Returns, bucket_of
+
+Connection = TypeVar("Connection", bound=Hashable)
+
+USES = (1, 2, 4)  # requests so far, at least, of each kind of idle connection
+MOVES = 32  # connections that one event moves to the next bucket of age, or closes
+LEARN_EVERY = 0.25  # s between two reckonings of what idle connections are worth
+STAYS_ONE_IN = 16  # answers that keep a connection that should close, or no return would be seen any more
+LEAVE_LEAST = 0.3  # s for a client that was told to go to read its answer: a reset would take that with it
+HEAD_LEAST = 0.5  # s for the rest of a request that has begun, likewise
+LANE_PART = 0.05  # of the table, for newcomers, however few have come of late
+HELD_PART = 0.95  # of `held` that is counted on: some stand in the kernel's queue
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Connections and times in s."""
+
+    most: int  # that the node can hold
+    held: int = 0  # that clients may hold at the node; 0: as many as they like
+    new_most: float = 2.0  # from connecting to the first whole request
+    request_most: float = 2.0  # for a later request that has begun
+    idle_most: float = 30.0  # between two requests
+    linger_most: float = 1.0  # for a rejected client to take its answer and go
+    linger_part: float = 0.1  # of the table, for such ones
+
+
+class State(Enum):
+    SILENT = "has brought nothing yet"
+    HEAD = "has begun its first request"
+    BUSY = "has an open request"
+    IDLE = "has been answered"
+    READING = "has begun a later request"
+    LEAVING = "has been told to go with its answer"
+    LINGERING = "is rejected"
+
+
+class Ending(Enum):
+    """How a connection that is given up is to be closed."""
+
+    CLOSE = "with what is written"
+    TIME_OUT = "told that it was too slow, if it had begun a request"
+    ABORT = "at once"
+
+
+@dataclass(slots=True)
+class Place:
+    state: State
+    since: float  # in this state; for one that never asked, since it connected
+    uses: int = 0  # whole requests
+    kind: int = 0  # of an idle one, by its uses
+    bucket: int = 0  # of an idle one's age
+
+
+def _since(table: dict[Connection, float], latest: float) -> list[Connection]:
+    """Those in their state since then or longer, from the front of a table."""
+    return list(takewhile(lambda one: table[one] <= latest, table))
+
+
+def kind_of(uses: int) -> int:
+    return sum(uses >= least for least in USES) - 1
+
+
+class Places(Generic[Connection]):
+    """What one node's front asks at each event. `now` in s, of one clock that does not go back."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.crowd = Crowd()
+        self.returns = tuple(Returns() for _ in USES)
+        self.ending = False  # the node is about to end: clients may find no other, and keep what they have
+        self.closed_early = 0  # idle ones, for room, and answers that told clients to go
+        self._places: dict[Connection, Place] = {}
+        # In the order since when they are in that state.
+        self._tables: dict[State, dict[Connection, float]] = {
+            state: {} for state in State if state is not State.IDLE
+        }
+        self._idle: list[list[dict[Connection, float]]] = [[{} for _ in range(BUCKETS)] for _ in USES]
+        self._idle_count = 0
+        self._order: list[tuple[float, int, int]] = []  # of kinds and buckets of idle ones, least worth first
+        self._fresh = [0.0] * len(USES)  # worth of one that turns idle now
+        self._learned = 0.0
+        self._told_to_go = 0
+        self._learn(0.0)
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def idle(self) -> int:
+        return self._idle_count
+
+    def state(self, connection: Connection) -> State | None:
+        place = self._places.get(connection)
+        return None if place is None else place.state
+
+    # What happens to a connection.
+
+    def came(self, connection: Connection, now: float) -> None:
+        self._places[connection] = Place(State.SILENT, now)
+        self._tables[State.SILENT][connection] = now
+
+    def reads(self, connection: Connection, now: float) -> None:
+        """A part of a request has come. It gives no new time: a slow one's counts from its first byte, a
+        newcomer's from when it connected."""
+        place = self._places[connection]
+        if place.state is State.SILENT:
+            self._move(connection, place, State.HEAD, place.since)
+        elif place.state is State.IDLE:
+            self._move(connection, place, State.READING, now)
+
+    def works(self, connection: Connection, now: float) -> None:
+        """A whole request has come, and is served from now on."""
+        place = self._places[connection]
+        if place.uses == 0:
+            self.crowd.asked(now, now - place.since)
+        place.uses += 1
+        self._move(connection, place, State.BUSY, now)
+
+    def rests(self, connection: Connection, now: float) -> None:
+        """It has been answered, and nothing more has come. Bytes that are no request give no new time."""
+        place = self._places[connection]
+        if place.state is State.BUSY:
+            self._move(connection, place, State.IDLE, now)
+
+    def leaves(self, connection: Connection, now: float) -> None:
+        """It has been answered, and told to go."""
+        self._move(connection, self._places[connection], State.LEAVING, now)
+
+    def lingers(self, connection: Connection, now: float) -> None:
+        """It is rejected, and told so."""
+        self._move(connection, self._places[connection], State.LINGERING, now)
+
+    def lost(self, connection: Connection, now: float) -> None:
+        """It is closed, by whichever side."""
+        place = self._places.pop(connection, None)
+        if place is not None:
+            self._leave(connection, place, now, came_back=False)
+            if place.uses == 0 and place.state is not State.LINGERING:
+                self.crowd.stayed_silent()
+
+    def _move(self, connection: Connection, place: Place, state: State, now: float) -> None:
+        if place.state is state:
+            return
+        self._leave(connection, place, now, came_back=True)
+        place.state, place.since = state, now
+        if state is State.IDLE:
+            place.kind, place.bucket = kind_of(place.uses), 0
+            self._idle[place.kind][0][connection] = now
+            self._idle_count += 1
+        else:
+            self._tables[state][connection] = now
+
+    def _leave(self, connection: Connection, place: Place, now: float, came_back: bool) -> None:
+        if place.state is not State.IDLE:
+            self._tables[place.state].pop(connection, None)
+            return
+        del self._idle[place.kind][place.bucket][connection]
+        self._idle_count -= 1
+        returns, age = self.returns[place.kind], now - place.since
+        last = bucket_of(age)
+        for bucket in range(place.bucket, last):
+            returns.pass_through(bucket)
+        returns.end(age, last, came_back)
+
+    # What is decided.
+
+    def keeps(self, connection: Connection, now: float) -> bool:
+        """Whether the answer that goes out now should keep the connection, or tell its client to close it.
+
+        Told so, nothing of the client's crosses the end, and the place is free a round trip later. One in
+        `STAYS_ONE_IN` is kept all the same: without it no return could be seen any more.
+        """
+        place = self._places[connection]
+        if place.state is State.BUSY:
+            self.crowd.served(now - place.since)
+        self._grow_older(now)
+        short = self._short(now)
+        if short <= 0 or self.ending:
+            return True
+        worth = self._fresh[kind_of(place.uses)]
+        # Those idle now go first, as far as they are worth less; the rest must not be kept.
+        less = sum(len(self._idle[kind][bucket]) for value, kind, bucket in self._order if value < worth)
+        if less >= short or worth >= self.crowd.worth():
+            return True
+        self._told_to_go += 1
+        if self._told_to_go % STAYS_ONE_IN == 0:
+            return True
+        self.closed_early += 1
+        return False
+
+    def surplus(self, now: float) -> list[Connection]:
+        """Idle connections to close now, since their places are wanted; `MOVES` at most in one call."""
+        self._grow_older(now)
+        wanted = 0 if self.ending else min(MOVES, self._short(now), self._idle_count)
+        given: list[Connection] = []
+        while len(given) < wanted:
+            connection = self._least_worth(self.crowd.worth())
+            if connection is None:
+                break
+            self.lost(connection, now)
+            given.append(connection)
+        self.closed_early += len(given)
+        return given
+
+    def make_room(self, now: float, forced: bool = False) -> tuple[Connection, Ending] | None:
+        """The connection to close for another that waits at a full table; None: that one has to wait.
+        `forced`: no descriptor is left, so an idle one goes whatever it is worth."""
+        tables = self._tables
+        for state, before in (
+            (State.LINGERING, now),
+            (State.LEAVING, now - LEAVE_LEAST),
+            (State.SILENT, now - self.crowd.grace()),
+            (State.HEAD, now - HEAD_LEAST),
+            (State.READING, now - HEAD_LEAST),
+        ):
+            connection = next(iter(tables[state]), None)
+            if connection is not None and tables[state][connection] <= before:
+                self.lost(connection, now)
+                return connection, Ending.ABORT
+        if not forced and self._newcomers() >= self._lane(now):
+            return None
+        self._grow_older(now)
+        connection = self._least_worth(float("inf") if forced else self.crowd.worth())
+        if connection is None:
+            return None
+        self.lost(connection, now)
+        self.closed_early += 1
+        return connection, Ending.CLOSE
+
+    def is_full(self) -> bool:
+        """No place can be made for another client, but by those that have their answer leaving."""
+        held = len(self._tables[State.BUSY]) + len(self._tables[State.READING])
+        return held >= self.limits.most
+
+    def overdue(self, now: float) -> list[tuple[Connection, Ending]]:
+        """Those whose time is over, whatever room there is."""
+        limits = self.limits
+        late = [
+            (connection, ending)
+            for state, most, ending in (
+                (State.LINGERING, limits.linger_most, Ending.ABORT),
+                (State.LEAVING, limits.linger_most, Ending.ABORT),
+                (State.SILENT, limits.new_most, Ending.TIME_OUT),
+                (State.HEAD, limits.new_most, Ending.TIME_OUT),
+                (State.READING, limits.request_most, Ending.TIME_OUT),
+            )
+            for connection in _since(self._tables[state], now - most)
+        ]
+        self._grow_older(now)
+        for kind in self._idle:
+            for bucket in kind[bucket_of(limits.idle_most) :]:
+                late += [(one, Ending.CLOSE) for one in _since(bucket, now - limits.idle_most)]
+        for connection, ending in late:
+            if ending is not Ending.TIME_OUT:  # which is still told so
+                self.lost(connection, now)
+        return late
+
+    def crowded_out(self, now: float) -> Connection | None:
+        """A rejected connection to abort, since too many of them linger."""
+        lingering = self._tables[State.LINGERING]
+        if len(lingering) <= self.limits.linger_part * self.limits.most:
+            return None
+        first = next(iter(lingering))
+        self.lost(first, now)
+        return first
+
+    def unused(self) -> list[Connection]:
+        """Those with no request, at the node's end."""
+        idle = [connection for kind in self._idle for bucket in kind for connection in bucket]
+        return [*self._tables[State.SILENT], *idle]
+
+    # Room and worth.
+
+    def _newcomers(self) -> int:
+        return len(self._tables[State.SILENT]) + len(self._tables[State.HEAD])
+
+    def _lane(self, now: float) -> float:
+        """Places for newcomers, that others leave free."""
+        return LANE_PART * self.limits.most + self.crowd.need(now)
+
+    def _short(self, now: float) -> int:
+        """Places more that the others should leave to newcomers."""
+        others = len(self._places) - self._newcomers()
+        short = others + self._lane(now) - self.limits.most
+        if self.limits.held:
+            held = others - len(self._tables[State.LINGERING]) - len(self._tables[State.LEAVING])
+            short = max(short, held + self.crowd.need(now) - HELD_PART * self.limits.held)
+        return ceil(short) if short > 0 else 0
+
+    def _least_worth(self, below: float) -> Connection | None:
+        for worth, kind, bucket in self._order:
+            if worth >= below:
+                return None
+            table = self._idle[kind][bucket]
+            if table:
+                return next(iter(table))
+        return None
+
+    def _grow_older(self, now: float) -> None:
+        """Idle connections go on to the buckets of their ages; reckons again what they are worth."""
+        moves = MOVES
+        for kind, returns in zip(self._idle, self.returns, strict=True):
+            for bucket in range(BUCKETS - 2, -1, -1):
+                table = kind[bucket]
+                while table and moves:
+                    connection = next(iter(table))
+                    if table[connection] > now - ENDS[bucket]:
+                        break
+                    kind[bucket + 1][connection] = table.pop(connection)
+                    self._places[connection].bucket = bucket + 1
+                    returns.pass_through(bucket)
+                    moves -= 1
+        if now - self._learned >= LEARN_EVERY:
+            self._learn(now)
+
+    def _learn(self, now: float) -> None:
+        self._order = []
+        for kind, returns in enumerate(self.returns):
+            returns.fade(now - self._learned)
+            worth = returns.worth(self.crowd.service)
+            self._fresh[kind] = worth[0]
+            self._order += [(value, kind, bucket) for bucket, value in enumerate(worth)]
+        self._order.sort()
+        self._learned = now
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from driftstair.admission.places import Limits
 from driftstair.config import ConfigError
 from driftstair.net.front import Front
 from driftstair.net.node import Node
@@ -24,6 +25,8 @@
 
 RESERVED = 40  # descriptors: the interpreter's, the loop's, the listening socket, discovery, and slack
 CLIENTS_PART = 0.55  # of the rest; the others are for servers
+HELD_PART = 1 / 3  # of all descriptors: what the platform's clients hold at most for requests
+UNBOUND = 4096  # descriptors: a node that has so many is on an installation without such a bound
 
 SERVE_ON = 0.6  # s after SIGTERM at least: new connections go on coming for up to 0.4 s
 KILLED_AFTER = 0.7  # s after SIGTERM and the longest deadline, at the soonest
@@ -42,7 +45,8 @@
     clients, servers = shares(config)
     pools = Pools(servers, config.dial_timeout, config.idle_close, system)
     node = Node(config, pools, system, limits)
-    return node, Front(node, config, clients, system)
+    held = int(config.sockets * HELD_PART) if config.sockets < UNBOUND else 0
+    return node, Front(node, config, Limits(clients, held), system)
 
 
 def plan_end(config: Config) -> tuple[float, float]:
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from typing import Any, cast
 
+from driftstair.admission.places import Ending, Limits, Places
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.net.system import SOCKETS, Listener, System
@@ -19,17 +20,8 @@
 ACCEPTS = 16  # in one turn of the loop, so that a flood of connections leaves turns for the others
 LOOK = 0.02  # s until the next look at a full table, while clients wait for a place in it
 FULL_PAUSE = 0.05  # s until the next look at the listening socket, where no descriptor was left
-EVICT_AFTER = 0.1  # s that a connection has brought nothing at least before it makes room for another
-SWEEP = 0.2  # s
-NEW_MOST = 2.0  # s from connecting to the first whole request
-SLOW_REQUEST = 2.0  # s in which a later request that has begun must have come
-IDLE_MOST = 2.5  # s without a request: some clients ask once and keep their connection for good
-IDLE_PART = 0.15  # of the table that idle ones may hold for longer than the next
-IDLE_LEAST = 0.5  # s; clients share a bound on connections with those among them that keep theirs for good
-LINGER = 1.0  # s in which what a rejected client still sends is read and dropped, so that it gets its answer
-LINGER_BYTES = 128 << 10  # that are read so
-LINGER_PART = 0.1  # of the table, for such connections
-CROWD_PART = 0.5  # of the table: while more are new, no idle client makes room for others
+SWEEP = 0.1  # s
+LINGER_BYTES = 128 << 10  # that are read of what a rejected client still sends, so that it gets its answer
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 DRAIN_LOOK = 0.02  # s
 
@@ -40,7 +32,7 @@
     """The listening socket and all connections that came from it."""
 
     def __init__(
-        self, node: Node, config: Config, connections_most: int, system: System = SOCKETS
+        self, node: Node, config: Config, limits: Limits, system: System = SOCKETS
     ) -> None:
         self.node = node
         self.config = config
@@ -48,19 +40,13 @@
         self._system = system
         self.closing = False  # answers end their connections
         self.stopping = False  # `/up` sends clients elsewhere
-        self._most = connections_most
+        self.places: Places[ClientConnection] = Places(limits)
         self._loop = asyncio.get_running_loop()
         self._listener: Listener | None = None
         self._accepting = False
         self._looks_again = False
         self._open = 0
         self._connections: set[ClientConnection] = set()
-        # Since when; the first of each has been there longest. A connection is in one of them, or has a
-        # request that is being served.
-        self._new: dict[ClientConnection, float] = {}  # no whole request yet
-        self._idle: dict[ClientConnection, float] = {}
-        self._reading: dict[ClientConnection, float] = {}  # in the midst of a later request
-        self._lingering: dict[ClientConnection, float] = {}  # rejected
         self._tasks: dict[asyncio.Task[None], None] = {}
 
     def listen(self) -> tuple[str, int]:
@@ -87,7 +73,7 @@
         if listener is None:
             return
         for _ in range(ACCEPTS):
-            if self._open >= self._most and not self._evict():
+            if self._open >= self.places.limits.most and not self._make_room():
                 self._pause()
                 self._look_again()  # soon: the usual clients wait in the same queue
                 return
@@ -98,7 +84,7 @@
             except OSError as problem:
                 if problem.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # Without one idle connection less, those that wait would do so until a client leaves.
-                    self._evict()
+                    self._make_room(forced=True)
                     self._pause()
                     self._loop.call_later(FULL_PAUSE, self._resume)
                     return
@@ -119,91 +105,70 @@
             accepted.close()
             self._left()
 
-    def _evict(self) -> bool:
-        """Close the connection that is worth least; a client whose request crosses that asks anew. Guards
-        against those that connect by hundreds: first go the rejected ones, then those that never asked."""
-        before = self._loop.time() - EVICT_AFTER
-        for table, latest in ((self._lingering, float("inf")), (self._new, before), (self._idle, before)):
-            for connection, since in table.items():
-                if since > latest:
-                    break
-                del table[connection]
-                connection.abort()
-                return True
-            if table is self._new and len(table) + len(self._tasks) > CROWD_PART * self._most:
-                break  # so many come at once that some will have stayed silent in a moment
-        return False
+    def _make_room(self, forced: bool = False) -> bool:
+        """Close the connection that is worth least; a client whose request crosses that asks anew."""
+        found = self.places.make_room(self._loop.time(), forced)
+        if found is not None:
+            self._end(*found)
+        return found is not None
+
+    def _end(self, connection: ClientConnection, how: Ending) -> None:
+        if how is Ending.ABORT:
+            connection.abort()
+        elif how is Ending.TIME_OUT:
+            connection.time_out()
+        else:
+            connection.close()
 
     def _left(self) -> None:
         self._open -= 1
-        if self._open < self._most:
+        if self._open < self.places.limits.most:
             self._resume()
 
     def _sweep(self) -> None:
         """Guards against clients that say nothing, stop half way, send slowly or keep what they don't use."""
-        now = self._loop.time()
-        for table, most, end in (
-            (self._lingering, LINGER, ClientConnection.abort),
-            (self._new, NEW_MOST, ClientConnection.time_out),
-            (self._reading, SLOW_REQUEST, ClientConnection.time_out),
-            (self._idle, IDLE_MOST, ClientConnection.close),
-        ):
-            late = []
-            for connection, since in table.items():
-                if since > now - most:
-                    break
-                late.append(connection)
-            for connection in late:
-                table.pop(connection, None)
-                end(connection)
+        for connection, how in self.places.overdue(self._loop.time()):
+            self._end(connection, how)
         self._thin_out()
         self._loop.call_later(SWEEP, self._sweep)
 
+    def _thin_out(self) -> None:
+        for connection in self.places.surplus(self._loop.time()):
+            connection.close()
+
     # What the connections tell.
 
     def came(self, connection: ClientConnection) -> None:
         self._connections.add(connection)
-        self._new[connection] = self._loop.time()
+        self.places.came(connection, self._loop.time())
+        self._thin_out()
 
     def lost(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
-        self.works(connection)
-        self._lingering.pop(connection, None)
+        self.places.lost(connection, self._loop.time())
         self._left()
 
     def rests(self, connection: ClientConnection) -> None:
-        self._reading.pop(connection, None)
+        self.places.rests(connection, self._loop.time())
         self._thin_out()
-        self._idle.setdefault(connection, self._loop.time())  # bytes that are no request give no new time
-
-    def _thin_out(self) -> None:
-        """Guards against clients that ask once and stay: they leave no connections to those that ask."""
-        before = self._loop.time() - IDLE_LEAST
-        while len(self._idle) > IDLE_PART * self._most:
-            first, since = next(iter(self._idle.items()))
-            if since > before:
-                break
-            del self._idle[first]
-            first.close()
 
     def reads(self, connection: ClientConnection) -> None:
-        """A part of a request has come. A new connection's time goes on from when it connected."""
-        self._idle.pop(connection, None)
-        if connection not in self._new:
-            self._reading.setdefault(connection, self._loop.time())
+        self.places.reads(connection, self._loop.time())
 
     def works(self, connection: ClientConnection) -> None:
-        self._new.pop(connection, None)
-        self._idle.pop(connection, None)
-        self._reading.pop(connection, None)
-
-    def lingers(self, connection: ClientConnection) -> None:
-        self.works(connection)
-        self._lingering[connection] = self._loop.time()
-        if len(self._lingering) > LINGER_PART * self._most:
-            first = next(iter(self._lingering))
-            del self._lingering[first]
-            first.abort()
+        self.places.works(connection, self._loop.time())
+
+    def keeps(self, connection: ClientConnection) -> bool:
+        """Whether the answer that is ready keeps the connection."""
+        full = self.places.is_full()
+        return not self.closing and not full and self.places.keeps(connection, self._loop.time())
+
+    def leaves(self, connection: ClientConnection, rejected: bool) -> None:
+        now = self._loop.time()
+        (self.places.lingers if rejected else self.places.leaves)(connection, now)
+        crowded_out = self.places.crowded_out(now)
+        if crowded_out is not None:
+            crowded_out.abort()
 
     def _look_again(self) -> None:
         if not self._looks_again:
@@ -214,15 +179,11 @@
         self._looks_again = False
         self._resume()
 
-    def is_full(self) -> bool:
-        """No place can be made for another client, but by those that have their answer leaving."""
-        return self._open >= self._most and not (self._lingering or self._new or self._idle)
-
     # The end.
 
     async def stop(self, serve_on: float, within: float) -> None:
         """Serve on for a while, since clients go on coming; then finish what is held, and end."""
-        self.stopping = True
+        self.stopping = self.places.ending = True
         end = self._loop.time() + within
         await asyncio.sleep(serve_on)
         self.closing = True
@@ -234,7 +195,7 @@
             self._listener = None
         await asyncio.gather(*self._tasks)
         await asyncio.sleep(DRAIN_LOOK)  # what those just taken in have sent already is read first
-        for connection in [*self._new, *self._idle]:
+        for connection in self.places.unused():
             connection.close_if_unused()
         while self._connections and self._loop.time() < end:
             await asyncio.sleep(DRAIN_LOOK)
@@ -254,6 +215,7 @@
         self._busy = False
         self._keep_alive = True
         self._ends = False  # nothing more is read
+        self._rejected = False  # by the last answer
         self._half_closed = False  # the client sends no more
         self._dropped = 0  # bytes that came after the end
         self._deadline = 0
@@ -337,7 +299,7 @@
             self._front.reads(self)
             if reader.wants_continue():
                 transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        elif self not in self._front._new:
+        else:
             self._front.rests(self)
 
     def _serve(self, incoming: Incoming) -> None:
@@ -379,7 +341,7 @@
             return
         # A client whose request is at fault would ask the same again at once, as fast as it is answered.
         rejected = 400 <= status < 500
-        keep = self._keep_alive and not rejected and not self._front.closing and not self._front.is_full()
+        keep = self._keep_alive and not rejected and self._front.keeps(self)
         lines = [b"HTTP/1.1 ", NUMBERED[status], b"\r\n"]
         for name, value in headers:
             lines += (name, b": ", value, b"\r\n")
@@ -390,7 +352,7 @@
             lines.append(b"Connection: close\r\n")
         lines += (b"\r\n", body)
         transport.write(b"".join(lines))
-        self._ends = not keep
+        self._ends, self._rejected = not keep, rejected
         if transport.get_write_buffer_size():
             # A client that reads too slowly gets nothing after its deadline: it has given up by then.
             left = self._deadline - self._front.now() if self._deadline else SLOW_READER * 1e9
@@ -418,7 +380,7 @@
             if self._paused:
                 transport.resume_reading()
             transport.write_eof()
-            self._front.lingers(self)
+            self._front.leaves(self, self._rejected)
 
     def close(self) -> None:
         if self._transport is not None:
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -1,4 +1,5 @@
-"""All decisions of the balancer. Its events, actions and settings are in interface.py, beside this file.
+"""All decisions of the balancer. Its events, actions and settings are in interface.py, and the breaker of one
+class in breaker.py, beside this file.
 
 The ordinary path of a request: its class's adaptive circuit breaker admits or refuses it at once; its key
 names two servers and the one with fewer of this node's own requests in flight gets it. The rest is what
@@ -12,28 +13,18 @@
 from dataclasses import dataclass, field
 from functools import partial
 from heapq import heappop, heappush
-from math import ceil, exp, inf, sqrt
+from math import ceil, inf
 from random import Random
 
 from lichenspring import interface as api
+from lichenspring.breaker import CENSORED, KEEP, PERIOD, SECOND, TARGET, Breaker, InFlight
 from lichenspring.interface import NEVER_RAN, Group, ListKind, ListMode, Repeat, Result, ServerState
 
-SECOND = 1_000_000_000  # ns
-
-# The breaker: the paper's controller, its period and smoothing shorter as overload fills servers in seconds.
-PERIOD = SECOND // 2  # ns between two updates
-KEEP = 0.5  # p: part of the old alpha that an update keeps
-PERCENTILE = 0.85  # of response times: the last few are long by their own work, not by load
-TARGET = 0.7  # of a class's aim
+# Admission, beside the breaker's own.
 IDLE_BELOW = 0.6  # mean part of cores in use, by report: below it the target is the aim itself
-HEADROOM = 1.5  # times the unloaded tail: no target is below that, as no cap could reach it
-BASE_FALLS, BASE_RISES = 0.2, 0.01  # part of the way that the unloaded tail follows a window's
-CENSORED = 2.0  # times what was waited: an attempt that timed out would have taken longer
 START_PER_SERVER = 10.0  # requests in flight, of all nodes together: the cap until a window tells
-SPREADS = 2.0  # roots of the cap that chance may bunch above it
 LEAST_PER_SERVER = 0.3  # of a class, likewise, are always let in: without samples no cap could rise again
-PROVEN_PART = 0.5  # of the most that was lately carried within the target: the cap stays above that
-PROVEN_FADES = 0.99  # each window
+UNANSWERED_WEIGHT = 0.08  # part of the newest attempt in the share that goes unanswered: the last dozen or so
 WORTH_ABOVE = 1.2  # times the worth for its work: a class whose threshold binds the lesser ones too
 WORTH_MORE = 2.0  # times the worth for its work: a class that the lesser ones leave room for
 RESERVE = 0.8  # part of such a class's threshold that they may fill
@@ -100,66 +91,6 @@
     return value ^ (value >> 31)
 
 
-@dataclass(slots=True)
-class InFlight:
-    """Requests in flight, now and in the mean of late."""
-
-    count: int = 0
-    mean: float = 0.0
-    changed: int = 0
-
-    def add(self, now: int, change: int) -> None:
-        keep = exp((self.changed - now) / PERIOD)
-        self.mean = keep * self.mean + (1.0 - keep) * self.count
-        self.count += change
-        self.changed = now
-
-    def is_below(self, now: int, cap: float) -> bool:
-        """At a small share of the traffic a cap is near one or less: chance bunches a few requests where
-        the mean is far from it, and one at a time would be too much where it is less than one. So up to a
-        few spreads above the cap are let in while the mean is below it."""
-        self.add(now, 0)
-        return self.count + 1 <= cap or (self.mean < cap and self.count < cap + SPREADS * sqrt(cap))
-
-
-@dataclass(slots=True)
-class Breaker:
-    """The paper's controller for one class: at how many requests in flight at this node it meets its aim."""
-
-    aim: int
-    target: float = 0.0
-    base: float = 0.0  # the tail where little waits: followed down fast and up slowly
-    alpha: float = 0.0  # response time for each request in flight; 0 until a window has told
-    proven: float = 0.0  # requests in flight, all classes
-    typical: float = 0.0  # response time: a measure of the class's work
-    in_flight: InFlight = field(default_factory=InFlight)  # of this class
-    samples: list[float] = field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        self.target, self.typical = TARGET * self.aim, float(self.aim)
-
-    def threshold(self, start: float) -> float:
-        return max(self.target / self.alpha, PROVEN_PART * self.proven) if self.alpha else start
-
-    def update(self, in_flight: float, start: float, idle: bool) -> None:
-        """At the end of a window, with the mean of the requests in flight in it."""
-        if self.samples and in_flight:
-            self.samples.sort()
-            # An answer within the same tick took no time: a zero would divide.
-            tail = max(1.0, self.samples[int(PERCENTILE * (len(self.samples) - 1))])
-            self.typical += (1 - KEEP) * (self.samples[len(self.samples) // 2] - self.typical)
-            follow = BASE_FALLS if tail < self.base else BASE_RISES
-            self.base = self.base + follow * (tail - self.base) if self.base else tail
-            self.target = min(self.aim, max((1.0 if idle else TARGET) * self.aim, HEADROOM * self.base))
-            # Where all servers turn slow, no cap can meet the target and the plain rule falls without end.
-            self.proven = max(PROVEN_FADES * self.proven, in_flight if tail <= self.target else 0.0)
-            alpha = tail / in_flight
-            # A window within its target can't lower the cap: a quiet one would, and refuse the next burst.
-            if tail > self.target or self.target / alpha > self.threshold(start):
-                self.alpha = KEEP * (self.alpha or self.target / max(1.0, start)) + (1 - KEEP) * alpha
-        self.samples.clear()
-
-
 @dataclass(slots=True, eq=False)
 class Backend:
     """What this node knows of one server."""
@@ -270,6 +201,7 @@
         self._later: list[tuple[int, int, Callable[[int], None]]] = []  # a heap: when, number, what to do
         self._laters = 0
         self._lost_idle = self._lost_others = 0.0  # share of attempts without an answer, by connection
+        self._unanswered = 0.0  # share of all attempts, over more of them: five would brake by chance
         self._connect_failures = 0.0  # share of new connections
         self._trusted_idle = self._distrusted = 0  # idle time of a connection that is trusted, and since when
         self._kinds: defaultdict[int, Kind] = defaultdict(Kind)
@@ -352,7 +284,7 @@
     def _set_caps(self) -> None:
         """A class stops at its own threshold, and short of those of the classes that are worth more. All
         stop sooner where fewer than half of all attempts are answered: overdriven servers need to rest."""
-        brake = min(1.0, 2.0 * (1.0 - self._lost_others))
+        brake = min(1.0, 2.0 * (1.0 - self._unanswered))
         start = self._start_cap()
         thresholds = [breaker.threshold(start) for breaker in self._breakers]
         values = [self._value(index) for index in range(len(thresholds))]
@@ -473,12 +405,12 @@
             return  # it tells of that server: silent and cold ones would close the breaker for all the others
         breaker = self._breakers[entry.request.class_index]
         if attempt.result is Result.OK:
-            breaker.samples.append(elapsed)
+            breaker.window.answered.append(elapsed)
             attempt.backend.pace += PACE_WEIGHT * (elapsed / breaker.typical - attempt.backend.pace)
         elif attempt.result is Result.TIMEOUT:
-            breaker.samples.append(CENSORED * elapsed)
+            breaker.window.timed_out.append(elapsed)
         elif attempt.result is Result.FULL and not again:  # a fast failure, but no sign of a fast server
-            breaker.samples.append(CENSORED * entry.kind.aim)
+            breaker.window.answered.append(CENSORED * entry.kind.aim)
 
     def _release(self, backend: Backend, entry: Open, now: int) -> None:
         backend.in_flight -= 1
@@ -739,6 +671,7 @@
         if not attempt.idle:
             failed = attempt.result is Result.CONNECT_FAILED
             self._connect_failures += LOST_WEIGHT * (failed - self._connect_failures)
+        self._unanswered += UNANSWERED_WEIGHT * (lost - self._unanswered)
         if attempt.idle <= IDLE_SURE:
             self._lost_others += LOST_WEIGHT * (lost - self._lost_others)
             return False
--- /dev/null
+++ b/lichenspring/breaker.py
@@ -0,0 +1,150 @@
+"""The adaptive circuit breaker of one class, after Saleh Sedghpour et al.: at how many requests in flight at
+this node the class meets its aim. Its events, actions and settings are in interface.py, beside this file.
+
+A window of `PERIOD` gives a tail of response times (`tail_of`) and a mean of requests in flight; their ratio,
+smoothed, is alpha, and the cap is the target over alpha. Three things keep a window's chance from cutting it:
+
+- a time-out is a sign of crowding only as far as the answers beside it explain it. Requests that a broken
+  connection swallowed time out among answers that are fast as ever; counted as slow answers, a tenth of them
+  moves the tail to the time-out, the cap falls, in flight falls with it, and the ratio rises by that alone;
+- what was lately carried within the target may not be cut by more than a part (`PROVEN_PART`), and that
+  proof fades, so where all servers turn slow the cap follows;
+- a window within its target can't lower the cap: a quiet one would, and refuse the next burst.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import erfc, exp, log, sqrt
+
+SECOND = 1_000_000_000  # ns
+
+# The paper's controller, its period and smoothing shorter as overload fills servers in seconds.
+PERIOD = SECOND // 2  # ns between two updates
+KEEP = 0.5  # p: part of the old alpha that an update keeps
+PERCENTILE = 0.85  # of response times: the last few are long by their own work, not by load
+TARGET = 0.7  # of a class's aim
+HEADROOM = 1.5  # times the unloaded tail: no target is below that, as no cap could reach it
+BASE_FALLS, BASE_RISES = 0.2, 0.01  # part of the way that the unloaded tail follows a window's
+SPREADS = 2.0  # roots of the cap that chance may bunch above it
+PROVEN_PART = 0.75  # of the most that was lately carried within the target: the cap stays above that
+PROVEN_FADES, PROVEN_MISSED = 0.99, 0.97  # of it, each window within its target, or over it
+PROVEN_VOID = 0.5  # of it, each window in which more time out than are answered: what held then is over
+CENSORED = 2.0  # times what was waited: an attempt that timed out from crowding would have taken longer
+ANSWERS_LEAST = 8  # in a window; fewer explain nothing, and every time-out counts
+ANSWERS_TIMES = 2.0  # times the time-outs, likewise: where many time out, the answers are the lucky few
+EXPLAINED_TIMES = 2.0  # times the time-outs that the answers explain count: their spread is a rough guess
+DEVIATIONS = 1.036  # of the standard normal distribution from its median to PERCENTILE
+
+
+@dataclass(slots=True)
+class InFlight:
+    """Requests in flight, now and in the mean of late."""
+
+    count: int = 0
+    mean: float = 0.0
+    changed: int = 0
+
+    def add(self, now: int, change: int) -> None:
+        keep = exp((self.changed - now) / PERIOD)
+        self.mean = keep * self.mean + (1.0 - keep) * self.count
+        self.count += change
+        self.changed = now
+
+    def is_below(self, now: int, cap: float) -> bool:
+        """At a small share of the traffic a cap is near one or less: chance bunches a few requests where
+        the mean is far from it, and one at a time would be too much where it is less than one. So up to a
+        few spreads above the cap are let in while the mean is below it."""
+        self.add(now, 0)
+        return self.count + 1 <= cap or (self.mean < cap and self.count < cap + SPREADS * sqrt(cap))
+
+
+@dataclass(slots=True)
+class Window:
+    """What one class's attempts took, in ns, since the last update."""
+
+    answered: list[float] = field(default_factory=list)  # full answers too, as their price
+    timed_out: list[float] = field(default_factory=list)  # what was waited: censored, so a lower bound
+
+    def clear(self) -> None:
+        self.answered.clear()
+        self.timed_out.clear()
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Of sorted values."""
+    return values[int(part * (len(values) - 1))]
+
+
+def explained(answered: list[float], timed_out: list[float]) -> int:
+    """How many of the time-outs the answers' own distribution explains, taken for lognormal by its median and
+    tail: under crowding the answers come close to the limit and the time-outs are their continuation. Both
+    lists are sorted."""
+    if len(answered) < ANSWERS_LEAST or len(answered) < ANSWERS_TIMES * len(timed_out):
+        return len(timed_out)
+    median, tail = percentile(answered, 0.5), percentile(answered, PERCENTILE)
+    spread = max(0.1, log(max(1.0, tail) / max(1.0, median)) / DEVIATIONS)
+    limit = percentile(timed_out, 0.5)
+    beyond = 0.5 * erfc(log(max(1.0, limit) / max(1.0, median)) / spread / sqrt(2.0))
+    expected = beyond / max(0.01, 1.0 - beyond) * len(answered)
+    return min(len(timed_out), round(EXPLAINED_TIMES * expected))
+
+
+def tail_of(window: Window) -> tuple[float, float]:
+    """A window's median and tail in ns, from time-outs as far as they are explained. Sorts its lists."""
+    window.answered.sort()
+    window.timed_out.sort()
+    counted = explained(window.answered, window.timed_out) if window.timed_out else 0
+    samples = sorted(window.answered + [CENSORED * waited for waited in window.timed_out[:counted]])
+    if not samples:
+        return 0.0, 0.0
+    # An answer within the same tick took no time: a zero would divide.
+    return samples[len(samples) // 2], max(1.0, percentile(samples, PERCENTILE))
+
+
+Estimator = Callable[[Window], tuple[float, float]]
+"""A window's median and tail, both 0 where it tells nothing. Other estimators are weighed in
+benchmarks/breaker.py, off line."""
+
+
+@dataclass(slots=True)
+class Breaker:
+    """The paper's controller for one class. `aim` and all times in ns."""
+
+    aim: int
+    estimate: Estimator = tail_of
+    target: float = 0.0
+    base: float = 0.0  # the tail where little waits: followed down fast and up slowly
+    alpha: float = 0.0  # response time for each request in flight; 0 until a window has told
+    proven: float = 0.0  # requests in flight, all classes
+    typical: float = 0.0  # response time: a measure of the class's work
+    in_flight: InFlight = field(default_factory=InFlight)  # of this class
+    window: Window = field(default_factory=Window)
+
+    def __post_init__(self) -> None:
+        self.target, self.typical = TARGET * self.aim, float(self.aim)
+
+    def threshold(self, start: float) -> float:
+        return max(self.target / self.alpha, PROVEN_PART * self.proven) if self.alpha else start
+
+    def update(self, in_flight: float, start: float, idle: bool) -> None:
+        """At the end of a window, with the mean of the requests in flight in it."""
+        median, tail = self.estimate(self.window)
+        if len(self.window.timed_out) > len(self.window.answered):
+            self.proven *= PROVEN_VOID
+        if tail and in_flight:
+            self.typical += (1 - KEEP) * (median - self.typical)
+            follow = BASE_FALLS if tail < self.base else BASE_RISES
+            self.base = self.base + follow * (tail - self.base) if self.base else tail
+            self.target = min(self.aim, max((1.0 if idle else TARGET) * self.aim, HEADROOM * self.base))
+            # Where all servers turn slow, no cap can meet the target and the plain rule falls without end.
+            if tail <= self.target:
+                self.proven = max(PROVEN_FADES * self.proven, in_flight)
+            else:
+                self.proven *= PROVEN_MISSED
+            alpha = tail / in_flight
+            # A window within its target can't lower the cap: a quiet one would, and refuse the next burst.
+            if tail > self.target or self.target / alpha > self.threshold(start):
+                self.alpha = KEEP * (self.alpha or self.target / max(1.0, start)) + (1 - KEEP) * alpha
+        self.window.clear()
