--- a/driftstair/admission/places.py
+++ b/driftstair/admission/places.py
@@ -38,11 +38,13 @@
 
 USES = (1, 2, 4)  # requests so far, at least, of each kind of idle connection
 MOVES = 32  # connections that one event moves to the next bucket of age, or closes
+MOVES_SWEEP = 2048  # the same at a sweep, some times a second
 LEARN_EVERY = 0.25  # s between two reckonings of what idle connections are worth
 STAYS_ONE_IN = 16  # answers that keep a connection that should close, or no return would be seen any more
 LEAVE_LEAST = 0.3  # s for a client that was told to go to read its answer: a reset would take that with it
-HEAD_LEAST = 0.5  # s for the rest of a request that has begun, likewise
+HEAD_LEAST = 0.15  # s for the rest of a request that has begun, where the table is full
 LANE_PART = 0.05  # of the table, for newcomers, however few have come of late
+SPARE_PART = 0.5  # of the bound: below it room is never short, and nothing is reckoned
 HELD_PART = 0.95  # of `held` that is counted on: some stand in the kernel's queue
 
 
@@ -207,10 +209,10 @@
         place = self._places[connection]
         if place.state is State.BUSY:
             self.crowd.served(now - place.since)
-        self._grow_older(now)
         short = self._short(now)
-        if short <= 0 or self.ending:
+        if not short or self.ending:
             return True
+        self._grow_older(now)
         worth = self._fresh[kind_of(place.uses)]
         # Those idle now go first, as far as they are worth less; the rest must not be kept.
         less = sum(len(self._idle[kind][bucket]) for value, kind, bucket in self._order if value < worth)
@@ -224,9 +226,11 @@
 
     def surplus(self, now: float) -> list[Connection]:
         """Idle connections to close now, since their places are wanted; `MOVES` at most in one call."""
-        self._grow_older(now)
         wanted = 0 if self.ending else min(MOVES, self._short(now), self._idle_count)
         given: list[Connection] = []
+        if not wanted:
+            return given
+        self._grow_older(now)
         while len(given) < wanted:
             connection = self._least_worth(self.crowd.worth())
             if connection is None:
@@ -280,7 +284,7 @@
             )
             for connection in _since(self._tables[state], now - most)
         ]
-        self._grow_older(now)
+        self._grow_older(now, MOVES_SWEEP)
         for kind in self._idle:
             for bucket in kind[bucket_of(limits.idle_most) :]:
                 late += [(one, Ending.CLOSE) for one in _since(bucket, now - limits.idle_most)]
@@ -314,6 +318,8 @@
 
     def _short(self, now: float) -> int:
         """Places more that the others should leave to newcomers."""
+        if len(self._places) < SPARE_PART * (self.limits.held or self.limits.most):
+            return 0
         others = len(self._places) - self._newcomers()
         short = others + self._lane(now) - self.limits.most
         if self.limits.held:
@@ -330,9 +336,9 @@
                 return next(iter(table))
         return None
 
-    def _grow_older(self, now: float) -> None:
-        """Idle connections go on to the buckets of their ages; reckons again what they are worth."""
-        moves = MOVES
+    def _grow_older(self, now: float, moves: int = MOVES) -> None:
+        """Idle connections go on to the buckets of their ages; reckons again what they are worth. With room
+        to spare only the sweep does so: it would cost each request more than all else here."""
         for kind, returns in zip(self._idle, self.returns, strict=True):
             for bucket in range(BUCKETS - 2, -1, -1):
                 table = kind[bucket]
--- a/driftstair/admission/returns.py
+++ b/driftstair/admission/returns.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from math import exp
 
 FIRST = 0.002  # s, the end of the first bucket; each ends at twice the one before
@@ -24,10 +25,7 @@
 
 def bucket_of(age: float) -> int:
     """The bucket that an age in s lies in."""
-    index = 0
-    while index < BUCKETS - 1 and age >= ENDS[index]:
-        index += 1
-    return index
+    return min(BUCKETS - 1, bisect_right(ENDS, age))
 
 
 class Returns:
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -116,6 +116,7 @@
                 mark_retries=clients.mark_retries,
                 connections_most=max(1, int(clients.connections_share * of.nodes.descriptors)),
                 idle=clients.idle_s, answer_grace=of.rules.answer_grace_ms / 1e3,
+                hold_share=clients.hold_share,
             ),
             Choice([one.share for one in tenants]), [one.name for one in tenants], of.load.keys,
             of.load.key_skew, self.load, self.account, self.note, self._serves,
@@ -170,7 +171,7 @@
         )
         return Box(
             name, box_kind, figures, place, self.node_names, self.workload, platform.rule_book(of).cold,
-            self.note,            self._left, seed_for(self.seed, "box", name, "chance"), self._numbers,
+            self.note, self._left, seed_for(self.seed, "box", name, "chance"), self._numbers,
         )  # fmt: skip
 
     # The run.
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -158,6 +158,7 @@
     mark_retries: Flag = True
     connections_share: Share = 0.33  # of a node's descriptors, that clients may hold
     idle_s: Positive = 20.0
+    hold_share: Share = 0.0  # of requests, that come on a connection of their own, kept and never used again
 
 
 class Net(_Table):
@@ -228,6 +229,15 @@
     share: Share = 0.5
 
 
+class BrokenConnections(_AtBoxes):
+    """Of the answers of these boxes a part is lost to a reset, and a part never comes, its connection silent:
+    the request has run, and the node can't know."""
+
+    kind: Literal["broken-connections"]
+    reset: Share = 0.1
+    swallowed: Share = 0.05
+
+
 class Replace(_AtBoxes):
     """Boxes drain one after the other through `for_s`; each is gone after its grace, and a new one with a new
     name starts, cold, at the same address or at one of its own."""
@@ -251,6 +261,15 @@
     times: Positive = 3.0
 
 
+class SilentCrowd(_Trouble):
+    """Strangers connect to the nodes in turn, say nothing, or no more than the begin of a head, and stay
+    until they are closed. They are not among those that share the clients' bound."""
+
+    kind: Literal["silent-crowd"]
+    per_s: Annotated[Number, Field(gt=0, le=2000)] = 200.0
+    begin: Flag = False  # each brings a part of a head
+
+
 class ListOutage(_Trouble):
     kind: Literal["list-outage"]
     silent: Flag = False  # nothing comes back, in place of a refusal
@@ -287,8 +306,9 @@
 
 
 AnyTrouble = (
-    SlowBoxes | EverythingSlow | BoxDies | BoxVanishes | BoxErrors | Replace | TrafficJump | Surge |
-    ListOutage | ListLag | ListMoves | NodeDies | NodeVanishes | NodeRestarts
+    SlowBoxes | EverythingSlow | BoxDies | BoxVanishes | BoxErrors | BrokenConnections | Replace |
+    TrafficJump | Surge | SilentCrowd | ListOutage | ListLag | ListMoves | NodeDies | NodeVanishes |
+    NodeRestarts
 )  # fmt: skip
 Trouble = Annotated[AnyTrouble, Field(discriminator="kind")]
 
--- a/driftstair/rehearsal/stands/box.py
+++ b/driftstair/rehearsal/stands/box.py
@@ -55,6 +55,7 @@
         self.note = note
         self._left = left
         self.error_share = kind.error_share
+        self.reset_share = self.swallowed_share = 0.0  # of answers
         self.started = -1  # ns; below 0: long before the run
         self.running = False
         self.draining = False
@@ -218,6 +219,13 @@
             return
         token = b"%s/%d" % (self.name.encode(), number)
         self.note(wire.Ran(now, number, request, token))
+        if self.reset_share or self.swallowed_share:
+            chance = self._random.random()
+            if chance < self.reset_share:
+                connection.drop()
+                return
+            if chance < self.reset_share + self.swallowed_share:
+                return
         body = token + b"\n" + b"." * (task.body - len(token))
         connection.answer(response(200, (self._load(now), b"Content-Type: text/vtt"), body))
 
--- a/driftstair/rehearsal/troubles.py
+++ b/driftstair/rehearsal/troubles.py
@@ -10,6 +10,7 @@
 from driftstair.rehearsal import wire
 from driftstair.rehearsal.seeds import random_for
 from driftstair.rehearsal.stands.box import Box
+from driftstair.rehearsal.stands.crowd import SilentCrowd
 from driftstair.rehearsal.wire import HostState
 
 if TYPE_CHECKING:
@@ -136,6 +137,25 @@
 
         return end
 
+    def _connections_break(self, trouble: model.BrokenConnections, index: int) -> End:
+        boxes = self._choose_boxes(trouble, index)
+        lost = f"{trouble.reset:.0%} of answers are lost to resets, {trouble.swallowed:.0%} never come"
+        self._stage.say(f"{_names(boxes)}: {lost}")
+        for box in boxes:
+            box.reset_share, box.swallowed_share = trouble.reset, trouble.swallowed
+
+        def end() -> None:
+            for box in boxes:
+                box.reset_share = box.swallowed_share = 0.0
+
+        return end
+
+    def _crowd_comes(self, trouble: model.SilentCrowd, index: int) -> End:
+        self._stage.say(f"{trouble.per_s:g} strangers a second connect and ask for nothing")
+        crowd = SilentCrowd(self._stage.place, self._stage.front, trouble.per_s, trouble.begin)
+        crowd.come()
+        return crowd.stop
+
     def _replace_boxes(self, trouble: model.Replace, index: int) -> End:
         boxes = self._choose_boxes(trouble, index)
         for place, box in enumerate(boxes):
@@ -229,7 +249,9 @@
 
     _HANDLERS: ClassVar[dict[type, Callable[[Any, Any, int], End]]] = {
         model.SlowBoxes: _slow_boxes, model.EverythingSlow: _everything_slow, model.BoxDies: _boxes_die,
-        model.BoxVanishes: _boxes_vanish, model.BoxErrors: _boxes_err, model.Replace: _replace_boxes,
+        model.BoxVanishes: _boxes_vanish, model.BoxErrors: _boxes_err,
+        model.BrokenConnections: _connections_break, model.SilentCrowd: _crowd_comes,
+        model.Replace: _replace_boxes,
         model.TrafficJump: _jump, model.Surge: _surge, model.ListOutage: _list_out,
         model.ListLag: _list_lags, model.ListMoves: _list_moves, model.NodeDies: _nodes_die,
         model.NodeVanishes: _nodes_vanish, model.NodeRestarts: _nodes_restart,
--- a/lichenspring/breaker.py
+++ b/lichenspring/breaker.py
@@ -23,6 +23,7 @@
 # The paper's controller, its period and smoothing shorter as overload fills servers in seconds.
 PERIOD = SECOND // 2  # ns between two updates
 KEEP = 0.5  # p: part of the old alpha that an update keeps
+KEEP_FALLING = 0.25  # the same where the new one is lower: the cap rises again fast after a false cut
 PERCENTILE = 0.85  # of response times: the last few are long by their own work, not by load
 TARGET = 0.7  # of a class's aim
 HEADROOM = 1.5  # times the unloaded tail: no target is below that, as no cap could reach it
@@ -146,5 +147,7 @@
             alpha = tail / in_flight
             # A window within its target can't lower the cap: a quiet one would, and refuse the next burst.
             if tail > self.target or self.target / alpha > self.threshold(start):
-                self.alpha = KEEP * (self.alpha or self.target / max(1.0, start)) + (1 - KEEP) * alpha
+                old = self.alpha or self.target / max(1.0, start)
+                keep = KEEP if alpha > old else KEEP_FALLING
+                self.alpha = keep * old + (1 - keep) * alpha
         self.window.clear()
