--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -206,7 +206,7 @@
                 client.writer.write(request("order"))
             await until(lambda: [one for one in rig.spy.outcomes() if one.result is Result.NOT_SENT])
             assert not [one for one in rig.spy.outcomes() if one.result is Result.CONNECT_FAILED]
-            # An idle one that was used less than `REST` ago is closed for a dial and not used again; both count
+            # An idle one used less than `REST` ago is closed for a dial and not used again; both count
             # until its transport is gone, a turn of the loop later.
             await until(lambda: rig.node._pools.sockets <= 2)
 
