--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from driftstair.files import CONFIGURATION_MOST, FileProblem, parsed, read_text
 from driftstair.hosts import HostList, ListError, parse_address, parse_list
 from driftstair.settings import Config
 from lichenspring.settings import SettingsError, Values, flat, settings_from
@@ -23,10 +24,9 @@
     if not path:
         raise ConfigError("BALANCER_CONFIG is not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            document = json.load(file)
-    except OSError as problem:
-        raise ConfigError(f"BALANCER_CONFIG can't be read: {problem.strerror}") from None
+        document = parsed(read_text(path, CONFIGURATION_MOST), json.loads)
+    except FileProblem as problem:
+        raise ConfigError(f"BALANCER_CONFIG {problem}") from None
     except ValueError:
         raise ConfigError("BALANCER_CONFIG is no JSON text") from None
     if not isinstance(document, dict):
@@ -46,6 +46,8 @@
         return _checked(environment, document)
     except (SettingsError, ValueError) as problem:
         raise ConfigError(f"settings: {problem}") from None
+    except RecursionError:
+        raise ConfigError("settings: nested too deeply; a few levels would do") from None
 
 
 def _checked(environment: Mapping[str, str], document: dict[str, Any]) -> Config:
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -381,12 +381,15 @@
         self.box_list.change(self._entry(box, state), self.silent_notice if silent else self.list_notice)
 
     def box_dies(self, box: Box) -> None:
+        if self.boxes.get(box.name) is not box:
+            return
         self.say(f"box {box.name} dies")
         box.stop("killed")
         self.tell_list(box, HostState.GONE)
 
     def box_starts(self, box: Box) -> None:
-        if self.over or box.running:
+        # One that was replaced meanwhile has left its address and its name for good.
+        if self.over or box.running or self.boxes.get(box.name) is not box:
             return
         self.say(f"box {box.name} starts, cold")
         box.place.restart()
@@ -395,8 +398,8 @@
 
     def replace(self, box: Box, same_address: bool) -> None:
         """Drains, then is gone, then another one is there."""
-        if self.over or not box.running:
-            return
+        if self.over or not box.running or box.draining or self.boxes.get(box.name) is not box:
+            return  # two replacements that meet on one box are one
         self.say(f"box {box.name} drains")
         box.drain()
         self.tell_list(box, HostState.DRAINING)
--- a/driftstair/rehearsal/hunt.py
+++ b/driftstair/rehearsal/hunt.py
@@ -40,7 +40,7 @@
 class Finding:
     """How badly one scenario went. `way` names the failure: a smaller scenario must fail in the same way."""
 
-    way: str  # "rule 3", "crash KeyError", "stuck", or "service"
+    way: str  # "rule 3", "crash KeyError", "stuck", "service", or "kit KeyError" where the kit itself failed
     lost: float  # share of the worth
     breaks: int
     evidence: str
@@ -49,13 +49,23 @@
         grave = {"crash": 3, "stuck": 2, "rule": 1}.get(self.way.split(" ")[0], 0)
         return grave, self.lost
 
+    def is_the_kits(self) -> bool:
+        """It tells of the kit and not of the daemon."""
+        return self.way.startswith("kit ")
+
     def is_grave(self) -> bool:
         return self.badness()[0] > 0
 
 
 def judge(tree: Tree) -> Finding:
     """Play a scenario in virtual time."""
-    rehearsal, _, _ = virtual.play(parse(deepcopy(tree), "drawn"))
+    try:
+        rehearsal, _, _ = virtual.play(parse(deepcopy(tree), "drawn"))
+    except Exception as problem:
+        # Guards against the end of a hunt, and the loss of all it has found, by a scenario that the kit can't
+        # play: seen with two replacements of one box.
+        cause = problem.__cause__ or problem
+        return Finding(f"kit {type(cause).__name__}", 0.0, 0, f"{problem}: {cause!r}")
     lost = 1.0 - rehearsal.account.whole.service()
     breaks = rehearsal.checker.breaks
     if rehearsal.crashes:
@@ -189,6 +199,7 @@
     found: Finding
     drawn: Finding  # before it was made smaller
     cut_off: bool
+    kits: tuple[tuple[Tree, Finding], ...] = ()  # what the kit itself failed on
 
     def as_data(self) -> Tree:
         return {
@@ -202,6 +213,9 @@
             "evidence": self.found.evidence,
             "lost_as_drawn": round(self.drawn.lost, 6),
             "scenario": self.tree,
+            "kit_failures": [
+                {"way": found.way, "evidence": found.evidence, "scenario": tree} for tree, found in self.kits
+            ],
         }
 
 
@@ -213,15 +227,21 @@
     of jobs."""
     to_draw = max(1, budget - int(budget * SHRINK_PART)) if budget > 1 else 1
     worst: tuple[Tree, Finding] | None = None
+    kits: list[tuple[Tree, Finding]] = []
     runs = 0
     for tree, found in _drawn(seed, to_draw, jobs):
         runs += 1
-        if worst is None or found.badness() > worst[1].badness():
+        if found.is_the_kits():
+            kits.append((tree, found))
+        elif worst is None or found.badness() > worst[1].badness():
             worst = tree, found
-        tick(runs, f"worst so far: {worst[1].way}, {worst[1].lost:.3f} lost")
+        if worst is not None:
+            tick(runs, f"worst so far: {worst[1].way}, {worst[1].lost:.3f} lost")
         if found.is_grave() or interrupted():
             break
-    assert worst is not None
+    if worst is None:  # the kit failed on every one
+        (tree, drawn), *_ = kits
+        return Result(seed, runs, tree, drawn, drawn, interrupted(), tuple(kits))
     tree, drawn = worst
     cut_off = interrupted()
     found = drawn
@@ -234,7 +254,7 @@
             return judge(candidate)
 
         tree, found, _ = shrink(tree, drawn, budget - runs, tried)
-    return Result(seed, runs, tree, found, drawn, cut_off)
+    return Result(seed, runs, tree, found, drawn, cut_off, tuple(kits))
 
 
 def _drawn(seed: int, number: int, jobs: int) -> Iterator[tuple[Tree, Finding]]:
@@ -250,13 +270,15 @@
             pool.shutdown(wait=False, cancel_futures=True)
 
 
-def file_text(result: Result) -> str:
-    """A scenario file that replays what was found."""
+def file_text(result: Result, tree: Tree | None = None, found: Finding | None = None) -> str:
+    """A scenario file that replays what was found: the worst, or another one."""
+    found = found or result.found
+    evidence = " ".join(found.evidence.split())
     head = (
         f"# Found by: driftstair rehearse hunt --seed {result.seed}, in {result.runs} runs.\n"
-        f"# {result.found.way}: {result.found.evidence}\n\n"
+        f"# {found.way}: {evidence}\n\n"
     )
-    return head + tomli_w.dumps(result.tree)
+    return head + tomli_w.dumps(tree or result.tree)
 
 
 def command(options: argparse.Namespace, console: Console) -> int:
@@ -275,6 +297,11 @@
     path = options.out or f"{result.tree['name']}.toml"
     with open(path, "w", encoding="utf-8") as file:
         file.write(file_text(result))
+    for tree, found in result.kits:
+        kept = f"{tree['name']}-kit.toml"
+        with open(kept, "w", encoding="utf-8") as file:
+            file.write(file_text(result, tree, found))
+        err.print(f"{found.way}: the kit itself failed; kept in {kept}", markup=False, highlight=False)
     if options.json == "-":
         sys.stdout.write(text_of(result.as_data()))
     else:
@@ -287,4 +314,4 @@
         console.print(f"[dim]written to {path}; replay it with: driftstair rehearse {path}[/dim]")
         if result.cut_off:
             console.print("[yellow]cut off[/yellow]")
-    return BROKEN if result.found.is_grave() else KEPT
+    return BROKEN if result.found.is_grave() or result.kits else KEPT
--- a/driftstair/rehearsal/load.py
+++ b/driftstair/rehearsal/load.py
@@ -12,6 +12,7 @@
 from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
 
+from driftstair.files import FileProblem, parsed, read_text
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.scenario import Scenario
 
@@ -76,10 +77,10 @@
     if not path.suffix and not path.exists():
         raise ScenarioError(f"{source}: no such scenario{_nearest(source, known)}; --list names them")
     try:
-        return source, tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise ScenarioError(f"{source}: can't be read: {problem.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        return source, parsed(read_text(source), tomllib.loads)
+    except FileProblem as problem:
+        raise ScenarioError(f"{source}: {problem}") from None
+    except tomllib.TOMLDecodeError as problem:
         raise ScenarioError(f"{source}: no TOML text: {problem}") from None
 
 
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -13,6 +13,8 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
+from driftstair.service.units import Version
+
 Number = Annotated[float, Field(strict=True, allow_inf_nan=False)]
 Positive = Annotated[Number, Field(gt=0)]
 NotNegative = Annotated[Number, Field(ge=0)]
@@ -314,7 +316,7 @@
 
 
 class Scenario(_Table):
-    version: Literal[1]
+    version: Version
     name: Name = "scenario"
     title: str = ""
     extends: str | None = None  # a shipped scenario whose tables this one's keys replace
--- a/driftstair/rehearsal/stands/box.py
+++ b/driftstair/rehearsal/stands/box.py
@@ -54,8 +54,9 @@
         self.workload = workload
         self.note = note
         self._left = left
-        self.error_share = kind.error_share
-        self.reset_share = self.swallowed_share = 0.0  # of answers
+        # Shares of answers that are errors, lost to a reset, never sent, by the trouble that wants it so: of
+        # several that meet on one box the greatest of each holds.
+        self.faults: dict[object, tuple[float, float, float]] = {}
         self.started = -1  # ns; below 0: long before the run
         self.running = False
         self.draining = False
@@ -214,17 +215,20 @@
         if connection.job is not job:
             return  # its connection is gone; the work was done all the same
         connection.job = None
-        if self.error_share and self._random.random() < self.error_share:
+        errors, resets, swallowed = self.kind.error_share, 0.0, 0.0
+        for fault in self.faults.values():
+            errors, resets, swallowed = max(errors, fault[0]), max(resets, fault[1]), max(swallowed, fault[2])
+        if errors and self._random.random() < errors:
             connection.answer(response(500, (self._load(now),)))
             return
         token = b"%s/%d" % (self.name.encode(), number)
         self.note(wire.Ran(now, number, request, token))
-        if self.reset_share or self.swallowed_share:
+        if resets or swallowed:
             chance = self._random.random()
-            if chance < self.reset_share:
+            if chance < resets:
                 connection.drop()
                 return
-            if chance < self.reset_share + self.swallowed_share:
+            if chance < resets + swallowed:
                 return
         body = token + b"\n" + b"." * (task.body - len(token))
         connection.answer(response(200, (self._load(now), b"Content-Type: text/vtt"), body))
--- a/driftstair/rehearsal/troubles.py
+++ b/driftstair/rehearsal/troubles.py
@@ -115,10 +115,13 @@
 
         def end() -> None:
             for box in boxes:
+                self._end_cut(box.name)
+                if self._stage.boxes.get(box.name) is not box:
+                    continue  # replaced meanwhile: its name is gone, and its machine is another box's
                 self._stage.say(f"box {box.name} is back")
                 box.place.come_back()
-                self._end_cut(box.name)
-                self._stage.tell_list(box, HostState.READY)
+                if box.running:
+                    self._stage.tell_list(box, HostState.DRAINING if box.draining else HostState.READY)
 
         return end
 
@@ -129,11 +132,11 @@
         boxes = self._choose_boxes(trouble, index)
         self._stage.say(f"{_names(boxes)}: {trouble.share:.0%} of answers are errors")
         for box in boxes:
-            box.error_share = trouble.share
+            box.faults[index] = (trouble.share, 0.0, 0.0)
 
         def end() -> None:
             for box in boxes:
-                box.error_share = box.kind.error_share
+                box.faults.pop(index, None)
 
         return end
 
@@ -142,11 +145,11 @@
         lost = f"{trouble.reset:.0%} of answers are lost to resets, {trouble.swallowed:.0%} never come"
         self._stage.say(f"{_names(boxes)}: {lost}")
         for box in boxes:
-            box.reset_share, box.swallowed_share = trouble.reset, trouble.swallowed
+            box.faults[index] = (0.0, trouble.reset, trouble.swallowed)
 
         def end() -> None:
             for box in boxes:
-                box.reset_share = box.swallowed_share = 0.0
+                box.faults.pop(index, None)
 
         return end
 
--- a/driftstair/service/load.py
+++ b/driftstair/service/load.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
 
+from driftstair.files import FileProblem, parsed, read_text
 from driftstair.service import locate
 from driftstair.service.schema import Service
 
@@ -66,17 +67,17 @@
 def read(file: str) -> Loaded:
     """Raises ServiceError. What types can't say is for `driftstair.limits.proof`."""
     try:
-        with open(file, encoding="utf-8") as source:
-            text = source.read()
-    except (OSError, UnicodeDecodeError) as problem:
-        why = problem.strerror if isinstance(problem, OSError) else "it is no UTF-8 text"
-        raise ServiceError([Problem(file, 0, "the file", f"can't be read: {why}")], unreadable=True) from None
+        text = read_text(file)
+    except FileProblem as problem:
+        raise ServiceError([Problem(file, 0, "the file", str(problem))], unreadable=True) from None
     return parse(text, file)
 
 
 def parse(text: str, file: str) -> Loaded:
     try:
-        tree = tomllib.loads(text)
+        tree = parsed(text, tomllib.loads)
+    except FileProblem as problem:
+        raise ServiceError([Problem(file, 0, "the file", str(problem))], unreadable=True) from None
     except tomllib.TOMLDecodeError as problem:
         found = [int(word.rstrip(",")) for word in str(problem).split() if word.rstrip(",").isdigit()]
         raise ServiceError(
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -6,7 +6,7 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
-from driftstair.service.units import Duration, NotNegative, Positive, Share, Size, SomeTime, Whole
+from driftstair.service.units import Duration, NotNegative, Positive, Share, Size, SomeTime, Version, Whole
 
 Name = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z._-]{0,63}$")]
 Outcome = Literal["error", "full", "timeout", "connect", "reset"]
@@ -98,6 +98,6 @@
 
 
 class Service(Table):
-    version: Literal[1]
+    version: Version
     route: tuple[Route, ...] = ()
     fleet: Fleet = Fleet()
--- a/driftstair/service/units.py
+++ b/driftstair/service/units.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 from pydantic import BeforeValidator, Field, PlainSerializer, WithJsonSchema
 
@@ -64,3 +64,13 @@
 NotNegative = Annotated[Number, Field(ge=0)]
 Positive = Annotated[Number, Field(gt=0)]
 Whole = Annotated[int, Field(strict=True)]
+
+
+def _whole(value: Any) -> Any:
+    """1.0 and true are equal to 1, and are no version."""
+    if type(value) is not int:
+        raise ValueError("wants the whole number 1")
+    return value
+
+
+Version = Annotated[Literal[1], BeforeValidator(_whole)]
--- a/tests/rehearsal/test_hunt.py
+++ b/tests/rehearsal/test_hunt.py
@@ -12,8 +12,10 @@
 
 from driftstair.net.node import Node
 from driftstair.rehearsal import hunt as kit
+from driftstair.rehearsal import virtual
 from driftstair.rehearsal.hunt import Finding, draw, file_text, hunt, judge, shrink
 from driftstair.rehearsal.load import load, parse
+from driftstair.rehearsal.scenario import Scenario
 
 BUDGET = 30
 
@@ -125,3 +127,25 @@
         found.append((json.loads(done.stdout), path.read_text()))
     assert found[0] == found[1]
     assert found[0][0]["format"] == "driftstair.rehearsal.hunt/1"
+
+
+def test_a_failure_of_the_kit_is_a_finding_and_no_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    played = virtual.play
+
+    def play(scenario: Scenario, **more: Any) -> Any:
+        if scenario.name == "hunt-5-1":
+            raise RuntimeError("the kit failed") from KeyError("s-03")
+        return played(scenario, **more)
+
+    monkeypatch.setattr(virtual, "play", play)
+    result = hunt(seed=5, budget=8)
+    assert result.runs > 2 and not result.found.is_the_kits()
+    ((tree, found),) = result.kits
+    assert (tree["name"], found.way) == ("hunt-5-1", "kit KeyError")
+    assert "s-03" in file_text(result, tree, found)
+
+
+def test_where_the_kit_fails_on_all_that_is_what_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(virtual, "play", lambda scenario: 1 // 0)
+    result = hunt(seed=5, budget=4)
+    assert result.found.way == "kit ZeroDivisionError" and len(result.kits) == result.runs
--- /dev/null
+++ b/tests/rehearsal/test_pairs_of_troubles.py
@@ -0,0 +1,46 @@
+"""Two troubles that meet on one box or node have a meaning, whatever their kinds: the run ends by itself."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from stage import Run
+
+from driftstair.rehearsal.load import TROUBLES
+
+KEYS: dict[str, dict[str, Any]] = {"surge": {"of_class": "paid-live"}, "silent-crowd": {"per_s": 20}}
+BOXES = ("slow-boxes", "box-dies", "box-vanishes", "box-errors", "broken-connections", "replace")
+
+
+def drawn(kind: str, at: float, length: float) -> dict[str, Any]:
+    where = {"boxes": ["s-01", "s-02"]} if kind in BOXES else {"nodes": ["n0"]} if "node-" in kind else {}
+    return {"kind": kind, "at_s": at, "for_s": length} | where | KEYS.get(kind, {})
+
+
+@pytest.mark.parametrize("first", TROUBLES)
+def test_every_pair_of_kinds_ends_whole(first: str) -> None:
+    for second in TROUBLES:
+        run = Run(
+            {
+                "version": 1, "name": "pair", "seconds": 3.5, "load": {"rate": 25.0, "keys": 20},
+                "nodes": {"count": 2}, "boxes": {"count": 3, "grace_s": 0.8},
+                "list": {"notice_s": 0.2, "silent_notice_s": 0.5, "ask_within_s": 1.0},
+                "class": [{"name": "paid-live", "share": 1, "work_ms": 60, "given_up_ms": 900}],
+                "trouble": [drawn(first, 1.2, 1.0), drawn(second, 1.6, 1.2)],
+            }
+        )  # fmt: skip
+        assert run.report["ended"] == "whole", (first, second)
+        assert not run.crashes, (first, second, run.crashes)
+
+
+def test_two_replacements_of_one_box_are_one() -> None:
+    """A hunt ended in a KeyError: the second one took away a box that had left already."""
+    run = Run(
+        {
+            "version": 1, "seconds": 5.0, "load": {"rate": 25.0}, "boxes": {"count": 3, "grace_s": 1.0},
+            "trouble": [drawn("replace", 1.0, 0.2), drawn("replace", 1.3, 0.2)],
+        }
+    )  # fmt: skip
+    assert sum("drains" in event.what for event in run.rehearsal.events) == 2
+    assert len(run.rehearsal.boxes) == 3
