--- a/driftstair/admission/places.py
+++ b/driftstair/admission/places.py
@@ -26,7 +26,7 @@
 
 from collections.abc import Hashable
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, IntEnum
 from itertools import takewhile
 from math import ceil
 from typing import Generic, TypeVar
@@ -61,14 +61,16 @@
     linger_part: float = 0.1  # of the table, for such ones
 
 
-class State(Enum):
-    SILENT = "has brought nothing yet"
-    HEAD = "has begun its first request"
-    BUSY = "has an open request"
-    IDLE = "has been answered"
-    READING = "has begun a later request"
-    LEAVING = "has been told to go with its answer"
-    LINGERING = "is rejected"
+class State(IntEnum):
+    """Whole numbers: a table is found by its place, at each event, and the hash of an Enum is a call."""
+
+    SILENT = 0  # has brought nothing yet
+    HEAD = 1  # has begun its first request
+    BUSY = 2  # has an open request
+    IDLE = 3  # has been answered
+    READING = 4  # has begun a later request
+    LEAVING = 5  # has been told to go with its answer
+    LINGERING = 6  # is rejected
 
 
 class Ending(Enum):
@@ -93,8 +95,11 @@
     return list(takewhile(lambda one: table[one] <= latest, table))
 
 
+KINDS = tuple(sum(uses >= least for least in USES) - 1 for uses in range(USES[-1] + 1))
+
+
 def kind_of(uses: int) -> int:
-    return sum(uses >= least for least in USES) - 1
+    return KINDS[uses] if uses < USES[-1] else KINDS[-1]
 
 
 class Places(Generic[Connection]):
@@ -108,9 +113,7 @@
         self.closed_early = 0  # idle ones, for room, and answers that told clients to go
         self._places: dict[Connection, Place] = {}
         # In the order since when they are in that state.
-        self._tables: dict[State, dict[Connection, float]] = {
-            state: {} for state in State if state is not State.IDLE
-        }
+        self._tables: list[dict[Connection, float]] = [{} for _ in State]  # that of IDLE stays empty
         self._idle: list[list[dict[Connection, float]]] = [[{} for _ in range(BUCKETS)] for _ in USES]
         self._idle_count = 0
         self._order: list[tuple[float, int, int]] = []  # of kinds and buckets of idle ones, least worth first
