A newcomer has its time from connecting, whenever its head begins

Change: newcomers have a table of their own, in the order in which they came. An unread counter of the crowd stand-in is gone.

--- a/driftstair/admission/places.py
+++ b/driftstair/admission/places.py
@@ -112,7 +112,10 @@
         self.ending = False  # the node is about to end: clients may find no other, and keep what they have
         self.closed_early = 0  # idle ones, for room, and answers that told clients to go
         self._places: dict[Connection, Place] = {}
-        # In the order since when they are in that state.
+        # Of those that never asked, in the order in which they came: one that began its head first need not
+        # be the one that connected first, and each has its time from connecting.
+        self._newcomers: dict[Connection, float] = {}
+        # In the order in which they came into that state.
         self._tables: list[dict[Connection, float]] = [{} for _ in State]  # that of IDLE stays empty
         self._idle: list[list[dict[Connection, float]]] = [[{} for _ in range(BUCKETS)] for _ in USES]
         self._idle_count = 0
@@ -136,7 +139,7 @@
 
     def came(self, connection: Connection, now: float) -> None:
         self._places[connection] = Place(State.SILENT, now)
-        self._tables[State.SILENT][connection] = now
+        self._tables[State.SILENT][connection] = self._newcomers[connection] = now
 
     def reads(self, connection: Connection, now: float) -> None:
         """A part of a request has come. It gives no new time: a slow one's counts from its first byte, a
@@ -152,6 +155,7 @@
         place = self._places[connection]
         if place.uses == 0:
             self.crowd.asked(now, now - place.since)
+            self._newcomers.pop(connection, None)
         place.uses += 1
         self._move(connection, place, State.BUSY, now)
 
@@ -163,15 +167,18 @@
 
     def leaves(self, connection: Connection, now: float) -> None:
         """It has been answered, and told to go."""
+        self._newcomers.pop(connection, None)
         self._move(connection, self._places[connection], State.LEAVING, now)
 
     def lingers(self, connection: Connection, now: float) -> None:
         """It is rejected, and told so."""
+        self._newcomers.pop(connection, None)
         self._move(connection, self._places[connection], State.LINGERING, now)
 
     def lost(self, connection: Connection, now: float) -> None:
         """It is closed, by whichever side."""
         place = self._places.pop(connection, None)
+        self._newcomers.pop(connection, None)
         if place is not None:
             self._leave(connection, place, now, came_back=False)
             if place.uses == 0 and place.state is not State.LINGERING:
@@ -258,7 +265,7 @@
             if connection is not None and tables[state][connection] <= before:
                 self.lost(connection, now)
                 return connection, Ending.ABORT
-        if not forced and self._newcomers() >= self._lane(now):
+        if not forced and len(self._newcomers) >= self._lane(now):
             return None
         self._grow_older(now)
         connection = self._least_worth(float("inf") if forced else self.crowd.worth())
@@ -278,14 +285,13 @@
         limits = self.limits
         late = [
             (connection, ending)
-            for state, most, ending in (
-                (State.LINGERING, limits.linger_most, Ending.ABORT),
-                (State.LEAVING, limits.linger_most, Ending.ABORT),
-                (State.SILENT, limits.new_most, Ending.TIME_OUT),
-                (State.HEAD, limits.new_most, Ending.TIME_OUT),
-                (State.READING, limits.request_most, Ending.TIME_OUT),
+            for table, most, ending in (
+                (self._tables[State.LINGERING], limits.linger_most, Ending.ABORT),
+                (self._tables[State.LEAVING], limits.linger_most, Ending.ABORT),
+                (self._newcomers, limits.new_most, Ending.TIME_OUT),
+                (self._tables[State.READING], limits.request_most, Ending.TIME_OUT),
             )
-            for connection in _since(self._tables[state], now - most)
+            for connection in _since(table, now - most)
         ]
         self._grow_older(now, MOVES_SWEEP)
         for kind in self._idle:
@@ -312,9 +318,6 @@
 
     # Room and worth.
 
-    def _newcomers(self) -> int:
-        return len(self._tables[State.SILENT]) + len(self._tables[State.HEAD])
-
     def _lane(self, now: float) -> float:
         """Places for newcomers, that others leave free."""
         return LANE_PART * self.limits.most + self.crowd.need(now)
@@ -323,7 +326,7 @@
         """Places more that the others should leave to newcomers."""
         if len(self._places) < SPARE_PART * (self.limits.held or self.limits.most):
             return 0
-        others = len(self._places) - self._newcomers()
+        others = len(self._places) - len(self._newcomers)
         short = others + self._lane(now) - self.limits.most
         if self.limits.held:
             held = others - len(self._tables[State.LINGERING]) - len(self._tables[State.LEAVING])
--- a/driftstair/rehearsal/stands/crowd.py
+++ b/driftstair/rehearsal/stands/crowd.py
@@ -14,7 +14,6 @@
 
 class SilentCrowd:
     def __init__(self, place: Place, front: FrontLayer, per_s: float, begin: bool) -> None:
-        self.came = 0
         self.open: dict[_Stranger, None] = {}
         self._place = place
         self._front = front
@@ -43,7 +42,6 @@
             self._due += self._every
             node = self._front.pick()
             if node is not None and len(self.open) + len(self._tasks) < OPEN_MOST:
-                self.came += 1
                 task = self._place.loop.create_task(self._connect(self._front.addresses[node]))
                 self._tasks[task] = None
                 task.add_done_callback(lambda done: self._tasks.pop(done, None))
--- a/tests/admission/test_places.py
+++ b/tests/admission/test_places.py
@@ -165,6 +165,17 @@
     assert places.state("busy") is State.BUSY
 
 
+def test_a_newcomer_has_its_time_from_connecting_whenever_its_head_begins() -> None:
+    """One that connected later and began its head sooner stood before it, and it stayed for a second more."""
+    front = Front(Limits(10))
+    front.comes("early")
+    front.now = 1.0
+    front.comes("late")
+    front.places.reads("late", 1.1)
+    front.places.reads("early", 1.9)
+    assert front.places.overdue(2.05) == [("early", Ending.TIME_OUT)]
+
+
 def test_a_crowd_that_changes_is_learned() -> None:
     """First all come back at once, then nobody does: places are given up within seconds of that."""
     front = Front(Limits(100, held=60))
