--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -71,6 +71,7 @@
         dial_timeout=values.whole("Limits.DialTimeout", least=1),
         idle_close=values.whole("Limits.IdleClose", least=1),
         open_cap=values.whole("Limits.OpenCap", least=1),
+        operators=_operators(environment, document),
     )
 
 
@@ -91,6 +92,12 @@
         raise ConfigError(f"{name} is no address: {text!r}") from None
 
 
+def _operators(environment: Mapping[str, str], document: dict[str, Any]) -> tuple[str, int] | None:
+    if not environment.get("BALANCER_OPS") and document.get("ops") is None:
+        return None  # nobody calls
+    return _address(environment, "BALANCER_OPS", document, "ops")
+
+
 def _seed(document: dict[str, Any]) -> int:
     seed = document.get("seed")
     try:
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -19,6 +20,8 @@
 
 if TYPE_CHECKING:
     from driftstair.limits.table import Table
+    from driftstair.operations.roster import Roster
+    from driftstair.operations.service import Operations
     from driftstair.service.use import ServiceFile
 
 log = logging.getLogger("driftstair")
@@ -41,14 +44,25 @@
     return clients, usable - clients
 
 
-def assemble(config: Config, system: System = SOCKETS, limits: Table | None = None) -> tuple[Node, Front]:
+def assemble(
+    config: Config, system: System = SOCKETS, limits: Table | None = None, roster: Roster | None = None
+) -> tuple[Node, Front]:
     clients, servers = shares(config)
     pools = Pools(servers, config.dial_timeout, config.idle_close, system)
-    node = Node(config, pools, system, limits)
+    node = Node(config, pools, system, limits, roster)
     held = int(config.sockets * HELD_PART) if config.sockets < UNBOUND else 0
     return node, Front(node, config, Limits(clients, held), system)
 
 
+def operate(config: Config, system: System) -> Operations | None:
+    """What carries out operators' calls, where the platform has them call; else nothing of it is loaded."""
+    if config.operators is None:
+        return None
+    from driftstair.operations.service import Operations
+
+    return Operations(config, system, os.environ.get("TMPDIR"))
+
+
 def plan_end(config: Config) -> tuple[float, float]:
     """Until when after SIGTERM all is served on, and when all must be answered, in s. Clients go on using the
     connections that they have, and the nodes that take over may be restarting too: so what can still be
@@ -91,18 +105,29 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node, front = assemble(config, system, limits)
+    operations = operate(config, system)
+    if operations is not None:
+        config = operations.config
+    node, front = assemble(config, system, limits, None if operations is None else operations.roster)
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service)
     try:
-        address = front.listen()
+        address = front.listen(None if operations is None else operations.listener())
     except OSError as problem:
         print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
         return 2
     node.start()
+    if operations is not None:
+        try:
+            await operations.start(node, front)
+        except OSError as problem:
+            print(f"driftstair: BALANCER_OPS can't be used: {problem.strerror}", file=sys.stderr)
+            return 2
     ready()
     log.info("serving on %s:%d", *address)
     await stop.wait()
     log.info("stopping")
     await front.stop(*plan_end(config))
+    if operations is not None:
+        operations.close()
     return 0
--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -33,7 +33,7 @@
     ) -> None:
         self._system = system
         self._address = address
-        self._version = version
+        self.version = version
         self._dial_timeout = dial_timeout
         self._on_list = on_list
         self._on_failed = on_failed
@@ -52,7 +52,7 @@
         if address == self._address:
             return
         self._address = address
-        self._version = 0
+        self.version = 0
         self.close()
         self.watch()
 
@@ -66,7 +66,7 @@
 
     def request(self) -> bytes:
         host, port = self._address
-        target = f"/discovery/hosts?watch=1&from={self._version}"
+        target = f"/discovery/hosts?watch=1&from={self.version}"
         return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
 
     async def _open(self, watch: _Watch) -> None:
@@ -85,13 +85,13 @@
         try:
             update = parse_list(json.loads(line))
             # Changes build on the list that is held; one from before it would undo what was told since.
-            if not update.full and update.version < self._version:
-                raise ListError(f"version {update.version} comes after {self._version}")
+            if not update.full and update.version < self.version:
+                raise ListError(f"version {update.version} comes after {self.version}")
         except (ValueError, RecursionError, ListError) as problem:
-            self._version = 0  # what was skipped is unknown: the next watch starts from the whole list
+            self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
             self.failed(watch, f"bad line: {problem}")
             return
-        self._version = update.version
+        self.version = update.version
         self._on_list(update)
 
     def failed(self, watch: _Watch, why: str) -> None:
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -6,7 +6,7 @@
 import errno
 import logging
 from http import HTTPStatus
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from driftstair.admission.places import Ending, Limits, Places
 from driftstair.net.node import Call, Node, key_number
@@ -14,6 +14,9 @@
 from driftstair.net.system import SOCKETS, Listener, System
 from driftstair.settings import Config
 
+if TYPE_CHECKING:
+    from driftstair.operations.drain import Drain
+
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
@@ -40,6 +43,8 @@
         self._system = system
         self.closing = False  # answers end their connections
         self.stopping = False  # `/up` sends clients elsewhere
+        self.drain: Drain | None = None  # operators have taken the node out of service
+        self._handed_over = False  # another process of this node takes the clients
         self.places: Places[ClientConnection] = Places(limits)
         self._loop = asyncio.get_running_loop()
         self._listener: Listener | None = None
@@ -49,8 +54,9 @@
         self._connections: set[ClientConnection] = set()
         self._tasks: dict[asyncio.Task[None], None] = {}
 
-    def listen(self) -> tuple[str, int]:
-        self._listener = self._system.listen(self.config.listen, BACKLOG)
+    def listen(self, listener: Listener | None = None) -> tuple[str, int]:
+        """Raises OSError. `listener`: one that stands already."""
+        self._listener = listener or self._system.listen(self.config.listen, BACKLOG)
         self._resume()
         self._loop.call_later(SWEEP, self._sweep)
         return self._listener.address
@@ -64,13 +70,13 @@
             self._listener.pause()
 
     def _resume(self) -> None:
-        if not self._accepting and self._listener is not None:
+        if not self._accepting and self._listener is not None and not self._handed_over:
             self._accepting = True
             self._listener.resume(self._accept)
 
     def _accept(self) -> None:
         listener = self._listener
-        if listener is None:
+        if listener is None or self._handed_over:
             return
         for _ in range(ACCEPTS):
             if self._open >= self.places.limits.most and not self._make_room():
@@ -130,8 +136,22 @@
         for connection, how in self.places.overdue(self._loop.time()):
             self._end(connection, how)
         self._thin_out()
+        if self.drain is not None:
+            self._let_go(self.drain)
         self._loop.call_later(SWEEP, self._sweep)
 
+    def _let_go(self, drain: Drain) -> None:
+        """Guards against clients that keep what they have for as long as it stays open."""
+        from driftstair.operations.drain import Rests, Way
+
+        now = self._loop.time()
+        for connection in list(self._connections):
+            way = drain.way(Rests[connection.rests()], now - connection.since, now)
+            if way is Way.CLOSE:
+                connection.close()
+            elif way is Way.REFUSE:
+                connection.refuse()
+
     def _thin_out(self) -> None:
         for connection in self.places.surplus(self._loop.time()):
             connection.close()
@@ -161,7 +181,19 @@
     def keeps(self, connection: ClientConnection) -> bool:
         """Whether the answer that is ready keeps the connection."""
         full = self.places.is_full()
-        return not self.closing and not full and self.places.keeps(connection, self._loop.time())
+        kept = self.places.keeps(connection, self._loop.time())
+        return kept and not self.closing and not full and self.drain is None
+
+    def is_up(self) -> bool:
+        """Whether clients should come here: to this process, or to the one that takes over."""
+        return self.node.can_serve() and self.drain is None and (self._handed_over or not self.stopping)
+
+    def refuses(self) -> bool:
+        """Whether operators have emptied the node, and that long ago."""
+        return self.drain is not None and self.drain.refuses(self._loop.time())
+
+    def counters(self) -> dict[str, int]:
+        return {"client_connections": self._open, "closed_early": self.places.closed_early}
 
     def leaves(self, connection: ClientConnection, rejected: bool) -> None:
         now = self._loop.time()
@@ -181,6 +213,16 @@
 
     # The end.
 
+    def hand_over(self, away: bool) -> None:
+        """Another process of this node takes new clients, or takes them no more. Those that have connections
+        here are told to leave with their next answers."""
+        self._handed_over = away
+        self.closing = away or self.stopping
+        if away:
+            self._pause()
+        else:
+            self._resume()
+
     async def stop(self, serve_on: float, within: float) -> None:
         """Serve on for a while, since clients go on coming; then finish what is held, and end."""
         self.stopping = self.places.ending = True
@@ -211,8 +253,10 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = Reader(front.config, front.now, front.node.serves)
+        self.since = self._loop.time()
         self._number = 0  # of the request that the node holds; 0: none
         self._busy = False
+        self._served = False  # some request of its has come whole
         self._keep_alive = True
         self._ends = False  # nothing more is read
         self._rejected = False  # by the last answer
@@ -261,6 +305,19 @@
         else:
             self.close()
 
+    def rests(self) -> str:
+        """What it is at, as drains name it."""
+        if self._busy or self._ends:
+            return "BUSY"
+        if self._reader.is_partial():
+            return "PARTIAL"
+        return "IDLE" if self._served else "SILENT"
+
+    def refuse(self) -> None:
+        """Told to take what it has begun elsewhere."""
+        self._reader.error = 503
+        self._next()
+
     # Requests in turn.
 
     def _next(self) -> None:
@@ -271,7 +328,7 @@
         while not self._busy and not self._ends and not transport.is_closing():
             reader.go_on()
             if reader.ready:
-                self._busy = True
+                self._busy = self._served = True
                 self._front.works(self)
                 self._serve(reader.ready.popleft())
             elif reader.error:
@@ -306,8 +363,10 @@
         self._keep_alive = incoming.keep_alive
         self._deadline = 0
         if incoming.path == UP:
-            up = self._front.node.can_serve() and not self._front.stopping
-            self.answer(200 if up else 503, [], b"")
+            self.answer(200 if self._front.is_up() else 503, [], b"")
+            return
+        if self._front.refuses():
+            self.answer(503, [], b"")
             return
         call = self._call(incoming)
         self._deadline = call.deadline
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from driftstair.limits.routes import Asked
     from driftstair.limits.table import Table
+    from driftstair.operations.roster import Roster
 
 log = logging.getLogger(__name__)
 
@@ -80,9 +81,12 @@
     """Owns the balancer; it sees one event at a time, each once all actions on the one before are done."""
 
     def __init__(
-        self, config: Config, pools: Pools, system: System = SOCKETS, limits: Table | None = None
-    ) -> None:
+        self, config: Config, pools: Pools, system: System = SOCKETS, limits: Table | None = None,
+        roster: Roster | None = None,
+    ) -> None:  # fmt: skip
         self.limits = limits  # routes of the service file
+        self._roster = roster  # what operators have ordered of servers, where they can
+        self.told = asyncio.Event()  # a list or a change of it has come from discovery
         self._config = config
         self._now = system.monotonic_ns
         self._pools = pools
@@ -109,7 +113,7 @@
     def start(self) -> None:
         self._pools.start()
         self._act_on(self._balancer.start(self._now()))
-        self._follow(ListKind.CACHED, self._config.known.hosts)
+        self._list(ListKind.CACHED, self._config.known.hosts)
         if self._config.settings.list_mode is ListMode.PUSHED:
             self._discovery.watch()
 
@@ -138,6 +142,12 @@
     def can_serve(self) -> bool:
         return bool(self._ready)
 
+    def counters(self) -> dict[str, int]:
+        return {
+            "requests": self._last_number, "requests_open": len(self._open),
+            "servers_ready": len(self._ready), "server_connections": self._pools.sockets,
+        }  # fmt: skip
+
     def fail_all(self) -> None:
         """The process is about to end: whoever still waits is told."""
         for request in list(self._open.values()):
@@ -337,7 +347,31 @@
     # The list of servers.
 
     def _list_came(self, update: HostList) -> None:
-        self._follow(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
+        self.told.set()
+        self._list(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
+
+    def _list(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
+        if self._roster is not None:
+            hosts = self._roster.follow(kind is not ListKind.DELTA, hosts)
+        self._follow(kind, hosts)
+
+    def show(self, hosts: tuple[Host, ...]) -> None:
+        """The list as operators' orders have changed it. Guards against a module that takes it for news from
+        discovery, and asks for none any more."""
+        self._follow(ListKind.CACHED, hosts)
+
+    def watch(self) -> None:
+        """Have the list followed now; the module would ask within seconds."""
+        self._discovery.watch()
+
+    def listed(self) -> HostList:
+        """The list as discovery has told it, for a process that takes over."""
+        assert self._roster is not None
+        return HostList(self._discovery.version, True, tuple(self._roster.hosts.values()))
+
+    @property
+    def discovery(self) -> tuple[str, int]:
+        return self._config.discovery
 
     def _watch_failed(self) -> None:
         if self._config.settings.list_mode is ListMode.PUSHED:
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -57,20 +57,10 @@
 
 
 class SocketListener:
-    def __init__(self, address: tuple[str, int], backlog: int) -> None:
-        host, port = address
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    def __init__(self, own: socket.socket) -> None:
         self._loop = asyncio.get_running_loop()
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._socket.setblocking(False)
-            self._socket.bind((host, port))
-            self._socket.listen(backlog)
-        except OSError:
-            self._socket.close()
-            raise
-        self.address: tuple[str, int] = self._socket.getsockname()[:2]
+        self._socket = own
+        self.address: tuple[str, int] = own.getsockname()[:2]
 
     def resume(self, ready: Callable[[], None]) -> None:
         self._loop.add_reader(self._socket, ready)
@@ -86,10 +76,31 @@
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await self._loop.connect_accepted_socket(factory, accepted)
 
+    def fileno(self) -> int:
+        return self._socket.fileno()
+
     def close(self) -> None:
         self._socket.close()
 
 
+def bound(address: tuple[str, int], backlog: int, shared: bool = False) -> socket.socket:
+    """A listening socket; raises OSError. `shared`: other processes may listen on the same address."""
+    host, port = address
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    own = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        own.setblocking(False)
+        own.bind((host, port))
+        own.listen(backlog)
+    except OSError:
+        own.close()
+        raise
+    return own
+
+
 class SocketSystem:
     """Real clocks and sockets."""
 
@@ -97,7 +108,7 @@
     time_ns = staticmethod(time.time_ns)
 
     def listen(self, address: tuple[str, int], backlog: int) -> SocketListener:
-        return SocketListener(address, backlog)
+        return SocketListener(bound(address, backlog))
 
     async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
         _, protocol = await asyncio.get_running_loop().create_connection(factory, *address)
--- /dev/null
+++ b/driftstair/operations/calls.py
@@ -0,0 +1,64 @@
+"""What a call of operators means, by its method and path."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from urllib.parse import unquote_to_bytes
+
+PREFIX = b"/control/"
+ID_MOST = 256  # bytes of a server's id
+
+
+class Order(Enum):
+    """What is asked; the value is the part of the path behind the prefix, with no server named."""
+
+    READY = b"ready"
+    COUNTERS = b"counters"
+    NODE_OUT = b"out-of-service"
+    NODE_IN = b"in-service"
+    SERVER_OUT = b"offline"
+    SERVER_IN = b"online"
+
+
+READS = frozenset((Order.READY, Order.COUNTERS))
+OF_A_SERVER = frozenset((Order.SERVER_OUT, Order.SERVER_IN))
+_PLAIN = {order.value: order for order in Order if order not in OF_A_SERVER}
+_OF_A_SERVER = {order.value: order for order in OF_A_SERVER}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    order: Order
+    server: str = ""  # its id, where the order is about one
+
+
+class Refused(Exception):
+    """No call that there is; `status` is that of the answer."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+def parse(method: bytes, target: bytes) -> Call:
+    """Raises Refused: 404 for a path that is none, 405 for another method than the path's."""
+    path = target.split(b"?", 1)[0]
+    if not path.startswith(PREFIX):
+        raise Refused(404)
+    words = path[len(PREFIX) :].split(b"/")
+    if len(words) == 1 and words[0] in _PLAIN:
+        call = Call(_PLAIN[words[0]])
+    elif len(words) == 3 and words[0] == b"servers" and words[2] in _OF_A_SERVER:
+        raw = unquote_to_bytes(words[1])
+        if not raw or len(raw) > ID_MOST:
+            raise Refused(404)
+        try:
+            call = Call(_OF_A_SERVER[words[2]], raw.decode())
+        except UnicodeDecodeError:
+            raise Refused(404) from None  # no id of the list is no text
+    else:
+        raise Refused(404)
+    if method != (b"GET" if call.order in READS else b"POST"):
+        raise Refused(405)
+    return call
--- a/driftstair/rehearsal/sockets.py
+++ b/driftstair/rehearsal/sockets.py
@@ -23,7 +23,7 @@
 
 import uvloop
 
-from driftstair.net.system import SOCKETS, Factory, SocketListener, SocketSystem
+from driftstair.net.system import SOCKETS, Factory, SocketListener, SocketSystem, bound
 from driftstair.rehearsal.director import Rehearsal
 from driftstair.rehearsal.report.build import LogLine
 from driftstair.rehearsal.scenario import Scenario
@@ -104,7 +104,7 @@
 
 class PlaceListener(SocketListener):
     def __init__(self, place: LoopbackPlace, address: tuple[str, int], backlog: int) -> None:
-        super().__init__(address, backlog)
+        super().__init__(bound(address, backlog))
         self._place = place
         self._ready: Callable[[], None] = lambda: None
 
--- a/driftstair/settings.py
+++ b/driftstair/settings.py
@@ -25,3 +25,4 @@
     dial_timeout: int  # ns
     idle_close: int  # ns
     open_cap: int  # requests that the node may hold
+    operators: tuple[str, int] | None = None  # where they call
--- /dev/null
+++ b/tests/operations/test_orders.py
@@ -0,0 +1,105 @@
+"""The pure parts: calls, the roster, drains, and what is kept."""
+
+from __future__ import annotations
+
+import pytest
+
+from driftstair.hosts import Host, HostList
+from driftstair.operations.calls import Call, Order, Refused, parse
+from driftstair.operations.drain import HEADS_UNTIL, REFUSES_FROM, Drain, Rests, Way
+from driftstair.operations.roster import Orders, Roster
+from driftstair.operations.state import State, StateError, decode, encode
+from lichenspring.interface import ServerState
+
+READY, DRAINING, GONE = ServerState.READY, ServerState.DRAINING, ServerState.GONE
+
+
+def host(name: str, state: ServerState = READY, started: int = 0) -> Host:
+    return Host(name, ("10.0.0.1", 80), "room", "box", 0, state, 1.0, started)
+
+
+@pytest.mark.parametrize(("method", "target", "call"), [
+    (b"GET", b"/control/ready", Call(Order.READY)),
+    (b"GET", b"/control/ready?verbose=1", Call(Order.READY)),
+    (b"POST", b"/control/out-of-service", Call(Order.NODE_OUT)),
+    (b"POST", b"/control/in-service", Call(Order.NODE_IN)),
+    (b"POST", b"/control/servers/s-1/offline", Call(Order.SERVER_OUT, "s-1")),
+    (b"POST", b"/control/servers/s%2f1/online", Call(Order.SERVER_IN, "s/1")),
+])  # fmt: skip
+def test_calls_are_read(method: bytes, target: bytes, call: Call) -> None:
+    assert parse(method, target) == call
+
+
+@pytest.mark.parametrize(("method", "target", "status"), [
+    (b"POST", b"/control/ready", 405), (b"GET", b"/control/in-service", 405),
+    (b"GET", b"/control/servers/s-1/offline", 405), (b"POST", b"/control/servers//offline", 404),
+    (b"POST", b"/control/servers/s-1/ready", 404), (b"POST", b"/control/servers/s-1", 404),
+    (b"POST", b"/control/offline", 404), (b"GET", b"/up", 404),
+    (b"POST", b"/control/servers/%ff/online", 404),
+    (b"POST", b"/control/servers/%s/online" % (b"x" * 257), 404),
+])  # fmt: skip
+def test_what_is_no_call_is_refused(method: bytes, target: bytes, status: int) -> None:
+    with pytest.raises(Refused) as refused:
+        parse(method, target)
+    assert refused.value.status == status
+
+
+def test_a_server_that_is_out_drains_whatever_the_list_says() -> None:
+    roster = Roster()
+    roster.follow(True, [host("a"), host("b")])
+    orders = roster.orders.copy()
+    orders.take_out("a", 1000)
+    orders.take_out("a", 2000)  # two calls out take one call back
+    assert [(one.id, one.state) for one in roster.order(orders)] == [("a", DRAINING), ("b", READY)]
+    assert orders.out == {"a": 1000}
+    # It leaves the list and comes back, ready and restarted: still out.
+    assert roster.follow(False, [host("a", GONE)])[0].state is GONE and roster.holds("a")
+    assert roster.follow(False, [host("a", started=1500)])[0].state is DRAINING
+    assert [one.state for one in roster.follow(True, [host("a", started=1500)])] == [DRAINING]
+    orders = roster.orders.copy()
+    orders.put_back("a", 3000, roster.hosts["a"].started_ms)
+    # The list told of its start: that is when it started.
+    assert roster.order(orders) == (host("a", started=1500),)
+
+
+def test_a_server_put_back_is_cold_until_the_list_tells_more() -> None:
+    roster = Roster()
+    roster.follow(True, [host("a", started=10)])
+    orders = roster.orders.copy()
+    orders.take_out("a", 1000)
+    roster.order(orders)
+    orders = roster.orders.copy()
+    orders.put_back("a", 3000, roster.hosts["a"].started_ms)
+    assert roster.order(orders) == (host("a", started=3000),)
+    # Discovery is late: the start that it tells of now was that one. A later one counts.
+    assert roster.follow(False, [host("a", started=2500)]) == (host("a", started=3000),)
+    assert roster.follow(False, [host("a", started=9000)]) == (host("a", started=9000),)
+    roster.follow(True, [])
+    assert not roster.holds("a") and roster.orders.back == {}
+
+
+@pytest.mark.parametrize(("rests", "age", "since", "way"), [
+    (Rests.IDLE, 9.0, 0.4, Way.STAY), (Rests.IDLE, 9.0, 0.6, Way.CLOSE),
+    (Rests.SILENT, 0.1, 0.6, Way.STAY), (Rests.SILENT, 0.5, 0.6, Way.CLOSE),
+    (Rests.PARTIAL, 1.0, 2.0, Way.STAY), (Rests.PARTIAL, 1.0, HEADS_UNTIL, Way.REFUSE),
+    (Rests.BUSY, 9.0, 9.0, Way.STAY),
+])  # fmt: skip
+def test_an_emptied_node_lets_go_in_order(rests: Rests, age: float, since: float, way: Way) -> None:
+    drain = Drain(100.0)
+    assert drain.way(rests, age, 100.0 + since) is way
+    assert not drain.refuses(100.0 + REFUSES_FROM - 0.1) and drain.refuses(100.0 + REFUSES_FROM)
+
+
+def test_what_is_kept_is_read_back_and_nothing_else() -> None:
+    known = HostList(41, True, (host("a", DRAINING, 3), host("b")))
+    state = State(Orders({"a": 5}, {"b": 7}, 9), "127.0.0.1:8500", known)
+    data = encode(state)
+    assert decode(data) == state
+    for cut in range(len(data)):
+        with pytest.raises(StateError):
+            decode(data[:cut])
+    with pytest.raises(StateError, match="version"):
+        decode(data.replace(b"driftstair-state 1", b"driftstair-state 2"))
+    for place in range(len(data)):  # any byte that is another one
+        with pytest.raises(StateError):
+            decode(data[:place] + bytes([data[place] ^ 1]) + data[place + 1 :])
