A process that takes over knows what the old one learned, and counts what it still runs

Cause, seen in the module's own figures by the window (throwaway copy): the process that took over at 13.7 s had the first guess for a cap and no rate of warm servers, so five cold servers of eight got nothing, three warm ones were overdriven, unanswered rose to 0.8 and the brake held the cap at 8 to 17 for ten seconds.

The rate by which cold servers get their part falls slowly; a first cap counts servers by warmth.

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -112,7 +112,10 @@
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service)
     try:
-        address = front.listen(None if operations is None else operations.listener())
+        if operations is None:
+            address = front.listen()
+        else:
+            address = front.listen(operations.listener(), operations.inherits())
     except OSError as problem:
         print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
         return 2
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -54,8 +54,10 @@
         self._connections: set[ClientConnection] = set()
         self._tasks: dict[asyncio.Task[None], None] = {}
 
-    def listen(self, listener: Listener | None = None) -> tuple[str, int]:
-        """Raises OSError. `listener`: one that stands already."""
+    def listen(self, listener: Listener | None = None, later: bool = False) -> tuple[str, int]:
+        """Raises OSError. `listener`: one that stands already; `later`: another process takes its clients
+        until `hand_over` says that it does not."""
+        self._handed_over = later
         self._listener = listener or self._system.listen(self.config.listen, BACKLOG)
         self._resume()
         self._loop.call_later(SWEEP, self._sweep)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -9,7 +9,7 @@
 from functools import partial
 from hashlib import blake2b
 from math import inf
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from driftstair.hosts import Host, HostList
 from driftstair.net.discovery import Discovery
@@ -90,7 +90,8 @@
         self._config = config
         self._now = system.monotonic_ns
         self._pools = pools
-        self._balancer: api.Module = Balancer(config.settings, config.seed)
+        self._core = Balancer(config.settings, config.seed)
+        self._balancer: api.Module = self._core
         if limits is not None:
             self._balancer = limits.limited(self._balancer, config.settings)
         self._loop = asyncio.get_running_loop()
@@ -369,6 +370,21 @@
         assert self._roster is not None
         return HostList(self._discovery.version, True, tuple(self._roster.hosts.values()))
 
+    def learned(self) -> dict[str, Any]:
+        """What the module knows, for a process that takes over on this machine."""
+        from lichenspring.memory import remembered
+
+        return remembered(self._core)
+
+    def recall(self, learned: dict[str, Any]) -> None:
+        """Once the list is known; what can't be used is passed over."""
+        from lichenspring.memory import recall
+
+        try:
+            recall(self._core, self._now(), learned)
+        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            log.warning("what the old process had learned is not used: %r", problem)
+
     @property
     def discovery(self) -> tuple[str, int]:
         return self._config.discovery
--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -4,7 +4,8 @@
 
     hello     a new process is here: what is kept is brought up to date, and the clients' listening socket
               goes with the answer (SCM_RIGHTS, unix(7)): what waits in its queue is lost to nobody
-    serving   the new process takes clients from now on; should this connection end, it has failed
+    serving   the new process takes clients from now on, and reads what is kept once it has its answer;
+              should this connection end, it has failed
     changed   orders have changed: the file is read again before the answer
 
 A process that was killed leaves its socket behind; nobody answers there, and it is removed.
@@ -94,7 +95,9 @@
         self._link.setblocking(False)
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(PATIENCE):
-                await asyncio.get_running_loop().sock_sendall(self._link, b"serving\n")
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(self._link, b"serving\n")
+                await loop.sock_recv(self._link, 64)
 
 
 def find_predecessor(store: Store) -> Predecessor | None:
@@ -153,6 +156,8 @@
                 elif line == b"serving\n":
                     serving = True
                     self._handed(True)
+                    self._keep()
+                    writer.write(b"ok\n")
                 elif line == b"changed\n":
                     self._changed()
                     writer.write(b"ok\n")
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -65,6 +65,10 @@
         self._listening = own
         return SocketListener(own)
 
+    def inherits(self) -> bool:
+        """Whether clients are another process's until this one is ready for them."""
+        return self._predecessor is not None
+
     async def start(self, node: Node, front: Front) -> None:
         """Once clients can be taken. Raises OSError if the operators' address can't be used."""
         self._node, self._front = node, front
@@ -88,8 +92,14 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(LIST_WITHIN):
                 await self._node.told.wait()
-        self._current = True
         await predecessor.serving()
+        assert self._store is not None
+        state = self._store.read()
+        self._apply(state.orders)
+        if state.learned is not None:
+            self._node.recall(state.learned)
+        self._front.hand_over(False)
+        self._current = True
 
     def close(self) -> None:
         if self._settling is not None:
@@ -160,8 +170,8 @@
 
     def _keep_list(self) -> None:
         assert self._store is not None
-        known, discovery = self._node.listed(), _text(self._node.discovery)
-        self._store.change(lambda state: State(state.orders, discovery, known))
+        known, discovery, learned = self._node.listed(), _text(self._node.discovery), self._node.learned()
+        self._store.change(lambda state: State(state.orders, discovery, known, learned))
 
     def _read_again(self) -> None:
         assert self._store is not None
--- a/driftstair/operations/state.py
+++ b/driftstair/operations/state.py
@@ -28,12 +28,14 @@
     orders: Orders = field(default_factory=Orders)
     discovery: str = ""  # whose versions the list's are
     list: HostList | None = None
+    learned: dict[str, Any] | None = None  # by the decision module, on the clock of this machine's start
 
 
 def encode(state: State) -> bytes:
     body = json.dumps({
         "out": state.orders.out, "back": state.orders.back, "drained": state.orders.drained,
         "discovery": state.discovery, "list": None if state.list is None else _list(state.list),
+        "learned": state.learned,
     }).encode()  # fmt: skip
     return b"%s %d %s\n%s" % (MAGIC, VERSION, _sum(body), body)
 
@@ -51,7 +53,10 @@
         document = json.loads(body)
         orders = Orders(_times(document["out"]), _times(document["back"]), int(document["drained"]))
         known = None if document["list"] is None else parse_list(document["list"])
-        return State(orders, str(document["discovery"]), known)
+        learned = document["learned"]
+        if learned is not None and not isinstance(learned, dict):
+            raise StateError("learned is no object")
+        return State(orders, str(document["discovery"]), known, learned)
     except (ValueError, TypeError, KeyError, AttributeError, RecursionError, ListError) as problem:
         raise StateError(f"it can't be read: {problem!r}") from None
 
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -60,6 +60,7 @@
 ANSWERED_LATELY = 2 * SECOND  # a failed connection is no failure of a server that did
 EJECT_TIME = 2 * SECOND  # doubles with each failed trial
 COLD_CAUTION = 0.8  # of what a warm server takes: a cold server's keys are cold too and cost more
+RATE_FALLS = 0.05  # part of the way to a lower rate of warm servers that a window goes
 COLD_BURST = 2.0  # requests that a cold server's budget may save up
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
 LOST_WEIGHT = 0.2  # part of the newest attempt in the shares that idle, new and other connections lose
@@ -257,8 +258,8 @@
         if token == TICK_TOKEN:
             self._in_flight.add(now, 0)
             for breaker in self._breakers:
-                breaker.update(self._in_flight.mean, self._start_cap(), self._is_idle())
-            self._set_caps()
+                breaker.update(self._in_flight.mean, self._start_cap(now), self._is_idle())
+            self._set_caps(now)
             for backend in self._ready:
                 for index in backend.fullness:
                     backend.fullness[index] *= FULL_FADES
@@ -278,14 +279,16 @@
         told = "utilization" in self._settings.report_fields
         return told and sum(backend.busy for backend in self._ready) < IDLE_BELOW * len(self._ready)
 
-    def _start_cap(self) -> float:
-        return START_PER_SERVER * len(self._ready) / self._settings.nodes
+    def _start_cap(self, now: int) -> float:
+        """Cold servers count for what they take: after a release most of the list may be cold."""
+        able = sum(self._warmth(now, backend.entry) for backend in self._ready)
+        return START_PER_SERVER * able / self._settings.nodes
 
-    def _set_caps(self) -> None:
+    def _set_caps(self, now: int) -> None:
         """A class stops at its own threshold, and short of those of the classes that are worth more. All
         stop sooner where fewer than half of all attempts are answered: overdriven servers need to rest."""
         brake = min(1.0, 2.0 * (1.0 - self._unanswered))
-        start = self._start_cap()
+        start = self._start_cap(now)
         thresholds = [breaker.threshold(start) for breaker in self._breakers]
         values = [self._value(index) for index in range(len(thresholds))]
         for index, own in enumerate(thresholds):
@@ -609,7 +612,10 @@
         warm = (backend.entry for backend in self._ready if self._warmth(now, backend.entry) >= 1.0)
         weight = sum(server.weight for server in warm)
         if weight:
-            self._rate += (1 - KEEP) * (self._sent / weight / PERIOD - self._rate)
+            # Falls slowly: while all warm servers are overdriven they are sent little, and cold ones, whose
+            # part is a part of that, would be left idle and never help.
+            change = self._sent / weight / PERIOD - self._rate
+            self._rate += (1 - KEEP if change > 0.0 else RATE_FALLS) * change
         self._sent = 0
 
     def _load(self, now: int, class_index: int, backend: Backend) -> float:
@@ -755,7 +761,7 @@
                     backend.entry = backend.entry._replace(state=ServerState.GONE)
         for server in listed.values():
             self._enter(now, server)
-        self._rebuild()
+        self._rebuild(now)
         if not self._ready and not self._watching and self._settings.list_mode is ListMode.ON_REQUEST:
             self._ask_after(now, ASK_FIRST_PAUSE)  # restarted with nothing to serve from: sooner than others
 
@@ -775,14 +781,14 @@
             backend.tokens, backend.refilled = self._random.random(), now
         backend.entry = server
 
-    def _rebuild(self) -> None:
+    def _rebuild(self, now: int) -> None:
         # Attempts hold their server themselves: gone ones need no place here, and would fill it over months.
         kept = {key: one for key, one in self._backends.items() if one.entry.state is not ServerState.GONE}
         self._backends = kept
         ids = sorted(key for key, one in self._backends.items() if one.entry.state is ServerState.READY)
         self._ready = [self._backends[key] for key in ids]
         self._table = self._filled_table()
-        self._set_caps()
+        self._set_caps(now)
 
     def _filled_table(self) -> list[Backend]:
         """Servers take slots in turn, each in its own order, as often as its weight says: even shares,
