--- /dev/null
+++ b/driftstair/admission/pace.py
@@ -0,0 +1,33 @@
+"""How slowly a client may bring a request's body, once its head is whole. Pure; its clock is handed in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+RATE_LEAST = 48_000  # bytes a second; clients of the platform bring 64 kB
+GRACE = 1.5  # s that a body may be behind that rate
+
+
+@dataclass(slots=True)
+class Pace:
+    """Times in s of one clock that does not go back."""
+
+    since: float
+    received: int = 0  # bytes, with their framing
+    paused: float = 0.0  # s in which the node itself did not read
+    stopped: float = 0.0  # since when it does not; 0: it reads
+
+    def stop(self, now: float) -> None:
+        if not self.stopped:
+            self.stopped = now
+
+    def go_on(self, now: float) -> None:
+        if self.stopped:
+            self.paused += now - self.stopped
+            self.stopped = 0.0
+
+    def is_too_slow(self, now: float) -> bool:
+        """Guards against clients that begin a body and never bring it, whatever length they have told."""
+        if self.stopped:
+            return False
+        return self.received < RATE_LEAST * (now - self.since - self.paused - GRACE)
--- a/driftstair/admission/places.py
+++ b/driftstair/admission/places.py
@@ -9,7 +9,7 @@
 
 1. rejected ones, whose answer is out, and those that were told to go and stay (`lingers`, `leaves`);
 2. newcomers that have brought nothing within their grace;
-3. those that have begun a request and don't go on, after `HEAD_LEAST`;
+3. those that have begun a request and don't go on, after `HEAD_LEAST`, in its body after `BODY_LEAST`;
 4. idle ones, the least worth first, as long as newcomers bring more in the same place, and newcomers hold no
    more than their lane.
 
@@ -42,6 +42,7 @@
 LEARN_EVERY = 0.25  # s between two reckonings of what idle connections are worth
 STAYS_ONE_IN = 16  # answers that keep a connection that should close, or no return would be seen any more
 LEAVE_LEAST = 0.3  # s for a client that was told to go to read its answer: a reset would take that with it
+BODY_LEAST = 1.0  # s without a piece of a body, likewise
 HEAD_LEAST = 0.15  # s for the rest of a request that has begun, where the table is full
 LANE_PART = 0.05  # of the table, for newcomers, however few have come of late
 SPARE_PART = 0.5  # of the bound: below it room is never short, and nothing is reckoned
@@ -54,8 +55,8 @@
 
     most: int  # that the node can hold
     held: int = 0  # that clients may hold at the node; 0: as many as they like
-    new_most: float = 2.0  # from connecting to the first whole request
-    request_most: float = 2.0  # for a later request that has begun
+    new_most: float = 2.7  # from connecting to the first whole head; clients may spend 2 s on one
+    request_most: float = 2.7  # for the head of a later request that has begun
     idle_most: float = 30.0  # between two requests
     linger_most: float = 1.0  # for a rejected client to take its answer and go
     linger_part: float = 0.1  # of the table, for such ones
@@ -71,6 +72,7 @@
     READING = 4  # has begun a later request
     LEAVING = 5  # has been told to go with its answer
     LINGERING = 6  # is rejected
+    BODY = 7  # its request's head is whole, its body is on the way; since the last piece of it
 
 
 class Ending(Enum):
@@ -150,6 +152,16 @@
         elif place.state is State.IDLE:
             self._move(connection, place, State.READING, now)
 
+    def receives(self, connection: Connection, now: float) -> None:
+        """A piece of a body has come. How slowly it may come is not decided here (`pace`)."""
+        place = self._places[connection]
+        self._newcomers.pop(connection, None)
+        if place.state is State.BODY:
+            del self._tables[State.BODY][connection]  # to the end: the longest without a piece stands first
+            place.since = self._tables[State.BODY][connection] = now
+        elif place.state is not State.BUSY:
+            self._move(connection, place, State.BODY, now)
+
     def works(self, connection: Connection, now: float) -> None:
         """A whole request has come, and is served from now on."""
         place = self._places[connection]
@@ -260,6 +272,7 @@
             (State.SILENT, now - self.crowd.grace()),
             (State.HEAD, now - HEAD_LEAST),
             (State.READING, now - HEAD_LEAST),
+            (State.BODY, now - BODY_LEAST),
         ):
             connection = next(iter(tables[state]), None)
             if connection is not None and tables[state][connection] <= before:
@@ -277,7 +290,7 @@
 
     def is_full(self) -> bool:
         """No place can be made for another client, but by those that have their answer leaving."""
-        held = len(self._tables[State.BUSY]) + len(self._tables[State.READING])
+        held = sum(len(self._tables[state]) for state in (State.BUSY, State.READING, State.BODY))
         return held >= self.limits.most
 
     def overdue(self, now: float) -> list[tuple[Connection, Ending]]:
--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -71,6 +71,7 @@
         dial_timeout=values.whole("Limits.DialTimeout", least=1),
         idle_close=values.whole("Limits.IdleClose", least=1),
         open_cap=values.whole("Limits.OpenCap", least=1),
+        memory=_memory(document),
         operators=_operators(environment, document),
     )
 
@@ -113,6 +114,13 @@
     return sockets
 
 
+def _memory(document: dict[str, Any]) -> int:
+    megabytes = _object(document, "limits").get("memory_mb", 64)
+    if not isinstance(megabytes, int | float) or isinstance(megabytes, bool) or not 1 <= megabytes < 1 << 30:
+        raise ConfigError(f"limits.memory_mb is no number from 1: {megabytes!r}")
+    return int(megabytes * (1 << 20))
+
+
 def _known(document: dict[str, Any]) -> HostList:
     try:
         return parse_list(document.get("known"))
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -8,7 +8,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, cast
 
+from driftstair.admission.pace import Pace
 from driftstair.admission.places import Ending, Limits, Places
+from driftstair.net.flow import LAST_CHUNK, SILENCE_MOST, Budget, Stream, chunk, nothing, size
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.net.system import SOCKETS, Listener, System
@@ -24,10 +26,11 @@
 LOOK = 0.02  # s until the next look at a full table, while clients wait for a place in it
 FULL_PAUSE = 0.05  # s until the next look at the listening socket, where no descriptor was left
 SWEEP = 0.1  # s
-LINGER_BYTES = 128 << 10  # that are read of what a rejected client still sends, so that it gets its answer
+LINGER_BYTES = 1 << 20  # that are read of what a rejected client still sends, so that it gets its answer
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 DRAIN_LOOK = 0.02  # s
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NUMBERED = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
 
 
@@ -46,6 +49,9 @@
         self.drain: Drain | None = None  # operators have taken the node out of service
         self._handed_over = False  # another process of this node takes the clients
         self.places: Places[ClientConnection] = Places(limits)
+        self.budget = Budget(config.memory)  # for bodies that are held until they are whole
+        self.bodies: dict[ClientConnection, Pace] = {}  # that are on their way from clients
+        self.flows: dict[ClientConnection, float] = {}  # long answers, and since when each stands still
         self._loop = asyncio.get_running_loop()
         self._listener: Listener | None = None
         self._accepting = False
@@ -137,6 +143,11 @@
         """Guards against clients that say nothing, stop half way, send slowly or keep what they don't use."""
         for connection, how in self.places.overdue(self._loop.time()):
             self._end(connection, how)
+        now = self._loop.time()
+        for connection in [one for one, pace in self.bodies.items() if pace.is_too_slow(now)]:
+            connection.time_out()
+        for connection in [one for one, since in self.flows.items() if now - since > SILENCE_MOST]:
+            connection.abort()
         self._thin_out()
         if self.drain is not None:
             self._let_go(self.drain)
@@ -167,6 +178,8 @@
 
     def lost(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
+        self.bodies.pop(connection, None)
+        self.flows.pop(connection, None)
         self.places.lost(connection, self._loop.time())
         self._left()
 
@@ -177,6 +190,22 @@
     def reads(self, connection: ClientConnection) -> None:
         self.places.reads(connection, self._loop.time())
 
+    def receives(self, connection: ClientConnection, size: int) -> None:
+        """Bytes of a body have come, its framing among them."""
+        now = self._loop.time()
+        pace = self.bodies.get(connection)
+        if pace is None:
+            pace = self.bodies[connection] = Pace(now)
+        pace.received += size
+        self.places.receives(connection, now)
+
+    def received(self, connection: ClientConnection) -> None:
+        self.bodies.pop(connection, None)
+
+    def moves(self, connection: ClientConnection) -> None:
+        """A part of a long answer has been taken."""
+        self.flows[connection] = self._loop.time()
+
     def works(self, connection: ClientConnection) -> None:
         self.places.works(connection, self._loop.time())
 
@@ -254,7 +283,13 @@
         self._front = front
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = Reader(front.config, front.now, front.node.serves)
+        self._reader = Reader(front.config, front.now, front.node.serves, front.budget)
+        self._reserved = 0  # of the budget, by the body of the request that is served
+        self._upload: Stream | None = None  # a body that is passed on as it comes
+        self._flow: Stream | None = None  # an answer, likewise
+        self._chunked = False  # how that goes out
+        self._all_out = False  # its last byte is written
+        self._version = b"1.1"  # the client's, with its latest request
         self.since = self._loop.time()
         self._number = 0  # of the request that the node holds; 0: none
         self._busy = False
@@ -279,9 +314,13 @@
         self._reader.close()
         if self._slow_reader is not None:
             self._slow_reader.cancel()
+        self._free()
         number, self._number = self._number, 0
         if number:
             self._front.node.client_gone(number)
+        if self._flow is not None:
+            self._flow.abandon()
+            self._flow = None
         self._front.lost(self)
 
     def data_received(self, data: bytes) -> None:
@@ -290,12 +329,19 @@
             if self._dropped > LINGER_BYTES:
                 self.abort()
             return
-        self._reader.feed(data)
+        reader = self._reader
+        reader.feed(data)
+        if reader.in_body():
+            self._front.receives(self, len(data))
+        elif self in self._front.bodies:
+            self._front.received(self)
         self._next()
 
     def eof_received(self) -> bool:
         """A client may end its sending and wait for the answer to what it has sent whole."""
         self._half_closed = True
+        if self._upload is not None and not self._upload.ended:
+            return False  # the rest of the body will never come
         waits = self._busy or bool(self._reader.ready) or self._reader.has_unread()
         return waits and not self._ends
 
@@ -303,6 +349,8 @@
         """The limit of the front: a client that has sent a part is told, one that has not is not."""
         if self._reader.is_partial():
             self._reader.error = 408
+            if self._upload is not None:
+                self._upload.break_off()
             self._next()
         else:
             self.close()
@@ -327,7 +375,11 @@
         if transport is None or self._in_turn:
             return
         self._in_turn = True
-        while not self._busy and not self._ends and not transport.is_closing():
+        while True:
+            if self._upload is not None:
+                self._follow_upload(self._upload)
+            if self._busy or self._ends or transport.is_closing():
+                break
             reader.go_on()
             if reader.ready:
                 self._busy = self._served = True
@@ -346,23 +398,51 @@
         # While requests wait no more are read in: what a client sends ahead stays with the kernel.
         if self._paused != bool(reader.ready or reader.has_unread()):
             self._paused = not self._paused
+            pace = self._front.bodies.get(self)
             if self._paused:
                 transport.pause_reading()
+                if pace is not None:
+                    pace.stop(self._loop.time())
             else:
                 transport.resume_reading()
+                if pace is not None:
+                    pace.go_on(self._loop.time())
         if self._busy:
             return
         if self._half_closed:
             self.close()
         elif reader.is_partial():
-            self._front.reads(self)
+            if not reader.in_body():
+                self._front.reads(self)
             if reader.wants_continue():
-                transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                transport.write(CONTINUE)
         else:
             self._front.rests(self)
 
+    def _follow_upload(self, upload: Stream) -> None:
+        """A body that is passed on as it comes goes on, has come whole, or never will."""
+        self._reader.go_on()
+        if upload.ended:
+            self._upload = None
+            upload.on_room = nothing
+            if self._number:
+                self._front.node.whole(self._number)
+        elif upload.broken:
+            self._upload = None
+            number, self._number = self._number, 0
+            if number:  # neither whole nor answered
+                self._front.node.client_gone(number)
+                self._keep_alive = False
+                self.answer(self._reader.error or 400, [], b"")
+
+    def _free(self) -> None:
+        self._front.budget.give(self._reserved)
+        self._reserved = 0
+
     def _serve(self, incoming: Incoming) -> None:
         self._keep_alive = incoming.keep_alive
+        self._version = incoming.version
+        self._reserved, incoming.reserved = incoming.reserved, 0
         self._deadline = 0
         if incoming.path == UP:
             self.answer(200 if self._front.is_up() else 503, [], b"")
@@ -371,10 +451,16 @@
             self.answer(503, [], b"")
             return
         call = self._call(incoming)
-        self._deadline = call.deadline
+        self._deadline = 0 if incoming.stream is not None else call.deadline
+        if incoming.stream is not None:
+            self._upload = incoming.stream
+            incoming.stream.on_room = self._next
         number = self._front.node.take(call)
-        if self._busy:
+        if self._busy and not self._ends and self._flow is None:
             self._number = number
+            if incoming.stream is not None and self._reader.wants_continue():
+                assert self._transport is not None
+                self._transport.write(CONTINUE)
 
     def _call(self, incoming: Incoming) -> Call:
         """The request in the node's terms."""
@@ -385,35 +471,63 @@
             client=self,
             identity=fields[b"x-request-id"],
             head=incoming.forwarded_head(),
-            body=bytes(incoming.body),
+            body=bytes(incoming.body) if incoming.stream is None else incoming.stream,
             class_index=incoming.class_index,
             tenant=tenants.get(fields.get(b"x-tenant", b""), len(tenants)),
             key=key_number(key) if key else 0,
             resubmitted=fields.get(b"x-retry") == b"1",
             deadline=incoming.arrived + incoming.patience,
+            patience=incoming.patience,
             asked=limits.asked(incoming.method, incoming.path, fields) if limits is not None else None,
         )
 
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream) -> None:
         transport = self._transport
         assert transport is not None
         self._number = 0
+        self._free()
         if transport.is_closing():
+            if isinstance(body, Stream):
+                body.abandon()
             return
         # A client whose request is at fault would ask the same again at once, as fast as it is answered.
         rejected = 400 <= status < 500
         keep = self._keep_alive and not rejected and self._front.keeps(self)
+        if self._upload is not None:
+            keep = keep and self._upload.ended  # what is left of it would be read as the next request
+            self._upload.on_room = nothing
+            self._upload = None
+        length = size(body)
+        self._chunked = length is None and self._version != b"1.0"
+        self._all_out = False
         lines = [b"HTTP/1.1 ", NUMBERED[status], b"\r\n"]
         for name, value in headers:
             lines += (name, b": ", value, b"\r\n")
         if status == 405:
             lines.append(b"Allow: GET, POST\r\n")
-        lines.append(b"Content-Length: %d\r\n" % len(body))
+        if self._chunked:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        elif length is not None:
+            lines.append(b"Content-Length: %d\r\n" % length)
+        else:
+            keep = False  # it ends with its connection
         if not keep:
             lines.append(b"Connection: close\r\n")
-        lines += (b"\r\n", body)
-        transport.write(b"".join(lines))
+        elif self._version == b"1.0":
+            lines.append(b"Connection: keep-alive\r\n")
+        lines.append(b"\r\n")
         self._ends, self._rejected = not keep, rejected
+        if not keep:
+            self._front.received(self)  # or nobody cares for the rest
+        if isinstance(body, Stream):
+            transport.write(b"".join(lines))
+            self._flow = body
+            self._front.moves(self)
+            body.on_more = self._pass_on
+            self._pass_on()
+            return
+        lines.append(body)
+        transport.write(b"".join(lines))
         if transport.get_write_buffer_size():
             # A client that reads too slowly gets nothing after its deadline: it has given up by then.
             left = self._deadline - self._front.now() if self._deadline else SLOW_READER * 1e9
@@ -421,8 +535,43 @@
         else:
             self._answered()
 
+    def _pass_on(self) -> None:
+        """What has come of a long answer goes out, as fast as the client takes it."""
+        flow, transport = self._flow, self._transport
+        if flow is None or transport is None or transport.is_closing():
+            return
+        if flow.broken:
+            transport.abort()  # so that the client can tell
+            return
+        if transport.get_write_buffer_size():
+            return  # `resume_writing` follows
+        data = flow.take()
+        if self._chunked:
+            data = chunk(data) + (LAST_CHUNK if flow.is_done() else b"")
+        if data:
+            transport.write(data)
+            self._front.moves(self)
+        if flow.is_done():
+            self._all_out = True
+            flow.on_more = nothing
+            if not transport.get_write_buffer_size():
+                self._flowed()
+        else:
+            flow.passed_on()
+
+    def _flowed(self) -> None:
+        self._flow = None
+        self._front.flows.pop(self, None)
+        self._answered()
+
     def resume_writing(self) -> None:
-        if self._slow_reader is not None:
+        if self._flow is not None:
+            self._front.moves(self)
+            if self._all_out:
+                self._flowed()
+            else:
+                self._pass_on()
+        elif self._slow_reader is not None:
             self._slow_reader.cancel()
             self._slow_reader = None
             self._answered()
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -13,12 +13,13 @@
 
 from driftstair.hosts import Host, HostList
 from driftstair.net.discovery import Discovery
+from driftstair.net.flow import Stream, size
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Answer, Attempt, Pools
 from driftstair.settings import Config
 from lichenspring import Balancer
 from lichenspring import interface as api
-from lichenspring.interface import ListKind, ListMode, Result, ServerState
+from lichenspring.interface import NEVER_RAN, ListKind, ListMode, Result, ServerState
 
 if TYPE_CHECKING:
     from driftstair.limits.routes import Asked
@@ -46,7 +47,8 @@
 class Client(Protocol):
     """Who asked: gets one answer."""
 
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream) -> None:
+        """A body that is a stream is taken as it comes, or abandoned."""
 
 
 @dataclass(slots=True, eq=False)
@@ -56,12 +58,13 @@
     client: Client
     identity: bytes  # new with every request, as clients give it
     head: bytes  # request line and headers for a server, but for X-Deadline and the blank line
-    body: bytes
+    body: bytes | Stream  # one that is not whole yet
     class_index: int
     tenant: int
     key: int
     resubmitted: bool
-    deadline: int  # monotonic ns
+    deadline: int  # monotonic ns; that of a stream counts from its last byte, and is later
+    patience: int  # ns from the last byte to the deadline
     asked: Asked | None = None  # in the terms of routes, where there are any
 
 
@@ -194,8 +197,7 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Refuse):
-            wait = action.retry_after
-            self._answer(action.request, 503, [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else [])
+            self._refuse(action.request, action.retry_after)
         elif isinstance(action, api.Fail):
             request = self._open.get(action.request)
             late = request is not None and self._now() >= request.call.deadline - TRANSIT
@@ -236,12 +238,13 @@
             call.client.answer(409, [], b"")
         elif len(self._open) >= self._config.open_cap:
             call.client.answer(503, [], b"")
-        elif rules is not None and 0 < rules.body < len(call.body):
+        elif rules is not None and 0 < rules.body < (size(call.body) or 0):
             call.client.answer(413, [], b"")
         else:
             self._open[request.number] = request
             self._identities.add(call.identity)
-            request.watchdog = self._loop.call_later((call.deadline - now) / 1e9, self._overdue, request)
+            if not isinstance(call.body, Stream):
+                self._watch_over(request)
             self._tell(
                 api.Request(
                     request.number, left, call.class_index, call.tenant, call.key, call.resubmitted,
@@ -250,6 +253,17 @@
             )
         return request.number
 
+    def _watch_over(self, request: Open) -> None:
+        left = request.call.deadline - self._now()
+        request.watchdog = self._loop.call_later(left / 1e9, self._overdue, request)
+
+    def whole(self, number: int) -> None:
+        """The last byte of a request's stream has come: its time counts from now on."""
+        request = self._open.get(number)
+        if request is not None and not request.answered:
+            request.call.deadline = self._now() + request.call.patience
+            self._watch_over(request)
+
     def client_gone(self, number: int) -> None:
         request = self._open.get(number)
         if request is None or request.answered:
@@ -270,13 +284,16 @@
             attempt.cancel()
 
     def _answer(
-        self, number: int, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
+        self, number: int, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream = b""
     ) -> None:
         request = self._open.get(number)
         if request is not None and not request.answered:
             request.call.client.answer(status, headers, body)
             self._finish(request)
 
+    def _refuse(self, number: int, wait: int) -> None:
+        self._answer(number, 503, [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else [])
+
     def _finish(self, request: Open) -> None:
         request.answered = True
         if request.watchdog is not None:
@@ -297,13 +314,17 @@
         index = request.sent
         request.sent += 1
         pool = self._pools.get(action.server)
-        if pool is None or request.answered or index >= self._config.settings.max_attempts:
+        body = request.call.body
+        passed_on = isinstance(body, Stream) and body.begun
+        if pool is None or request.answered or passed_on or index >= self._config.settings.max_attempts:
             self._tell(
                 api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
             )
             return
         now = self._now()
-        latest = request.call.deadline - TRANSIT
+        # Of a stream: as if its last byte had come now. Its attempt counts from when that is written.
+        deadline = now + request.call.patience if isinstance(body, Stream) else request.call.deadline
+        latest = deadline - TRANSIT
         expires = min(latest, now + action.time_out) if action.time_out else latest
         ended = partial(self._ended, request, index, action.server, now)
         call = request.call
@@ -315,20 +336,33 @@
         self, request: Open, index: int, server: api.ServerId, since: int,
         result: Result, answer: Answer | None,
     ) -> None:
-        elapsed = self._now() - since
-        del request.out[index]
+        elapsed = self._now() - (request.out.pop(index).written_at or since)
         if answer is not None and not request.answered:
             if result is Result.OK:
                 self._answer(request.number, 200, answer.headers, answer.body)
             elif result is Result.REJECTED:
                 # The request is at fault: another server would say the same, and none is worse for it.
                 self._answer(request.number, answer.status, [], b"")
+        elif answer is not None and isinstance(answer.body, Stream):
+            answer.body.abandon()
+        if not request.answered and isinstance(request.call.body, Stream) and request.call.body.begun:
+            self._give_up(request, result)
         self._forget_if_done(request)
         report = self._report(answer.load) if answer is not None and answer.load else ()
         self._tell(
             api.Outcome(request.number, request.answered, result, elapsed, server, index, report)
         )
 
+    def _give_up(self, request: Open, result: Result) -> None:
+        """What has been passed on of a stream can't be sent again: no other attempt is possible."""
+        settings = self._config.settings
+        if result in NEVER_RAN:
+            aim = settings.classes[request.call.class_index].aim
+            wait = min(aim, settings.max_retry_after) if settings.retry_after else 0
+            self._refuse(request.number, wait)
+        else:
+            self._answer(request.number, 504 if result is Result.TIMEOUT else 502, [])
+
     def _report(self, text: bytes) -> tuple[float, ...]:
         """The load report in the order of the settings; nothing, if a field is missing or unreadable."""
         try:
--- a/driftstair/net/request.py
+++ b/driftstair/net/request.py
@@ -8,17 +8,21 @@
 
 import httptools
 
-from driftstair.net.upstream import BODY_MOST, HEAD_MOST, HOP_BY_HOP
+from driftstair.net.flow import HELD_WHOLE, INLINE_MOST, LONGEST, Budget, Stream
+from driftstair.net.upstream import HEAD_MOST, HOP_BY_HOP
 from driftstair.settings import Config
 from lichenspring.interface import Repeat
 
 FIELDS_MOST = 100  # headers
-FRAMING_MOST = 8 * BODY_MOST  # bytes that a body may take with its chunks' framing
+FRAMING_LEAST = 512 << 10  # bytes that a body may take with its chunks' framing, however short it is
+FRAMING_TIMES = 8  # and so many for each of its own: a chunk of one byte takes six
 SLICE = 4096  # bytes read at once: what a client has sent ahead is read as its answers go out
+SLICE_BODY = 64 << 10  # the same within a long body
 
 UP, API = b"/up", b"/api"
 DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 UNITS = {b"m": 1_000_000, b"u": 1_000}
+ABSOLUTE = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
 IDENTITY = re.compile(rb"[0-9A-Za-z._:~-]{1,64}")
 NOT_FORWARDED = HOP_BY_HOP | {b"x-deadline", b"expect"}
 SINGLE = frozenset((
@@ -36,12 +40,21 @@
         self.status = status
 
 
+def origin_form(url: bytes) -> bytes:
+    """A target without scheme and host, where it names them (RFC 9112, section 3.2.2)."""
+    found = ABSOLUTE.match(url)
+    if found is None:
+        return url
+    rest = url[found.end() :]
+    return rest if rest.startswith(b"/") else b"/" + rest
+
+
 class Incoming:
-    """One request; whole once its reader hands it out."""
+    """One request; whole once its reader hands it out, but for a long body, which is a stream."""
 
     __slots__ = (
         "arrived", "body", "class_index", "expects", "fields", "headers", "keep_alive", "method", "path",
-        "patience", "size", "url",
+        "patience", "received", "reserved", "size", "stream", "url", "version",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -50,6 +63,10 @@
         self.fields: dict[bytes, bytes] = {}
         self.size = 0  # of the head, then of the body with its framing
         self.body = bytearray()
+        self.stream: Stream | None = None  # in place of the body
+        self.received = 0  # bytes of the body
+        self.reserved = 0  # bytes of the budget that the body has taken
+        self.version = b"1.1"
         self.keep_alive = True
         self.expects = False
         self.class_index = 0
@@ -59,6 +76,8 @@
     def check(self, config: Config, serves: Callable[[bytes], bool]) -> None:
         """Once the head has come; raises Rejected. The parser has seen to the framing. `serves` tells of
         paths beside the platform's."""
+        if not self.url.startswith(b"/"):
+            self.url = origin_form(self.url)
         self.path = self.url.split(b"?", 1)[0]
         if self.path == UP:
             return
@@ -86,7 +105,7 @@
 
     def check_length(self) -> None:
         length = self.fields.get(b"content-length", b"0")
-        if int(length) > BODY_MOST:  # the parser let only digits pass
+        if int(length) > LONGEST:  # the parser let only digits pass
             raise Rejected(413)
         coding = self.fields.get(b"transfer-encoding")
         if coding is not None and coding.lower() != b"chunked":
@@ -96,7 +115,13 @@
 
     def forwarded_head(self) -> bytes:
         """Request line and headers for a server, but for X-Deadline and the blank line."""
-        length = b"Content-Length: %d\r\n" % len(self.body) if self.method != b"GET" else b""
+        whole = len(self.body) if self.stream is None else self.stream.length
+        if self.method == b"GET":
+            length = b""
+        elif whole is None:
+            length = b"Transfer-Encoding: chunked\r\n"
+        else:
+            length = b"Content-Length: %d\r\n" % whole
         return b"%s %s HTTP/1.1\r\n%s%s" % (self.method, self.url, b"".join(self.headers), length)
 
 
@@ -104,8 +129,11 @@
     """Bytes to requests. Ends with the first one that is refused: `error` is the status of its answer."""
 
     def __init__(
-        self, config: Config, now: Callable[[], int], serves: Callable[[bytes], bool] = lambda _: False
-    ) -> None:
+        self, config: Config, now: Callable[[], int], serves: Callable[[bytes], bool] = lambda _: False,
+        budget: Budget | None = None,
+    ) -> None:  # fmt: skip
+        self._budget = budget or Budget(config.memory)
+        self.streaming: Stream | None = None  # the body of a request that was handed out before it was whole
         self._now = now
         self._serves = serves
         self.ready: deque[Incoming] = deque()
@@ -121,6 +149,15 @@
         self._parser = None
         self._rest = b""
         self.ready.clear()
+        self._give_back()
+        if self.streaming is not None:
+            self.streaming.break_off()
+            self.streaming = None
+
+    def _give_back(self) -> None:
+        if self._incoming is not None:
+            self._budget.give(self._incoming.reserved)
+            self._incoming.reserved = 0
 
     def feed(self, data: bytes) -> None:
         self._rest = self._rest + data if self._rest else data
@@ -130,7 +167,10 @@
         """Read until there is a request. Guards against one client that sends thousands ahead: all of them
         parsed at once would hold up the others, and fill the memory."""
         while self._parser is not None and self._rest and not self.ready and not self.error:
-            piece, self._rest = self._rest[:SLICE], self._rest[SLICE:]
+            if self.streaming is not None and self.streaming.is_full():
+                return  # whoever takes it is slower than the client
+            size = SLICE if self.streaming is None else SLICE_BODY
+            piece, self._rest = self._rest[:size], self._rest[size:]
             self._parse(piece)
 
     def _parse(self, piece: bytes) -> None:
@@ -146,15 +186,24 @@
         if incoming is not None and not self.error:
             # Lines without an end are never handed out.
             incoming.size += len(piece)
-            if incoming.size > (FRAMING_MOST if self._in_body else HEAD_MOST):
+            body_most = FRAMING_LEAST + FRAMING_TIMES * incoming.received
+            if incoming.size > (body_most if self._in_body else HEAD_MOST):
                 self.error = 413 if self._in_body else 431
         if self.error:
+            self._give_back()
             self._rest, self._incoming = b"", None
+            if self.streaming is not None:
+                self.streaming.break_off()
+                self.streaming = None
 
     def is_partial(self) -> bool:
         """Something has come of a request that is not whole."""
         return self._incoming is not None or bool(self._rest)
 
+    def in_body(self) -> bool:
+        """The head has come and the body has not, or not all of it."""
+        return self._incoming is not None and self._in_body
+
     def has_unread(self) -> bool:
         return bool(self._rest)
 
@@ -198,18 +247,45 @@
         incoming.check(self._config, self._serves)
         incoming.expects = incoming.fields.get(b"expect", b"").lower() == b"100-continue"
         incoming.size = 0
+        incoming.keep_alive = self._parser.should_keep_alive()
+        incoming.version = self._parser.get_http_version().encode()
         self._in_body = True
+        if int(incoming.fields.get(b"content-length", b"0")) > HELD_WHOLE:
+            self._hand_out(incoming)
 
     def on_body(self, data: bytes) -> None:
         incoming = self._incoming
         assert incoming is not None
-        incoming.body += data
-        if len(incoming.body) > BODY_MOST:
+        incoming.received += len(data)
+        if incoming.received > LONGEST:
             raise Rejected(413)
+        if incoming.stream is not None:
+            incoming.stream.put(data)
+            return
+        incoming.body += data
+        if incoming.received > INLINE_MOST:
+            if incoming.received <= HELD_WHOLE and self._budget.take(len(data)):
+                incoming.reserved += len(data)
+            else:
+                self._hand_out(incoming)
+
+    def _hand_out(self, incoming: Incoming) -> None:
+        """Before its body is whole: it is too long to be held until then."""
+        length = incoming.fields.get(b"content-length")
+        incoming.stream = self.streaming = Stream(None if length is None else int(length))
+        incoming.stream.put(bytes(incoming.body))
+        incoming.body.clear()
+        self._give_back()
+        incoming.arrived = self._now()
+        self.ready.append(incoming)
 
     def on_message_complete(self) -> None:
         incoming, self._incoming = self._incoming, None
         assert incoming is not None and self._parser is not None
+        if incoming.stream is not None:
+            self.streaming = None
+            incoming.stream.end()
+            return
         incoming.keep_alive = self._parser.should_keep_alive()
         incoming.arrived = self._now()
         self.ready.append(incoming)
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -9,14 +9,15 @@
 
 import httptools
 
+from driftstair.net.flow import INLINE_MOST, LAST_CHUNK, LONGEST, SILENCE_MOST, Stream, chunk, nothing
 from driftstair.net.system import SOCKETS, System
 from lichenspring.interface import Result, ServerId
 
-BODY_MOST = 64 << 10  # bytes of an answer
 HEAD_MOST = 16 << 10
 INTERIM_MOST = 16  # 1xx answers ahead of one
 REST = 5_000_000  # ns that a connection is left alone after an answer: what is behind it may be on its way
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
+UPLOAD_LOOK = 1_000_000_000  # ns between two looks at whether a long body gets on
 IDLE_SWEEPS = 20  # in that time
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
 HOP_BY_HOP = frozenset((
@@ -29,7 +30,7 @@
 class Answer(NamedTuple):
     status: int
     headers: list[tuple[bytes, bytes]]  # end to end, as they came
-    body: bytes
+    body: bytes | Stream  # one over INLINE_MOST comes on after the answer is told of
     load: bytes  # the load report; empty if there is none
 
 
@@ -37,18 +38,21 @@
     """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
 
     __slots__ = (
-        "_body", "_connection", "_dial", "_head", "_on_end", "_timer", "done", "expires", "first_byte",
-        "pool",
+        "_body", "_connection", "_dial", "_head", "_on_end", "_patience", "_timer", "done", "expires",
+        "first_byte", "moved", "pool", "written_at",
     )  # fmt: skip
 
     def __init__(
-        self, pool: Pool, head: bytes, body: bytes, expires: int,
+        self, pool: Pool, head: bytes, body: bytes | Stream, expires: int,
         on_end: Callable[[Result, Answer | None], None], first_byte: int = 0,
     ) -> None:  # fmt: skip
         self.pool = pool
         self.expires = expires  # monotonic ns
         self.first_byte = first_byte  # ns until the answer must have begun; 0: no such limit, or it has
         self.done = False
+        self.written_at = 0  # when the last byte of a stream was out, monotonic ns
+        self.moved = 0  # when a stream last got on
+        self._patience = expires - pool.pools.now()  # for a stream: from its last byte on
         self._head = head
         self._body = body
         self._on_end = on_end
@@ -95,7 +99,14 @@
             self._write(connection)
 
     def _write(self, connection: Connection) -> None:
-        left = self.expires - self.pool.pools.now()
+        now = self.pool.pools.now()
+        if isinstance(self._body, Stream):
+            self._connection, self.moved = connection, now
+            self._expires_at(now + UPLOAD_LOOK)
+            patience = self._patience // 1000
+            connection.send(self, b"%sX-Deadline: %du\r\n\r\n" % (self._head, patience), self._body)
+            return
+        left = self.expires - now
         if left <= 0:
             self.pool.put(connection)
             self.end(Result.CONNECT_FAILED)
@@ -113,12 +124,26 @@
         self._timer = asyncio.get_running_loop().call_later(delay / 1000, self._expire, at)
 
     def _expire(self, at: int) -> None:
-        if self.pool.pools.now() < at:
+        now = self.pool.pools.now()
+        if now < at:
             self._expires_at(at)
             return
+        uploads = self.moved and not self.written_at
+        if uploads and now - self.moved < SILENCE_MOST * 1e9:
+            self._expires_at(now + UPLOAD_LOOK)  # its time counts from its last byte
+            return
         written = self._connection is not None and self._connection.written
         self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
 
+    def uploaded(self) -> None:
+        """The last byte of a stream is out: its time counts from now on."""
+        self.written_at = self.pool.pools.now()
+        self.expires = self.written_at + self._patience
+        if self._timer is not None:
+            self._timer.cancel()
+        if not self.done:
+            self._expires_at(self.expires)
+
     def begins(self) -> None:
         """The first byte of its answer has come: from now on the whole time counts."""
         self.first_byte = 0
@@ -157,7 +182,7 @@
         self.closed = False
         self.idle_since = 0
         self._reusable = False
-        self._status = self._interims = 0
+        self._status = self._interims = self._length = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._load = b""
         self._not_run = False
@@ -166,6 +191,13 @@
         self._size = 0
         self._in_head = True
         self._whole = False  # the answer has come
+        self._until_close = False  # it ends with its connection
+        self._upload: Stream | None = None  # the rest of a request
+        self._stuffed = False  # the kernel takes no more of it for now
+        self._flow: Stream | None = None  # the rest of an answer
+        self._told = False  # of the answer that flows
+        self._stopped = False  # its taker is slow
+        self.moved = 0  # when it last got on, monotonic ns
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -179,24 +211,68 @@
         that is with the kernel still: the next client would get it for its own."""
         return self._quiet()
 
-    def send(self, attempt: Attempt, data: bytes) -> None:
+    def send(self, attempt: Attempt, data: bytes, rest: Stream | None = None) -> None:
         transport = self._transport
         assert transport is not None
         self._attempt = attempt
-        self._reusable = self.written = False
+        self._reusable = self.written = self._stuffed = self._told = False
         self._forget_answer()
         transport.write(data)
-        self.written = not transport.is_closing() and not transport.get_write_buffer_size()
+        if rest is None:
+            self.written = not transport.is_closing() and not transport.get_write_buffer_size()
+        else:
+            self._upload = rest
+            rest.on_more = self._pump
+            self._stuffed = bool(transport.get_write_buffer_size())
+            self._pump()
+
+    def _pump(self) -> None:
+        """Pass on what has come of a long body, as fast as the server takes it."""
+        transport, rest, attempt = self._transport, self._upload, self._attempt
+        if rest is None or transport is None or attempt is None or self._stuffed or transport.is_closing():
+            return
+        data = rest.take()
+        if rest.length is None:
+            data = chunk(data) + (LAST_CHUNK if rest.is_done() else b"")
+        if data:
+            attempt.moved = self._pool.pools.now()
+            transport.write(data)
+            self._stuffed = bool(transport.get_write_buffer_size())
+        if rest.is_done():
+            self._upload = None
+            if not self._stuffed and not transport.is_closing():
+                self._all_written()
+        else:
+            rest.passed_on()
 
-    def resume_writing(self) -> None:
+    def _all_written(self) -> None:
         self.written = self._attempt is not None
+        if self._attempt is not None and self._attempt.moved:
+            self._attempt.uploaded()
+
+    def resume_writing(self) -> None:
+        self._stuffed = False
+        if self._upload is not None:
+            self._pump()
+        else:
+            self._all_written()
+
+    def eof_received(self) -> None:
+        # An answer with no length that said so ends here (RFC 9112, section 6.3); any other one is cut.
+        if self._until_close and not self._in_head and not self._whole:
+            self._whole = True
+            self._reusable = False
+            if self._flow is not None:
+                self._flow_on()
+            else:
+                self._complete()
 
     def _forget_answer(self) -> None:
-        self._status = self._size = self._interims = 0
+        self._status = self._size = self._interims = self._length = 0
         self._headers = []
         self._body = []
         self._load = b""
-        self._not_run = self._framed = self._whole = False
+        self._not_run = self._framed = self._whole = self._until_close = False
         self._in_head = True
 
     def release(self, attempt: Attempt) -> None:
@@ -204,6 +280,11 @@
         if self._attempt is not attempt:
             return
         self._attempt = None
+        if self._upload is not None:
+            self._upload.on_more = nothing
+            self._upload = None
+        if self._flow is not None:
+            return  # the answer goes on
         if self._reusable and self.written and not self.closed:
             self._pool.put(self)
         else:
@@ -214,11 +295,12 @@
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        if self._attempt is None or self._parser is None:  # nothing was asked
+        attempt = self._attempt
+        if (attempt is None and self._flow is None) or self._parser is None:  # nothing was asked
             self.close()
             return
-        if self._attempt.first_byte:
-            self._attempt.begins()
+        if attempt is not None and attempt.first_byte:
+            attempt.begins()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -226,7 +308,9 @@
                 self._break(Result.ERROR)
                 return
             self._reusable = False
-        if self._whole:
+        if self._flow is not None:
+            self._flow_on()
+        elif self._whole:
             self._complete()
         elif self._in_head:
             self._size += len(data)
@@ -242,12 +326,75 @@
     def _break(self, result: Result = Result.RESET) -> None:
         """The connection can't bring the answer any more. An answer that came spoilt is an error: a reset
         would tell of a connection that was lost, and of the others that they may be."""
-        attempt = self._attempt
+        attempt, flow = self._attempt, self._flow
         self._reusable = False
-        if attempt is not None:
+        if flow is not None and self._told:
+            self._end_flow()
+            flow.break_off()
+        elif attempt is not None:
+            self._end_flow()
             attempt.end(result if self.written else Result.CONNECT_FAILED)
         self.close()
 
+    # An answer that is passed on as it comes.
+
+    def _begin_flow(self, length: int | None) -> None:
+        self._flow = Stream(length)
+        for piece in self._body:
+            self._flow.put(piece)
+        self._body = []
+
+    def _flow_on(self) -> None:
+        """More of it has come, or its end. It is told of first: its taker has to be there."""
+        flow, attempt, transport = self._flow, self._attempt, self._transport
+        assert flow is not None and transport is not None
+        self.moved = self._pool.pools.now()
+        if not self._told and attempt is not None:
+            self._told = True
+            self._pool.pools.flows[self] = None
+            flow.on_room = self._room
+            attempt.end(Result.OK, Answer(self._status, self._headers, flow, self._load))
+        if flow.broken:
+            self.close()  # nobody takes it
+        elif self._whole:
+            self._end_flow()
+            flow.end()
+            if self._reusable and self.written and not self.closed:
+                self._pool.put(self)
+            else:
+                self.close()
+        elif flow.is_full() and not self._stopped:
+            self._stopped = True
+            transport.pause_reading()
+
+    def _room(self) -> None:
+        flow, transport = self._flow, self._transport
+        if flow is None or transport is None:
+            return
+        self.moved = self._pool.pools.now()
+        if flow.broken:
+            self._end_flow()
+            self.close()
+        elif self._stopped and not transport.is_closing():
+            self._stopped = False
+            transport.resume_reading()
+
+    def _end_flow(self) -> None:
+        flow, self._flow = self._flow, None
+        self._pool.pools.flows.pop(self, None)
+        if flow is not None:
+            flow.on_room = nothing
+        if self._stopped and self._transport is not None and not self._transport.is_closing():
+            self._stopped = False
+            self._transport.resume_reading()
+
+    def is_stuck(self, before: int) -> bool:
+        """Nothing has come of its answer since, though it was wanted."""
+        return not self._stopped and self.moved < before
+
+    def give_up(self) -> None:
+        self._break()
+
     # What the parser finds.
 
     def on_message_begin(self) -> None:
@@ -262,13 +409,17 @@
         lower = name.lower()
         if lower == b"x-load":
             self._load = value
+        elif not self._in_head:
+            pass  # a trailer
+        elif lower == b"connection":
+            self._until_close |= value.strip().lower() == b"close"
         elif lower == b"x-not-run":
             self._not_run = value.strip() == b"1"
         elif lower == b"content-length":
             # Refused at its head: up to the limit, a body is read before it shows that it does not end.
-            if int(value) > BODY_MOST:
+            if int(value) > LONGEST:
                 raise ValueError("an answer that is too long")
-            self._framed = True
+            self._framed, self._length = True, int(value)
         elif lower == b"transfer-encoding":
             self._framed = True
         elif lower not in HOP_BY_HOP:
@@ -281,17 +432,28 @@
             self._interims += 1
             if self._interims > INTERIM_MOST:
                 raise ValueError("interim answers without end")
-        elif not self._framed and self._status not in (204, 304):
+        elif self._framed or self._status in (204, 304):
+            self._until_close = False
+        elif self._parser.get_http_version() == "1.0":
+            self._until_close = True
+        elif not self._until_close:
             # It would end with its connection, and so would one that was cut.
             raise ValueError("an answer with neither length nor end")
         self._in_head = False
         self._size = 0
+        if self._status == 200 and self._length > INLINE_MOST:
+            self._begin_flow(self._length)
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
-        if self._size > BODY_MOST:
+        if self._size > (LONGEST if self._status == 200 else INLINE_MOST):
             raise ValueError("an answer that is too long")
+        if self._flow is not None:
+            self._flow.put(data)
+            return
         self._body.append(data)
+        if self._size > INLINE_MOST:
+            self._begin_flow(None)
 
     def on_message_complete(self) -> None:
         if self._status >= 200:  # an interim answer is followed by the real one
@@ -377,6 +539,7 @@
         self.system = system
         self.now = system.monotonic_ns
         self.sockets = 0  # open or being dialed
+        self.flows: dict[Connection, None] = {}  # whose answers are passed on as they come
         self.dial_timeout = dial_timeout
         self.idle_limit = int(idle_close * IDLE_PART)
         self._sockets_most = sockets_most
@@ -390,6 +553,9 @@
         before = self.now() - self.idle_limit
         for pool in self._pools.values():
             pool.drop_idle(before)
+        stuck = self.now() - int(SILENCE_MOST * 1e9)
+        for connection in [one for one in self.flows if one.is_stuck(stuck)]:
+            connection.give_up()
         self.start()
 
     def get(self, server: ServerId) -> Pool | None:
--- a/driftstair/settings.py
+++ b/driftstair/settings.py
@@ -25,4 +25,5 @@
     dial_timeout: int  # ns
     idle_close: int  # ns
     open_cap: int  # requests that the node may hold
+    memory: int = 64 << 20  # bytes that the process may take
     operators: tuple[str, int] | None = None  # where they call
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,343 @@
+"""Long answers and bodies on their way through the node, in every framing, whole, slow, cut and given up."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from rig import Client, Message, Rig, Server, answer, configuration, request, run, status, until
+
+from driftstair.admission.pace import GRACE, RATE_LEAST, Pace
+from driftstair.net import flow, upstream
+from driftstair.net.flow import HELD_MOST, Budget, Stream
+from lichenspring.interface import Result
+
+LONG = bytes(range(256)) * 12_000  # 3 MB, and no two pieces alike
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def chunked(body: bytes, size: int = 70_001) -> bytes:
+    pieces = [body[at : at + size] for at in range(0, len(body), size)]
+    return b"".join(b"%X;x=y\r\n%s\r\n" % (len(one), one) for one in pieces) + b"0\r\nX-Trailer: t\r\n\r\n"
+
+
+async def read_any(client: Client) -> tuple[int, bytes, dict[bytes, bytes]]:
+    """An answer in whatever framing; raises IncompleteReadError if it is cut."""
+    reader = client.reader
+    lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
+    fields = {name.lower(): value for name, _, value in (line.partition(b": ") for line in lines[1:])}
+    if fields.get(b"transfer-encoding") != b"chunked":
+        return int(lines[0][9:12]), await reader.readexactly(int(fields[b"content-length"])), fields
+    body = bytearray()
+    while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+        body += await reader.readexactly(size)
+        assert await reader.readexactly(2) == b"\r\n"
+    assert await reader.readexactly(2) == b"\r\n"
+    return int(lines[0][9:12]), bytes(body), fields
+
+
+@pytest.mark.parametrize(("data", "closes"), [
+    (answer(body=LONG), False),
+    (answer(body=LONG[: flow.INLINE_MOST + 1]), False),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(LONG), False),
+    (HEAD + b"TRANSFER-ENCODING: Chunked\r\n\r\n" + chunked(LONG[:100_000], 1000), False),
+    (HEAD + b"Connection: close\r\n\r\n" + LONG, True),
+    (HEAD + b"Connection: close\r\n\r\nshort", True),
+    (b"HTTP/1.0 200 OK\r\n\r\n" + LONG, True),
+], ids=["length", "just over", "chunks", "odd chunks", "until close", "short", "1.0"])  # fmt: skip
+def test_a_long_answer_comes_whole_in_every_framing(
+    data: bytes, closes: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "REST", 0)
+
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        if closes:
+            writer.close()
+
+    async def test() -> None:
+        async with Server("s-1", script) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            for _ in range(2):  # the connections, too, are as good as before
+                client.writer.write(request())
+                got, body, _ = await read_any(client)
+                assert got == 200
+                assert len(body) in (5, 65537, 100_000, len(LONG)) and (b"short" + LONG).find(body) in (0, 5)
+            assert server.connections == (2 if closes else 1)
+            assert [one.result for one in rig.spy.outcomes()] == [Result.OK] * 2
+            assert not rig.node._pools.flows and not rig.front.flows
+
+    run(test())
+
+
+def test_a_slow_reader_stops_the_server_and_not_the_node() -> None:
+    sent = 0
+
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (40 << 20))
+        for _ in range(40 << 4):
+            writer.write(b"x" * (1 << 16))
+            await writer.drain()
+            sent += 1 << 16
+
+    async def test() -> None:
+        async with Server("s-1", script) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request())
+            await client.reader.readuntil(b"\r\n\r\n")
+            await until(lambda: any(one._stopped for one in rig.node._pools.flows))
+            (passed,) = rig.node._pools.flows
+            assert passed._flow is not None and passed._flow._held <= HELD_MOST + (256 << 10)
+            assert sent < 40 << 20
+            assert len(await client.reader.readexactly(40 << 20)) == 40 << 20  # all of it, once it reads
+            assert sent == 40 << 20
+
+    run(test())
+
+
+@pytest.mark.parametrize("framing", [
+    b"Content-Length: 9000000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n80000\r\n",
+])  # fmt: skip
+def test_a_client_can_tell_that_a_long_answer_was_cut(framing: bytes) -> None:
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + framing + b"x" * 200_000)
+        await writer.drain()
+        writer.close()
+
+    async def test() -> None:
+        async with Server("s-1", script) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request())
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                await read_any(client)
+            assert len(server.seen) == 1  # what has begun to go out can't be taken back
+
+    run(test())
+
+
+def test_an_answer_without_end_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "LONGEST", 1 << 20)
+
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        while not writer.is_closing():
+            writer.write(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+            await writer.drain()
+
+    async def test() -> None:
+        async with Server("s-1", script) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request())
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                await read_any(client)
+            await until(lambda: not server.open)
+
+    run(test())
+
+
+def test_a_client_that_leaves_ends_its_long_answer() -> None:
+    """One that ends its sending may still read, so it is known to be gone once more is written to it."""
+
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + b"Content-Length: 40000000\r\n\r\n")
+        while not writer.is_closing():
+            writer.write(b"x" * 1000)
+            await writer.drain()
+            await asyncio.sleep(0.001)
+
+    async def test() -> None:
+        async with Server("s-1", script) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request())
+            await client.reader.readuntil(b"\r\n\r\n")
+            client.writer.transport.abort()
+            await until(lambda: not server.open)
+            await until(lambda: not rig.front._connections)
+            assert not rig.node._pools.flows and not rig.node._open
+
+    run(test())
+
+
+def upload(length: int, framing: str = "length") -> tuple[bytes, bytes]:
+    """Head and framed body of an unsafe request."""
+    head = request("order").replace(b"Content-Length: 0\r\n", b"")[:-2]
+    body = LONG[:length]
+    if framing == "length":
+        return head + b"Content-Length: %d\r\n\r\n" % length, body
+    return head + b"Transfer-Encoding: chunked\r\n\r\n", chunked(body)
+
+
+class Taker:
+    """A server that notes what it is sent, byte by byte."""
+
+    def __init__(self) -> None:
+        self.got = bytearray()
+        self.whole = asyncio.Event()
+        self.ended = asyncio.Event()
+
+    async def __aenter__(self) -> Taker:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.server = Server("s-1")
+        self.server.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(1 << 16):
+                self.got += data
+                if self.got.endswith((b"0\r\n\r\n", LONG[-1000:])):
+                    self.whole.set()
+                    writer.write(answer())
+        except OSError:
+            pass
+        self.ended.set()
+        writer.close()
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("length", [65_537, 900_000, len(LONG)])
+def test_a_long_body_arrives_whole(length: int, framing: str) -> None:
+    """The shorter ones are held until they are whole, the longest goes on as it comes."""
+
+    async def count(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(body=b"%d" % len(message.body)))
+
+    async def test() -> None:
+        head, body = upload(length, framing)
+        async with Taker() as taker, Server("s-2", count) as server:
+            streamed = length == len(LONG)
+            async with Rig(configuration(taker.server if streamed else server)) as rig:
+                client = await rig.client()
+                client.writer.write(head + body[:100])
+                for at in range(100, len(body), 50_000):
+                    client.writer.write(body[at : at + 50_000])
+                    await client.writer.drain()
+                got = await client.read()
+                assert status(got) == 200
+                if streamed:
+                    _, _, came = bytes(taker.got).partition(b"\r\n\r\n")
+                    if framing == "chunked":
+                        came = dechunked(came)
+                    assert came == LONG
+                else:
+                    assert got.body == b"%d" % length
+                # It is read on after that, and nothing of the budget is kept.
+                client.writer.write(request(target="/up", method="GET"))
+                assert status(await client.read()) == 200
+                assert rig.front.budget.left == Budget(rig.config.memory).left and not rig.front.bodies
+
+    run(test())
+
+
+def dechunked(data: bytes) -> bytes:
+    body = bytearray()
+    while True:
+        line, _, data = data.partition(b"\r\n")
+        if not (size := int(line, 16)):
+            return bytes(body)
+        body += data[:size]
+        data = data[size + 2 :]
+
+
+def test_half_a_long_body_runs_nowhere() -> None:
+    async def test() -> None:
+        head, body = upload(len(LONG))
+        async with Taker() as taker, Rig(configuration(taker.server)) as rig:
+            client = await rig.client()
+            client.writer.write(head + body[:2_000_000])
+            await until(lambda: len(taker.got) > 1_000_000)
+            client.writer.close()
+            await asyncio.wait_for(taker.ended.wait(), 10)
+            assert not taker.whole.is_set()
+            await until(lambda: not rig.node._open)
+
+    run(test())
+
+
+def test_a_body_that_stops_is_told_so_and_its_attempt_ended() -> None:
+    async def test() -> None:
+        head, body = upload(len(LONG))
+        async with Taker() as taker, Rig(configuration(taker.server)) as rig:
+            client = await rig.client()
+            client.writer.write(head + body[:1_500_000])
+            await until(lambda: len(taker.got) > 1_000_000)
+            (pace,) = rig.front.bodies.values()
+            pace.since -= 60.0  # a minute for 1.5 MB
+            assert status(await client.read()) == 408
+            await asyncio.wait_for(taker.ended.wait(), 10)
+
+    run(test())
+
+
+@pytest.mark.parametrize(("whole", "expected", "result"), [
+    (False, 503, Result.CONNECT_FAILED), (True, 502, Result.RESET),
+])  # fmt: skip
+def test_what_was_passed_on_is_not_sent_again(whole: bool, expected: int, result: Result) -> None:
+    """Broken before the last byte it can't have begun, which is a refusal; after that it may have run."""
+
+    async def cut(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(LONG) if whole else 100_000)
+        writer.transport.abort()
+
+    async def test() -> None:
+        head, body = upload(len(LONG))
+        listening = await asyncio.start_server(cut, "127.0.0.1", 0)
+        broken, other = Server("s-1"), Server("s-2")
+        broken.address = other.address = "{}:{}".format(*listening.sockets[0].getsockname())
+        async with Rig(configuration(broken, other)) as rig:
+            client = await rig.client()
+            client.writer.write(head + (body if whole else body[:1_500_000]))
+            got = await client.read()
+            assert status(got) == expected
+            assert ("retry-after" in got.headers) is (expected == 503)
+            assert [one.result for one in rig.spy.outcomes()] == [result]
+        listening.close()
+
+    run(test())
+
+
+def test_targets_with_a_host_are_served_as_those_without() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request(target="HTTP://service.internal/api?a=b"))) == 200
+            assert server.seen[0].first == "GET /api?a=b HTTP/1.1"
+
+    run(test())
+
+
+def test_the_pace_of_a_body() -> None:
+    for rate, slow in ((64_000, False), (RATE_LEAST / 2, True), (0, True)):
+        pace, seen = Pace(100.0), False
+        for tenth in range(100):
+            pace.received = int(rate * tenth / 10)
+            seen |= pace.is_too_slow(100.0 + tenth / 10)
+        assert seen is slow
+    pace = Pace(100.0)
+    pace.stop(100.5)  # the node does not read: no fault of the client's
+    assert not pace.is_too_slow(150.0)
+    pace.go_on(150.0)
+    assert not pace.is_too_slow(150.0 + GRACE - 0.6) and pace.is_too_slow(150.0 + GRACE)
+
+
+def test_a_stream_tells_both_sides() -> None:
+    told: list[str] = []
+    stream = Stream()
+    stream.on_more, stream.on_room = lambda: told.append("more"), lambda: told.append("room")
+    stream.put(b"x" * HELD_MOST)
+    assert stream.is_full() and not stream.begun
+    assert stream.take() == b"x" * HELD_MOST and stream.begun and not stream.is_full()
+    assert told == ["more"]  # what was taken is not on its way yet: more must not overtake it
+    stream.passed_on()
+    stream.put(b"y")
+    stream.end()
+    assert not stream.is_done() and stream.take() == b"y" and stream.is_done()
+    assert told == ["more", "room", "more", "more"]
+    stream.abandon()
+    stream.put(b"z")
+    assert stream.take() == b"" and told[-1] == "room"
