--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -224,7 +224,10 @@
         return self.drain is not None and self.drain.refuses(self._loop.time())
 
     def counters(self) -> dict[str, int]:
-        return {"client_connections": self._open, "closed_early": self.places.closed_early}
+        return {
+            "client_connections": self._open, "closed_early": self.places.closed_early,
+            "streams_up": len(self.bodies), "streams_down": len(self.flows),
+        }  # fmt: skip
 
     def leaves(self, connection: ClientConnection, rejected: bool) -> None:
         now = self._loop.time()
