Cold servers' reports count for themselves, not for their kind; none idle closed in an upgrade

Cold servers stood at 0.2 to 0.4 of their cores all the while.

Beside another process of its node a front closes none; answers may still tell clients to go.

Change: a cold server's report is its own; with room by it, it takes up to 1.6 times its warmth's part (0.8).

--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -97,7 +97,14 @@
             async with asyncio.timeout(PATIENCE):
                 loop = asyncio.get_running_loop()
                 await loop.sock_sendall(self._link, b"serving\n")
-                await loop.sock_recv(self._link, 64)
+                await loop.sock_recv(self._link, 64)  # nothing more is said until its end
+
+
+    async def ended(self) -> None:
+        """Wait until it is gone."""
+        with suppress(OSError):
+            await asyncio.get_running_loop().sock_recv(self._link, 64)
+        self._link.close()
 
 
 def find_predecessor(store: Store) -> Predecessor | None:
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -100,6 +100,8 @@
             self._node.recall(state.learned)
         self._front.hand_over(False)
         self._current = True
+        await predecessor.ended()
+        self._front.stands_alone()
 
     def close(self) -> None:
         if self._settling is not None:
@@ -180,6 +182,8 @@
     def _handed(self, away: bool) -> None:
         log.info("clients are taken by %s", "the process after this one" if away else "this process again")
         self._front.hand_over(away)
+        if not away:
+            self._front.stands_alone()
 
 
 def _text(address: tuple[str, int]) -> str:
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -60,6 +60,7 @@
 ANSWERED_LATELY = 2 * SECOND  # a failed connection is no failure of a server that did
 EJECT_TIME = 2 * SECOND  # doubles with each failed trial
 COLD_CAUTION = 0.8  # of what a warm server takes: a cold server's keys are cold too and cost more
+COLD_MOST = 1.6  # the same where its own report says that it has room: far from pushed over
 RATE_FALLS = 0.05  # part of the way to a lower rate of warm servers that a window goes
 COLD_BURST = 2.0  # requests that a cold server's budget may save up
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
@@ -384,7 +385,7 @@
         # Where servers report, only a report tells that one is idle again: an answer may come without one.
         if outcome.result is Result.OK and "utilization" not in self._settings.report_fields:
             attempt.backend.busy = 0.0
-        self._note_report(attempt.backend, outcome.report)
+        self._note_report(now, attempt.backend, outcome.report)
         if outcome.result is Result.TIMEOUT and not attempt.backend.ejected_until:
             until = now + min(outcome.elapsed, entry.kind.aim)
             # A server may go on with work that nobody waits for: freed at once, it would be filled again.
@@ -634,11 +635,18 @@
         warmth = self._warmth(now, backend.entry)
         if warmth >= 1.0:
             return True
-        share = COLD_CAUTION * warmth * self._rate * backend.entry.weight
+        share = self._cold_part(backend) * warmth * self._rate * backend.entry.weight
         backend.tokens = min(COLD_BURST, backend.tokens + share * (now - backend.refilled))
         backend.refilled = now
         return backend.tokens >= 1.0
 
+    def _cold_part(self, backend: Backend) -> float:
+        """Of what a warm server takes, for its warmth, which is a lower bound: after a release cold servers
+        stood at a third of their cores, while the few warm ones were overdriven with all the rest."""
+        if not backend.busy:
+            return COLD_CAUTION  # no report has come since it started
+        return min(COLD_MOST, max(COLD_CAUTION, COLD_CAUTION * BUSY_ABOVE / backend.busy))
+
     def _warmth(self, now: int, server: api.Server) -> float:
         """The part of its work that a server does at least, by the time since its start."""
         if not server.started:
@@ -689,20 +697,24 @@
 
     # The health of servers.
 
-    def _note_report(self, backend: Backend, report: tuple[float, ...]) -> None:
+    def _note_report(self, now: int, backend: Backend, report: tuple[float, ...]) -> None:
         values = dict(zip(self._settings.report_fields, report, strict=False))
         if "utilization" in values:
-            self._note_busy(backend, min(1.0, max(0.0, values["utilization"])))
+            self._note_busy(now, backend, min(1.0, max(0.0, values["utilization"])))
 
-    def _note_busy(self, backend: Backend, busy: float) -> None:
+    def _note_busy(self, now: int, backend: Backend, busy: float) -> None:
         kind = self._kinds[backend.entry.kind]
         backend.busy = busy
+        if self._warmth(now, backend.entry) < 1.0:
+            # It is sent little on purpose. Guards against a kind that looks idle by its cold servers: all the
+            # others' keys would go to the one that is warm, and overdrive it.
+            return
         kind.reports += "utilization" in self._settings.report_fields
         kind.busy += max(KIND_WEIGHT, 1 / max(1, kind.reports)) * (busy - kind.busy)
 
     def _judge(self, now: int, backend: Backend, result: Result, class_index: int) -> None:
         if result is Result.TIMEOUT and not backend.ejected_until:
-            self._note_busy(backend, 1.0)  # the busiest don't answer
+            self._note_busy(now, backend, 1.0)  # the busiest don't answer
         # A full server answers fast and has nothing of ours: by load in flight it would look best.
         if result in (Result.OK, Result.FULL):
             full = backend.fullness[class_index]
@@ -778,7 +790,7 @@
             return
         if server.started != backend.entry.started:
             backend.forgive()
-            backend.tokens, backend.refilled = self._random.random(), now
+            backend.tokens, backend.refilled, backend.busy = self._random.random(), now, 0.0
         backend.entry = server
 
     def _rebuild(self, now: int) -> None:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 from collections.abc import Callable
 
@@ -11,6 +12,7 @@
 from lichenspring import Balancer
 from lichenspring import interface as api
 from lichenspring.interface import Result
+from lichenspring.memory import recall, remembered
 
 
 def window(node: Node, count: int, elapsed: int, class_index: int = 0) -> None:
@@ -869,3 +871,56 @@
                 node.end(send, Result.TIMEOUT, 300 * MS)
         node.wait(300 * MS)
     assert max(node.balancer._caps) < 1.0
+
+
+def test_cold_servers_do_not_make_their_kind_look_idle() -> None:
+    """They are sent little on purpose; by their reports the one warm server of their kind got all keys."""
+    node = machines()
+    cold = [server(n, started=node.now)._replace(kind=n % 2) for n in range(3, 20, 2)]
+    node.tell(api.ServerList(api.ListKind.DELTA, tuple(cold)))
+    for n in range(600):
+        send = node.ask(0, 100 + n)[-1]
+        if isinstance(send, api.Send):
+            is_cold = send.server in {one.id for one in cold}
+            node.end(send, Result.OK, 10 * MS, (0.1 if is_cold else 0.8,))
+        node.wait(5 * MS)
+    kinds = node.balancer._kinds
+    assert abs(kinds[0].share - kinds[1].share) < 0.1
+
+
+@pytest.mark.parametrize(("busy", "part"), [(0.0, 0.8), (0.7, 0.8), (0.95, 0.8), (0.4, 1.4), (0.1, 1.6)])
+def test_a_cold_server_with_room_by_its_report_takes_more(busy: float, part: float) -> None:
+    node = Node()
+    backend = node.balancer._ready[0]
+    backend.busy = busy
+    assert node.balancer._cold_part(backend) == pytest.approx(part)
+
+
+def test_the_part_of_cold_servers_outlasts_a_jam_of_the_warm_ones() -> None:
+    """By the rate of a jam they got next to nothing, and the warm ones all the rest, for ten seconds."""
+    node = Node()
+    for key in range(1, 600):
+        node.serve(key)
+        node.wait(5 * MS)
+    rate = node.balancer._rate
+    node.wait(2 * SECOND)  # nothing is sent
+    assert 0.7 * rate < node.balancer._rate < rate
+
+
+def test_what_was_learned_goes_to_the_next_balancer() -> None:
+    node, other = Node(), Node(seed=2)
+    for _ in range(6):
+        window(node, 30, 450 * MS)
+    failing = node.balancer._ready[0]
+    failing.failures, failing.ejected_until = 0.9, node.now + 5 * SECOND
+    (send,) = node.ask(0, 7)
+    other.now = node.now
+    recall(other.balancer, other.now, json.loads(json.dumps(remembered(node.balancer))))
+    assert other.balancer._caps == pytest.approx(node.balancer._caps)
+    assert other.balancer._ready[0].ejected_until == failing.ejected_until
+    # What the old one has out counts for its usual time, and no longer.
+    assert other.balancer._in_flight.count == 1 and isinstance(send, api.Send)
+    other.wait(3 * SECOND)
+    assert other.balancer._in_flight.count == 0
+    with pytest.raises((KeyError, TypeError, ValueError, AttributeError)):
+        recall(other.balancer, other.now, {"breakers": []})
