--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -1,5 +1,5 @@
-"""What long answers cost: throughput through a node against straight from the server, and the node's memory while
-many clients read slowly. Loopback only, bounded in count and time; figures are ratios of one run.
+"""What long answers cost: throughput through a node against straight from the server, and the node's memory
+while many clients read slowly. Loopback only, bounded in count and time; figures are ratios of one run.
 
     python benchmarks/streams.py [--json]
 """
@@ -35,7 +35,9 @@
         await writer.drain()
 
 
-async def fetch(address: tuple[str, int], amount: int = SIZE) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+async def fetch(
+    address: tuple[str, int], amount: int = SIZE
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     reader, writer = await asyncio.open_connection(*address, limit=1 << 18)
     writer.write(request())
     await reader.readuntil(b"\r\n\r\n")
--- a/driftstair/net/flow.py
+++ b/driftstair/net/flow.py
@@ -38,7 +38,10 @@
 class Stream:
     """Pieces in order. One side puts in and ends or breaks it; the other takes out."""
 
-    __slots__ = ("_held", "_pieces", "_was_full", "begun", "broken", "ended", "length", "on_more", "on_room")
+    __slots__ = (
+        "_halted", "_held", "_pieces", "_was_full", "begun", "broken", "ended", "length",
+        "on_more", "on_room",
+    )  # fmt: skip
 
     def __init__(self, length: int | None = None) -> None:
         self.length = length  # in all, where it is known
@@ -50,6 +53,7 @@
         self._pieces: list[bytes] = []
         self._held = 0
         self._was_full = False
+        self._halted = False
 
     def put(self, data: bytes) -> None:
         if data and not self.broken:
@@ -95,8 +99,14 @@
             self._was_full = False
             self.on_room()
 
+    def halt(self, halted: bool) -> None:
+        """Whether what was taken is held up on its way. Guards against a source that goes on bringing
+        what its taker has to hold twice, here and before the socket: 500 KB for each slow reader."""
+        self._halted = halted
+        self._was_full |= halted
+
     def is_full(self) -> bool:
-        return self._held >= HELD_MOST
+        return self._halted or self._held >= HELD_MOST
 
     def is_done(self) -> bool:
         """All has been put in and taken out."""
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -559,6 +559,7 @@
         if data:
             transport.write(data)
             self._front.moves(self)
+            flow.halt(bool(transport.get_write_buffer_size()))
         if flow.is_done():
             self._all_out = True
             flow.on_more = nothing
@@ -578,6 +579,7 @@
             if self._all_out:
                 self._flowed()
             else:
+                self._flow.halt(False)
                 self._pass_on()
         elif self._slow_reader is not None:
             self._slow_reader.cancel()
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -15,6 +15,10 @@
 from contextlib import suppress
 from typing import Any, Protocol
 
+RECEIVES = 64 << 10
+"""Bytes that a socket takes in ahead, and so what one read brings at most, about: what the node has to hold
+for a slow reader."""
+
 Factory = Callable[[], asyncio.BaseProtocol]
 
 
@@ -92,6 +96,7 @@
         own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if shared:
             own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)  # for what is accepted too
         own.setblocking(False)
         own.bind((host, port))
         own.listen(backlog)
@@ -120,6 +125,7 @@
         poll.register(own.fileno(), select.POLLIN)
         with suppress(OSError):  # it may be broken already
             own.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
         return lambda: not poll.poll(0)
 
 
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -238,6 +238,7 @@
             attempt.moved = self._pool.pools.now()
             transport.write(data)
             self._stuffed = bool(transport.get_write_buffer_size())
+            rest.halt(self._stuffed)
         if rest.is_done():
             self._upload = None
             if not self._stuffed and not transport.is_closing():
@@ -253,6 +254,7 @@
     def resume_writing(self) -> None:
         self._stuffed = False
         if self._upload is not None:
+            self._upload.halt(False)
             self._pump()
         else:
             self._all_written()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -12,7 +12,7 @@
 from driftstair.net.flow import HELD_MOST, Budget, Stream
 from lichenspring.interface import Result
 
-LONG = bytes(range(256)) * 12_000  # 3 MB, and no two pieces alike
+LONG = b"".join(b"%08d" % number for number in range(384_000))  # 3 MB, and no two pieces alike
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
