--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -452,6 +452,9 @@
         self._version = incoming.version
         self._reserved, incoming.reserved = incoming.reserved, 0
         self._deadline = 0
+        if incoming.stream is not None:
+            self._upload = incoming.stream
+            incoming.stream.on_room = self._next
         if incoming.path == UP:
             self.answer(200 if self._front.is_up() else 503, [], b"")
             return
@@ -460,9 +463,6 @@
             return
         call = self._call(incoming)
         self._deadline = 0 if incoming.stream is not None else call.deadline
-        if incoming.stream is not None:
-            self._upload = incoming.stream
-            incoming.stream.on_room = self._next
         number = self._front.node.take(call)
         if self._busy and not self._ends and self._flow is None:
             self._number = number
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -301,6 +301,21 @@
     run(test())
 
 
+def test_a_long_body_that_nobody_takes_ends_its_connection() -> None:
+    """Answered before it was whole: what is left of it must not be read as the next request."""
+
+    async def test() -> None:
+        head, body = upload(len(LONG))
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(head.replace(b" /api ", b" /up ") + body[:200_000])
+            got = await client.read()
+            assert status(got) == 200 and got.headers["connection"] == "close"
+            assert await client.ended() == b"" and not server.seen
+
+    run(test())
+
+
 def test_targets_with_a_host_are_served_as_those_without() -> None:
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
