The old process takes clients until the new one does: no moment in which neither takes any

Ruled out: connections closed for room, a full table, want of descriptors, connections left at the old one's end (counters in a throwaway copy: none in an upgrade).

Change: the new process has what is kept brought up to date, takes clients, and only then tells the old one to stop.

--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -4,8 +4,8 @@
 
     hello     a new process is here: what is kept is brought up to date, and the clients' listening socket
               goes with the answer (SCM_RIGHTS, unix(7)): what waits in its queue is lost to nobody
-    serving   the new process takes clients from now on, and reads what is kept once it has its answer;
-              should this connection end, it has failed
+    keep      what is kept is brought up to date again, just before the new process takes clients
+    serving   the new process takes clients, the old one no more; should this connection end, it has failed
     changed   orders have changed: the file is read again before the answer
 
 A process that was killed leaves its socket behind; nobody answers there, and it is removed.
@@ -90,14 +90,22 @@
         self._link = link
         self.listening = listening
 
+    async def keep(self) -> None:
+        """Have what is kept brought up to date. It goes on taking clients meanwhile."""
+        await self._ask(b"keep\n")
+
     async def serving(self) -> None:
-        """Tell it that clients are served here from now on. The link stays open for as long as that holds."""
+        """Tell it that clients are taken here. Said once that is so: guards against a moment, long where a
+        machine is busy, in which neither takes any. The link stays open for as long as that holds."""
+        await self._ask(b"serving\n")
+
+    async def _ask(self, line: bytes) -> None:
         self._link.setblocking(False)
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(PATIENCE):
                 loop = asyncio.get_running_loop()
-                await loop.sock_sendall(self._link, b"serving\n")
-                await loop.sock_recv(self._link, 64)  # nothing more is said until its end
+                await loop.sock_sendall(self._link, line)
+                await loop.sock_recv(self._link, 64)
 
 
     async def ended(self) -> None:
@@ -160,10 +168,12 @@
                 if line == b"hello\n":
                     self._keep()
                     self._hand_over(writer)
+                elif line == b"keep\n":
+                    self._keep()
+                    writer.write(b"ok\n")
                 elif line == b"serving\n":
                     serving = True
                     self._handed(True)
-                    self._keep()
                     writer.write(b"ok\n")
                 elif line == b"changed\n":
                     self._changed()
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -92,13 +92,14 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(LIST_WITHIN):
                 await self._node.told.wait()
-        await predecessor.serving()
+        await predecessor.keep()
         assert self._store is not None
         state = self._store.read()
         self._apply(state.orders)
         if state.learned is not None:
             self._node.recall(state.learned)
         self._front.hand_over(False)
+        await predecessor.serving()
         self._current = True
         await predecessor.ended()
         self._front.stands_alone()
