--- a/driftstair/admission/places.py
+++ b/driftstair/admission/places.py
@@ -112,9 +112,6 @@
         self.crowd = Crowd()
         self.returns = tuple(Returns() for _ in USES)
         self.ending = False  # the node is about to end: clients may find no other, and keep what they have
-        # Another process of this node stands beside this one: what crosses the end of a connection counts as
-        # turned away. Clients are told to go with their answers, and nothing idle is closed under them.
-        self.gentle = False
         self.closed_early = 0  # idle ones, for room, and answers that told clients to go
         self._places: dict[Connection, Place] = {}
         # Of those that never asked, in the order in which they came: one that began its head first need not
@@ -251,7 +248,7 @@
 
     def surplus(self, now: float) -> list[Connection]:
         """Idle connections to close now, since their places are wanted; `MOVES` at most in one call."""
-        wanted = 0 if self.ending or self.gentle else min(MOVES, self._short(now), self._idle_count)
+        wanted = 0 if self.ending else min(MOVES, self._short(now), self._idle_count)
         given: list[Connection] = []
         if not wanted:
             return given
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -63,7 +63,7 @@
     def listen(self, listener: Listener | None = None, later: bool = False) -> tuple[str, int]:
         """Raises OSError. `listener`: one that stands already; `later`: another process takes its clients
         until `hand_over` says that it does not."""
-        self._handed_over = self.places.gentle = later
+        self._handed_over = later
         self._listener = listener or self._system.listen(self.config.listen, BACKLOG)
         self._resume()
         self._loop.call_later(SWEEP, self._sweep)
@@ -151,6 +151,11 @@
         self._thin_out()
         if self.drain is not None:
             self._let_go(self.drain)
+        if self._handed_over and self._listener is not None:
+            # Clients may hold so many connections at a node, both processes together. Guards against idle
+            # ones here that leave them none to reach the other process by.
+            for connection in [one for one in self._connections if one.rests() == "IDLE"]:
+                connection.close()
         self._loop.call_later(SWEEP, self._sweep)
 
     def _let_go(self, drain: Drain) -> None:
@@ -251,17 +256,12 @@
         """Another process of this node takes new clients, or takes them no more. Those that have connections
         here are told to leave with their next answers."""
         self._handed_over = away
-        self.places.gentle = True
         self.closing = away or self.stopping
         if away:
             self._pause()
         else:
             self._resume()
 
-    def stands_alone(self) -> None:
-        """No other process of this node is left."""
-        self.places.gentle = False
-
     async def stop(self, serve_on: float, within: float) -> None:
         """Serve on for a while, since clients go on coming; then finish what is held, and end."""
         self.stopping = self.places.ending = True
--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -108,13 +108,6 @@
                 await loop.sock_recv(self._link, 64)
 
 
-    async def ended(self) -> None:
-        """Wait until it is gone."""
-        with suppress(OSError):
-            await asyncio.get_running_loop().sock_recv(self._link, 64)
-        self._link.close()
-
-
 def find_predecessor(store: Store) -> Predecessor | None:
     """Ask whoever stands in the folder to hand over; waits for `PATIENCE` at most for each."""
     for path in store.others():
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -101,8 +101,6 @@
         self._front.hand_over(False)
         await predecessor.serving()
         self._current = True
-        await predecessor.ended()
-        self._front.stands_alone()
 
     def close(self) -> None:
         if self._settling is not None:
@@ -183,8 +181,6 @@
     def _handed(self, away: bool) -> None:
         log.info("clients are taken by %s", "the process after this one" if away else "this process again")
         self._front.hand_over(away)
-        if not away:
-            self._front.stands_alone()
 
 
 def _text(address: tuple[str, int]) -> str:
