--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import logging
+from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, cast
 
@@ -29,6 +30,8 @@
 LINGER_BYTES = 1 << 20  # that are read of what a rejected client still sends, so that it gets its answer
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 DRAIN_LOOK = 0.02  # s
+BESIDE = 4.0  # s for which a process that has taken over counts on another one beside it
+HELD_BESIDE = 0.6  # part of the connections that clients may hold, for that time
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NUMBERED = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
@@ -260,6 +263,11 @@
         if away:
             self._pause()
         else:
+            # Until it has learned how many connections clients want, and while they hold some at the other
+            # process too: guards against idle ones here that leave them none to ask by.
+            limits = self.places.limits
+            self.places.limits = replace(limits, held=int(limits.held * HELD_BESIDE))
+            self._loop.call_later(BESIDE, setattr, self.places, "limits", limits)
             self._resume()
 
     async def stop(self, serve_on: float, within: float) -> None:
