A front's own bounds outlive two hand-overs in a row

Found on reading: a process that was given its clients back within 4 s of taking over took the reduced bound for its own and kept it for good. The bounds that the front was made with are what is reduced and restored now; nothing else changes.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -51,6 +51,7 @@
         self.stopping = False  # `/up` sends clients elsewhere
         self.drain: Drain | None = None  # operators have taken the node out of service
         self._handed_over = False  # another process of this node takes the clients
+        self._limits = limits
         self.places: Places[ClientConnection] = Places(limits)
         self.budget = Budget(config.memory)  # for bodies that are held until they are whole
         self.bodies: dict[ClientConnection, Pace] = {}  # that are on their way from clients
@@ -265,9 +266,8 @@
         else:
             # Until it has learned how many connections clients want, and while they hold some at the other
             # process too: guards against idle ones here that leave them none to ask by.
-            limits = self.places.limits
-            self.places.limits = replace(limits, held=int(limits.held * HELD_BESIDE))
-            self._loop.call_later(BESIDE, setattr, self.places, "limits", limits)
+            self.places.limits = replace(self._limits, held=int(self._limits.held * HELD_BESIDE))
+            self._loop.call_later(BESIDE, setattr, self.places, "limits", self._limits)
             self._resume()
 
     async def stop(self, serve_on: float, within: float) -> None:
