Caps follow the servers that can serve; tails pooled over classes; trials aside

Seen on forty nodes before sixty servers (counted over all nodes, half a second at a time): a node takes 23 requests a second, so a class has 1 to 6 answers in a window. The 85th percentile of three is their second: caps stood at 75 to 130 in flight where the fleet carries 16 to 25 a node, and bound nowhere. When three in five servers were replaced they stayed there, the rest was filled with all that the fleet had carried, and crowded servers turned slow for good (in flight 38, 37% refused afterwards). And of 920 requests a second 400 went out on new connections: the trials of servers left out timed out on idle connections, two in a row, and all idle ones counted as dropped by the network. Ruled out: want of descriptors (150 of 384), the servers' idle limit (0 closed as idle), list calls (peak share 0.05), the list itself (changes told within 2 s). To blame: Balancer._start_cap and Breaker.update (a cap learned for one list held for another), tail_of on few samples, Balancer._note_connection (attempts at servers that are left out).

The change: the breaker's ratio and proof are per server that can serve (_able: warmth, not left out), so a cap follows the list and ejections at once; a class with fewer than 16 attempts in a window leans on the tail of all classes in parts of their usual times, in proportion; what is usual moves by samples; attempts at servers that are left out say nothing of connections; four losses in a row in place of two; trust comes back where new connections fare no better.

Subsetting was weighed and not built: one key has the same two servers at every node, and servers do up to 59% less work for keys that they know.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -17,7 +17,7 @@
 from random import Random
 
 from lichenspring import interface as api
-from lichenspring.breaker import CENSORED, KEEP, PERIOD, SECOND, TARGET, Breaker, InFlight
+from lichenspring.breaker import CENSORED, KEEP, PERIOD, SECOND, TARGET, Breaker, InFlight, pooled_tail
 from lichenspring.interface import NEVER_RAN, Group, ListKind, ListMode, Repeat, Result, ServerState
 
 # Admission, beside the breaker's own.
@@ -65,7 +65,7 @@
 COLD_BURST = 2.0  # requests that a cold server's budget may save up
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
 LOST_WEIGHT = 0.2  # part of the newest attempt in the shares that idle, new and other connections lose
-LOST_ABOVE = 0.3  # two in a row: idle connections are dropped unseen
+LOST_ABOVE = 0.5  # four in a row: idle connections are dropped unseen
 LOST_TIMES_NEW = 2.0  # and so much above the share of the others: what they lose too is not for idling
 CONNECT_LEAST = 0.1  # share of new connections that fail; one below it is none
 CONNECT_COUNTS = 8.0  # where all fail, a server without an idle one counts as with so many more in flight
@@ -258,8 +258,9 @@
     def _wake(self, now: int, token: int) -> None:
         if token == TICK_TOKEN:
             self._in_flight.add(now, 0)
+            able, pooled = self._able(now), pooled_tail(self._breakers)
             for breaker in self._breakers:
-                breaker.update(self._in_flight.mean, self._start_cap(now), self._is_idle())
+                breaker.update(self._in_flight.mean / able, START_PER_SERVER, self._is_idle(), pooled)
             self._set_caps(now)
             for backend in self._ready:
                 for index in backend.fullness:
@@ -280,17 +281,19 @@
         told = "utilization" in self._settings.report_fields
         return told and sum(backend.busy for backend in self._ready) < IDLE_BELOW * len(self._ready)
 
-    def _start_cap(self, now: int) -> float:
-        """Cold servers count for what they take: after a release most of the list may be cold."""
-        able = sum(self._warmth(now, backend.entry) for backend in self._ready)
-        return START_PER_SERVER * able / self._settings.nodes
+    def _able(self, now: int) -> float:
+        """How many warm servers this node's part of the traffic has to itself. Cold ones count for what they
+        take, those left out for nothing: after a release or a lost zone the list holds more than can serve,
+        and a cap learned before it would fill the rest."""
+        able = sum(self._warmth(now, one.entry) for one in self._ready if not one.ejected_until)
+        return max(1.0, able) / self._settings.nodes
 
     def _set_caps(self, now: int) -> None:
         """A class stops at its own threshold, and short of those of the classes that are worth more. All
         stop sooner where fewer than half of all attempts are answered: overdriven servers need to rest."""
         brake = min(1.0, 2.0 * (1.0 - self._unanswered))
-        start = self._start_cap(now)
-        thresholds = [breaker.threshold(start) for breaker in self._breakers]
+        able = self._able(now)
+        thresholds = [able * breaker.threshold(START_PER_SERVER) for breaker in self._breakers]
         values = [self._value(index) for index in range(len(thresholds))]
         for index, own in enumerate(thresholds):
             above = [
@@ -660,7 +663,8 @@
         """The idle time of the connection that an attempt would get; 0 if it would need a new one."""
         idle = now - backend.idle[-1] + 1 if backend.idle else 0
         trusted = self._settings.idle_close
-        if self._distrusted and self._connect_failures <= self._lost_idle:  # else a new one is no better
+        # Where new ones fare no better, crowded servers are behind it, and handshakes crowd them more.
+        if self._distrusted and max(self._connect_failures, self._lost_others) <= self._lost_idle:
             doublings = min(32.0, (now - self._distrusted) / TRUST_DOUBLES)
             trusted = min(trusted, int(self._trusted_idle * 2**doublings))
         return idle if idle <= trusted else 0
@@ -685,6 +689,10 @@
         if not attempt.idle:
             failed = attempt.result is Result.CONNECT_FAILED
             self._connect_failures += LOST_WEIGHT * (failed - self._connect_failures)
+        if attempt.backend.ejected_until:
+            # That server is known to be silent. Guards against its trials, which a node that sees each server
+            # seldom has many of, being taken for connections that were dropped: all idle ones were closed.
+            return False
         self._unanswered += UNANSWERED_WEIGHT * (lost - self._unanswered)
         if attempt.idle <= IDLE_SURE:
             self._lost_others += LOST_WEIGHT * (lost - self._lost_others)
--- a/lichenspring/breaker.py
+++ b/lichenspring/breaker.py
@@ -33,6 +33,7 @@
 PROVEN_FADES, PROVEN_MISSED = 0.99, 0.97  # of it, each window within its target, or over it
 PROVEN_VOID = 0.5  # of it, each window in which more time out than are answered: what held then is over
 CENSORED = 2.0  # times what was waited: an attempt that timed out from crowding would have taken longer
+ENOUGH = 16  # attempts of a class in a window that speak for themselves; fewer lean on those of all classes
 ANSWERS_LEAST = 8  # in a window; fewer explain nothing, and every time-out counts
 ANSWERS_TIMES = 2.0  # times the time-outs, likewise: where many time out, the answers are the lucky few
 EXPLAINED_TIMES = 2.0  # times the time-outs that the answers explain count: their spread is a rough guess
@@ -104,6 +105,18 @@
     return samples[len(samples) // 2], max(1.0, percentile(samples, PERCENTILE))
 
 
+def pooled_tail(breakers: list[Breaker]) -> float:
+    """What the windows of all classes tell together: a tail in parts of each class's typical response time.
+    Queues are shared, so their tails rise together. Where a node sees few requests, the tail of a class's own
+    three is their median, whatever the servers are like."""
+    together = Window()
+    for breaker in breakers:
+        scale = SECOND / max(1.0, breaker.typical)
+        together.answered += [scale * one for one in breaker.window.answered]
+        together.timed_out += [scale * one for one in breaker.window.timed_out]
+    return tail_of(together)[1] / SECOND
+
+
 Estimator = Callable[[Window], tuple[float, float]]
 """A window's median and tail, both 0 where it tells nothing. Other estimators are weighed in
 benchmarks/breaker.py, off line."""
@@ -120,6 +133,7 @@
     alpha: float = 0.0  # response time for each request in flight; 0 until a window has told
     proven: float = 0.0  # requests in flight, all classes
     typical: float = 0.0  # response time: a measure of the class's work
+    seen: int = 0  # attempts that `typical` rests on, as far as they count
     in_flight: InFlight = field(default_factory=InFlight)  # of this class
     window: Window = field(default_factory=Window)
 
@@ -129,13 +143,20 @@
     def threshold(self, start: float) -> float:
         return max(self.target / self.alpha, PROVEN_PART * self.proven) if self.alpha else start
 
-    def update(self, in_flight: float, start: float, idle: bool) -> None:
-        """At the end of a window, with the mean of the requests in flight in it."""
+    def update(self, in_flight: float, start: float, idle: bool, pooled: float = 0.0) -> None:
+        """At the end of a window, with the mean of the requests in flight in it, and the tail that the
+        windows of all classes tell together (0: nothing)."""
+        count = len(self.window.answered) + len(self.window.timed_out)
         median, tail = self.estimate(self.window)
         if len(self.window.timed_out) > len(self.window.answered):
             self.proven *= PROVEN_VOID
         if tail and in_flight:
-            self.typical += (1 - KEEP) * (median - self.typical)
+            own = min(1.0, count / ENOUGH)
+            if pooled:
+                # In proportion to how much of a sample its own is: shrinkage, as in Efron and Morris (1975).
+                tail += (1.0 - own) * (self.typical * pooled - tail)
+            self.seen = max(count, min(ENOUGH, self.seen + count))
+            self.typical += (1 - KEEP) * count / self.seen * (median - self.typical)
             follow = BASE_FALLS if tail < self.base else BASE_RISES
             self.base = self.base + follow * (tail - self.base) if self.base else tail
             self.target = min(self.aim, max((1.0 if idle else TARGET) * self.aim, HEADROOM * self.base))
--- a/lichenspring/memory.py
+++ b/lichenspring/memory.py
@@ -17,7 +17,7 @@
 
 Memory = dict[str, Any]  # of text, numbers, lists and dictionaries by text: JSON can hold it
 
-OF_A_BREAKER = ("target", "base", "alpha", "proven", "typical")
+OF_A_BREAKER = ("target", "base", "alpha", "proven", "typical", "seen")
 OF_A_SERVER = (
     "tokens", "refilled", "busy", "pace", "answered", "failures", "ejected_until", "doublings",
 )  # fmt: skip
