--- a/driftstair/ledger/book.py
+++ b/driftstair/ledger/book.py
@@ -1,7 +1,7 @@
 """One node's book: counts what requests came to between two commits, and words the entries of each commit.
 
-Pure: what it gives is written by whoever stores it, in this order and before the next. Until an entry is
-written it may be lost with the process, and the next life's `begin` says since when.
+Pure: what it gives is written by whoever stores it (`segments`), in this order and before the next. Until
+an entry is written it may be lost with the process, and the next life's `begin` says since when.
 """
 
 from __future__ import annotations
@@ -93,14 +93,11 @@
         return entries
 
     def commit(self, now: int) -> list[Entry]:
-        """All counts since the last one. They are forgotten here: what is given has to be written."""
-        entries = [
+        """All counts since the last one. They stand until `settle` says that these entries are kept."""
+        return [
             self._entry(place, now, Kind.USE, str(use.period), use.tenant, use.word.value, count)
             for place, (use, count) in enumerate(sorted(self._counts.items(), key=_order), 1)
         ]
-        self._counts.clear()
-        self._names.clear()
-        return entries
 
     def correct(
         self, now: int, period: Period, tenant: str, word: Word, count: int, author: str, reason: str,
@@ -136,15 +133,32 @@
     ) -> Entry:  # fmt: skip
         return Entry(self.node, self.head.number + place, now, kind, period, tenant, word, count, since)
 
-    def written(self, entries: list[Entry]) -> bytes:
-        """Their lines; the head stands behind them. Raises EntryError, and the head is as before then."""
+    def worded(self, entries: list[Entry]) -> tuple[bytes, Head]:
+        """Their lines, and the head behind them. Raises EntryError."""
         head, lines = self.head, []
         for entry in entries:
             whole, digest = line(head.digest, entry)
             head = head.after(entry, digest)
             lines.append(whole)
+        return b"".join(lines), head
+
+    def settle(self, entries: list[Entry], head: Head) -> None:
+        """They are kept: what they count is counted here no more. What came meanwhile stays."""
         self.head = head
-        return b"".join(lines)
+        for entry in entries:
+            if entry.kind is Kind.USE:
+                use = Use(Period.parse(entry.period), entry.tenant, Word(entry.word))
+                self._counts[use] -= entry.quantity
+                if not self._counts[use]:
+                    del self._counts[use]
+        if not self._counts:
+            self._names.clear()
+
+    def written(self, entries: list[Entry]) -> bytes:
+        """Both at once, for a store that can't fail. Raises EntryError, and all is as before then."""
+        lines, head = self.worded(entries)
+        self.settle(entries, head)
+        return lines
 
 
 def _order(item: tuple[Use, int]) -> tuple[Period, str, str]:
