--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -18,6 +18,7 @@
     )
     commands = top.add_subparsers(title="subcommands", metavar="COMMAND", required=True)
 
+    from driftstair.ledger import options as ledger
     from driftstair.rehearsal import options as rehearsal
     from driftstair.service import options as service
 
@@ -25,6 +26,7 @@
         "DRIFTSTAIR_SERVICE)")
     rehearsal.add(commands)
     service.add(commands)
+    ledger.add(commands)
     return top
 
 
