--- a/driftstair/ledger/book.py
+++ b/driftstair/ledger/book.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from typing import NamedTuple
 
-from driftstair.ledger.entries import FIRST, TEXT_MOST, Entry, EntryError, Kind, Word, check, line
+from driftstair.ledger.entries import FIRST, TEXT_MOST, Entry, EntryError, Kind, Word, check, line, read
 from driftstair.ledger.periods import Calendar, Period
 
 TENANTS_MOST = 10_000  # names in one commit; the rest are counted together
@@ -48,6 +48,12 @@
         return Head(entry.number, digest, entry.at, ended, closed)
 
 
+    def follow(self, whole: bytes) -> tuple[Entry, Head]:
+        """The entry that a line without its end holds, and the head behind it. Raises EntryError."""
+        entry, digest = read(self.digest, whole)
+        return entry, self.after(entry, digest)
+
+
 class Book:
     """Counts, and the head of the ledger that they go to."""
 
@@ -64,9 +70,6 @@
         """One request, or one thing counted besides, by its arrival in ms."""
         self._counts[Use(self._open_period(arrived), self._name(tenant), word)] += 1
 
-    def pending(self) -> int:
-        return self._counts.total()
-
     def _open_period(self, arrived: int) -> Period:
         period = self._calendar.period(arrived)
         if self.head.closed:
--- a/driftstair/ledger/export.py
+++ b/driftstair/ledger/export.py
@@ -24,7 +24,7 @@
 from typing import NamedTuple
 
 from driftstair.ledger.book import Head
-from driftstair.ledger.entries import Entry, EntryError, read
+from driftstair.ledger.entries import Entry, EntryError
 
 BATCH = 200  # lines of one offer
 PAUSE = 500  # ms until what is not acknowledged goes again
@@ -167,12 +167,12 @@
         head, entries, fresh = books.head, [], offer.lines[skipped:]
         for whole in fresh:
             try:
-                entry, digest = read(head.digest, whole)
+                entry, behind = head.follow(whole)
                 if entry.node != offer.node:
                     raise EntryError(f"an entry of {entry.node}")
-                head = head.after(entry, digest)
             except EntryError as problem:
                 return f"entry {head.number + 1}: {problem}"
+            head = behind
             entries.append(entry)
         if entries:
             self._keep(offer.node, entries, fresh)
--- a/driftstair/ledger/reconcile.py
+++ b/driftstair/ledger/reconcile.py
@@ -13,14 +13,14 @@
 from typing import NamedTuple
 
 from driftstair.ledger.book import Head
-from driftstair.ledger.entries import Entry, EntryError, Kind, read
+from driftstair.ledger.entries import Entry, EntryError, Kind
 
 
 class Finding(NamedTuple):
     """What is wrong with a node's books, and from which number on."""
 
     node: str
-    what: str  # gap, fork, torn, open, lost, skew, stranger
+    what: str  # fork, torn, open, lost, skew
     number: int
     text: str
 
@@ -64,14 +64,13 @@
     entries: list[tuple[Entry, bytes]] = []
     for place, whole in enumerate(lines, 1):
         try:
-            entry, digest = read(head.digest, whole.removesuffix(b"\n"))
+            entry, behind = head.follow(whole.removesuffix(b"\n"))
             if node and entry.node != node:
                 raise EntryError(f"an entry of {entry.node} in the ledger of {node}")
-            head = head.after(entry, digest)
         except EntryError as problem:
             return Copy(node, entries, Finding(node, "torn", place, f"line {place}: {problem}"))
-        node = entry.node
-        entries.append((entry, digest))
+        head, node = behind, entry.node
+        entries.append((entry, head.digest))
     return Copy(node, entries, None)
 
 
--- a/driftstair/ledger/segments.py
+++ b/driftstair/ledger/segments.py
@@ -22,7 +22,7 @@
 from typing import NamedTuple
 
 from driftstair.ledger.book import Head
-from driftstair.ledger.entries import LINE_MOST, EntryError, read
+from driftstair.ledger.entries import LINE_MOST, EntryError
 
 SEGMENT = 8 << 20  # bytes
 READ = 1 << 20  # bytes
@@ -78,8 +78,7 @@
                 try:
                     if not line.endswith(b"\n"):
                         raise EntryError("a line without its end")
-                    entry, digest = read(head.digest, line.removesuffix(b"\n"))
-                    head = head.after(entry, digest)
+                    _, head = head.follow(line.removesuffix(b"\n"))
                 except EntryError as problem:
                     if place + 1 < len(paths) or not _is_torn(path, whole):
                         # What was written and kept has changed since: cutting it off would hide that.
