A test of a server put back waits for its time, not for a count of requests

Measured over 16 seeds of the node: the first came after 0.07 to 0.48 s and 82 to 827 requests, since a cold server's budget grows with time and starts at a random part of a token. With the one seed of the tests' configuration it was 3 to 7 requests, but the seed's numbers are drawn in the order of events, and a list that comes between two requests moves them. Ruled out: an order that was not carried out (the server is used in each of the 16), and a server left out for failures (none failed).

The test asks until the server is seen, within the time limit that every test has.

--- a/tests/operations/test_desk_and_upgrade.py
+++ b/tests/operations/test_desk_and_upgrade.py
@@ -69,11 +69,10 @@
                     assert await asks(node) == 200
                 assert not one.seen and len(two.seen) == 20
                 assert await call(ops, "POST", "servers/s-1/online") == 200
-                for _ in range(200):  # it is cold: a part of the requests, but some
+                # It is cold: its budget grows with time, not with requests. The first came after 0.07 to
+                # 0.48 s, and 82 to 827 requests; a count of 200 ended before that on a fast machine.
+                while not one.seen:
                     await asks(node)
-                    if one.seen:
-                        break
-                assert one.seen
 
     run(test())
 
