--- a/driftstair/limits/table.py
+++ b/driftstair/limits/table.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import json
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from driftstair.limits.limited import Limited
 from driftstair.limits.narrow import Rules, rules_of
@@ -10,6 +13,8 @@
 from driftstair.service.schema import Service
 from lichenspring import interface as api
 
+log = logging.getLogger(__name__)
+
 
 class Table:
     """`find` tells a request's rules; `limited` puts them round a decision module."""
@@ -18,6 +23,7 @@
 
     def __init__(self, service: Service, settings: api.Settings, source: str = "") -> None:
         self.source = source  # file and hash, for the log
+        self._tally_every = service.tally.every if service.tally is not None else 0  # ns
         self.routes = Routes(Pattern.of(route.match) for route in service.route)
         self.rules = [
             rules_of(route, index, settings.max_attempts) for index, route in enumerate(service.route)
@@ -39,5 +45,13 @@
     def serves(self, path: bytes) -> bool:
         return self.routes.serves(path.decode("latin-1"))
 
-    def limited(self, module: api.Module, settings: api.Settings) -> Limited:
+    def limited(self, module: api.Module, settings: api.Settings, clock: Callable[[], int]) -> Limited:
+        """`clock`: Unix time in ns, which lines of the log from several nodes are put together by."""
+        if self._tally_every:
+            from driftstair.tally.tally import Tally
+
+            def say(line: dict[str, Any]) -> None:
+                log.info("tally %s", json.dumps({"at_ms": clock() // 1_000_000, **line}))
+
+            module = Tally(module, settings, self._tally_every, say)
         return Limited(module, settings, self.rules)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -96,7 +96,7 @@
         self._core = Balancer(config.settings, config.seed)
         self._balancer: api.Module = self._core
         if limits is not None:
-            self._balancer = limits.limited(self._balancer, config.settings)
+            self._balancer = limits.limited(self._balancer, config.settings, system.time_ns)
         self._loop = asyncio.get_running_loop()
         self._events: deque[api.Event] = deque()
         self._telling = False
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -97,7 +97,14 @@
     amplification_most: Annotated[float, Field(strict=True, ge=1, allow_inf_nan=False)] = 6.0
 
 
+class Tally(Table):
+    """Counts of requests and losses as lines of the log."""
+
+    every: SomeTime
+
+
 class Service(Table):
     version: Version
     route: tuple[Route, ...] = ()
     fleet: Fleet = Fleet()
+    tally: Tally | None = None
