--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -684,7 +684,12 @@
         """True if the attempt was lost to a connection that had been dropped unseen. That guards against
         any network that forgets idle connections, by reset or silence; it is no fault of the server."""
         lost = attempt.result in (Result.RESET, Result.TIMEOUT)
-        if attempt.result in (Result.OK, Result.ERROR, Result.FULL, Result.REJECTED):
+        if attempt.result is Result.FULL:
+            # Perhaps of connections: no server tells how many it takes. Guards against nodes that all keep
+            # theirs to one that turns each of them away, for as long as they are kept.
+            attempt.backend.idle.clear()
+            self._actions.append(api.HangUp(attempt.backend.entry.id))
+        elif attempt.result in (Result.OK, Result.ERROR, Result.REJECTED):
             attempt.backend.idle.append(now)
         if not attempt.idle:
             failed = attempt.result is Result.CONNECT_FAILED
