Where lists are pushed, nodes do not come back to discovery in step

Seen by reading for periods without chance: the module's own list calls are spread by the seed and back off, but a node that is pushed its list came back exactly 1 s after its watch ended, every second, so forty of them did so in one instant for as long as discovery was away (Node._watch_failed). The pause doubles up to 16 s now and half of it is left to the seed (driftstair/net/backoff.py). The test of forty nodes fails with a fixed pause.

--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from driftstair.hosts import Host, HostList
+from driftstair.net.backoff import Backoff
 from driftstair.net.discovery import Discovery
 from driftstair.net.flow import Stream, size
 from driftstair.net.system import SOCKETS, System
@@ -32,7 +33,7 @@
 TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
 REPORT_MOST = 1024  # bytes of a load report
-WATCH_PAUSE = 1.0  # s, where lists are pushed: from the end of a watch to the next
+WATCH_PAUSE = 1.0  # s, where lists are pushed: from the end of a watch to the next, before any doubling
 
 
 def digest(text: str | bytes) -> bytes:
@@ -107,6 +108,7 @@
         self._ready: set[api.ServerId] = set()
         # Fixed: a start time must translate alike each time.
         self._to_monotonic = system.monotonic_ns() - system.time_ns()
+        self._watch_again = Backoff(WATCH_PAUSE, config.seed)  # where the module is not asked
         self._discovery = Discovery(
             config.discovery, config.known.version, max(1.0, config.dial_timeout / 1e9),
             self._list_came, self._watch_failed, system,
@@ -383,6 +385,7 @@
 
     def _list_came(self, update: HostList) -> None:
         self.told.set()
+        self._watch_again.succeeded()
         self._list(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
 
     def _list(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
@@ -425,7 +428,7 @@
 
     def _watch_failed(self) -> None:
         if self._config.settings.list_mode is ListMode.PUSHED:
-            self._loop.call_later(WATCH_PAUSE, self._discovery.watch)
+            self._loop.call_later(self._watch_again.pause(), self._discovery.watch)
         else:
             self._tell(api.ServerList(ListKind.FAILED, ()))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 import pytest
 from world import MS, SECOND, START, Node, server, settings
 
+from driftstair.net.backoff import Backoff
 from lichenspring import Balancer
 from lichenspring import interface as api
 from lichenspring.balance import ASK_TOKEN
@@ -64,3 +65,17 @@
         assert call.at - START < rules.ask_within
         calls[(call.at - START) // (SECOND // 2)] += 1
     assert max(calls.values()) <= 16 and len(calls) >= 4
+
+
+def test_forty_nodes_whose_pushed_list_ends_do_not_come_back_in_step() -> None:
+    """They did, once a second, for as long as discovery was away."""
+    fleet = [Backoff(1.0, seed) for seed in range(40)]
+    for failures in range(8):
+        longest = 2.0 ** min(4, failures)
+        pauses = sorted(one.pause() for one in fleet)
+        assert longest / 2 <= pauses[0] and pauses[-1] <= longest
+        slots = Counter(int(10 * pause / longest) for pause in pauses)
+        assert max(slots.values()) <= 16 and len(slots) >= 5
+    for one in fleet:
+        one.succeeded()
+        assert one.pause() <= 1.0
