--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -36,7 +36,6 @@
 # Servers.
 TABLE_SIZE = 2039  # slots, a prime: a key's walk reaches every one
 HOT = 0.5  # of a server's fair share of this node's requests: a key above it goes to more than two
-HOT_LEAST = 2  # requests; fewer say nothing about a key's share
 KEY_MEMORY = 6.0  # requests for each server are remembered: at a small share of traffic that takes long
 FULL_WEIGHT = 0.2  # part of the newest outcome in a server's share of full answers
 FULL_FADES = 0.95  # of that share, each period: an avoided server brings no news
@@ -210,7 +209,8 @@
         self._turns: dict[int, Turns] = {}  # by key
         self._fleet_failures = 0.0
         self._retry_budget = RETRY_BURST
-        self._key_counts: dict[int, float] = {}  # arrivals, older ones fading
+        self._keyed = 0  # arrivals with a key
+        self._key_counts: dict[int, float] = {}  # by key, older ones fading
         self._spread: dict[int, int] = {}  # hot keys: how many servers each goes to
         self._sent = 0  # attempts to warm servers in this window
         self._rate = 0.0  # attempts per nanosecond and unit of a warm server's weight, lately
@@ -340,6 +340,7 @@
         kind = self._settings.classes[request.class_index]
         if request.key:
             self._key_counts[request.key] = self._key_counts.get(request.key, 0) + 1
+            self._keyed += 1
         expires = now + request.time_left
         entry = Open(request, kind, expires, expires if kind.late_worth else min(expires, now + kind.aim))
         send = self._line_up if kind.in_order and request.key else self._send_first
@@ -575,7 +576,7 @@
         """Servers in the order of this request's preference; some come more than once."""
         if table := self._table:
             key = entry.request.key or self._random.getrandbits(64)
-            first = self._random.randrange(self._spread.get(key, 1))
+            first = self._random.randrange(self._spread_of(key) if entry.request.key else 1)
             for draw in range(first, first + DRAWS):
                 place = mix(key + draw)
                 backend = table[place % len(table)]
@@ -586,18 +587,25 @@
             yield from self._ready[:turn]
 
     def _find_hot_keys(self) -> None:
-        """A key that is more than a server's work goes to as many as it needs: all nodes send it to the
-        same two, and each node's own load there is too small to tell."""
         total = sum(self._key_counts.values())
         fair = HOT * total / max(1, len(self._ready))
-        self._spread = {
-            key: max(1, min(len(self._ready), 1 + ceil(count / fair)))
-            for key, count in self._key_counts.items()
-            if count >= HOT_LEAST and count > fair
-        }
+        self._spread = {key: self._spread_by(n, fair) for key, n in self._key_counts.items() if n > fair}
         keep = min(1.0, KEY_MEMORY * len(self._ready) / max(1.0, total))
         self._key_counts = {key: n * keep for key, n in self._key_counts.items() if n * keep >= 0.5}
 
+    def _spread_by(self, count: float, fair: float) -> int:
+        """A key that is more than a server's work goes to as many as it needs: all nodes send it to the
+        same two, and each node's own load there is too small to tell."""
+        return max(1, min(len(self._ready), 1 + ceil(count / fair)))
+
+    def _spread_of(self, key: int) -> int:
+        fair = HOT * self._keyed / max(1, len(self._ready))
+        if fair >= 1.0:
+            return self._spread.get(key, 1)
+        # Of a node that has seen next to nothing each key may be hot. Guards against the first second of many
+        # nodes: each saw a hot key once, sent it where all the others did, and what jammed then stayed so.
+        return self._spread_by(self._key_counts.get(key, 1.0), fair)
+
     def _share_by_kind(self) -> None:
         """Where the list gives all servers the same weight they may differ all the same, and by far: a node
         sees each too seldom, but its kind often enough. Keys that a kind gives up keep their other places.
--- a/lichenspring/memory.py
+++ b/lichenspring/memory.py
@@ -24,7 +24,7 @@
 OF_A_KIND = ("share", "busy", "reports")
 OF_ALL = (
     "_lost_idle", "_lost_others", "_unanswered", "_connect_failures", "_trusted_idle", "_distrusted",
-    "_fleet_failures", "_retry_budget", "_rate",
+    "_fleet_failures", "_retry_budget", "_rate", "_keyed",
 )  # fmt: skip
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,3 +79,35 @@
     for one in fleet:
         one.succeeded()
         assert one.pause() <= 1.0
+
+
+def test_a_hot_key_in_the_first_second_of_forty_nodes_fills_no_two_servers() -> None:
+    """Each node sees it once or twice. All sent it to the same two servers, which got three times their part,
+    jammed, and stayed so: days of the large fleet were lost in their first two seconds."""
+    chance = Random(3)
+    fleet = [Balancer(settings(nodes=40), seed) for seed in range(40)]
+    sent: Counter[api.ServerId] = Counter()
+    for node in fleet:
+        node.start(START)
+        node.handle(START, api.ServerList(api.ListKind.CACHED, tuple(server(one) for one in range(60))))
+    for number in range(920):  # a second's requests
+        key = 7 if chance.random() < 0.08 else chance.randrange(100, 1300)
+        request = api.Request(number, 9 * SECOND, 0, 0, key, False)
+        (action,) = fleet[number % 40].handle(START + number * MS, request)
+        assert isinstance(action, api.Send)
+        sent[action.server] += 1
+        end = api.Outcome(number, True, Result.OK, 10 * MS, action.server, 0, ())
+        fleet[number % 40].handle(START + number * MS, end)
+        if number % 460 < 40:  # each node's window ends after a half
+            fleet[number % 40].handle(START + number * MS, api.Timer(1))
+    assert max(sent.values()) <= 2.2 * 920 / 60
+
+
+@pytest.mark.parametrize("servers", [6, 60])
+def test_a_key_keeps_to_its_first_server_once_a_node_has_seen_two_keys_a_server(servers: int) -> None:
+    """A small site has seen them within a tenth of a second, and does not pay for the large ones."""
+    node = Node(settings(), servers=servers)
+    node.balancer._keyed, node.balancer._key_counts = 0, {}
+    for key in range(100, 100 + 2 * servers):
+        assert node.serve(key) is not None
+    assert len({node.serve(42) for _ in range(3)}) == 1
