The daemon keeps a ledger where its service file says so

Need: what the ledger's core, files and commands rest on is a daemon that counts. [ledger] names a folder, the zone of billing months, the time between commits and what a commit survives. One object stands before each client and counts the first end of its request; all counts since the last commit are written together by a thread. A full disk, a disk that is gone or the process before this one, which still writes, cost no count and no service.

Without the table nothing of it is loaded.

--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -73,6 +73,7 @@
         open_cap=values.whole("Limits.OpenCap", least=1),
         memory=_memory(document),
         operators=_operators(environment, document),
+        name=str(environment.get("BALANCER_NAME") or document.get("name") or ""),
     )
 
 
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -119,6 +119,11 @@
     except OSError as problem:
         print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
         return 2
+    kept = None if service is None else service.keeper(config, system)
+    ended = asyncio.Event()
+    if kept is not None:
+        node.ledger = kept[0]
+        committing = loop.create_task(kept[0].run(kept[1], ended))
     node.start()
     if operations is not None:
         try:
@@ -131,6 +136,9 @@
     await stop.wait()
     log.info("stopping")
     await front.stop(*plan_end(config))
+    if kept is not None:
+        ended.set()
+        await committing
     if operations is not None:
         operations.close()
     return 0
--- a/driftstair/ledger/segments.py
+++ b/driftstair/ledger/segments.py
@@ -33,6 +33,10 @@
     """The ledger can't be kept there, or can't be trusted; the text says what would do."""
 
 
+class Busy(StoreError):
+    """Another process writes it: it may end."""
+
+
 class Opened(NamedTuple):
     head: Head
     cut: int  # lines at the end that were not whole
@@ -63,7 +67,7 @@
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             self.close()
-            raise StoreError(f"another process writes the ledger of {self._node} in {self._folder}") from None
+            raise Busy(f"another process writes the ledger of {self._node} in {self._folder}") from None
         try:
             return self._opened()
         except BaseException:
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -23,6 +23,7 @@
 from lichenspring.interface import NEVER_RAN, ListKind, ListMode, Result, ServerState
 
 if TYPE_CHECKING:
+    from driftstair.ledger.keeper import Counted, Keeper
     from driftstair.limits.routes import Asked
     from driftstair.limits.table import Table
     from driftstair.operations.roster import Roster
@@ -79,6 +80,7 @@
     answered: bool = False
     sent: int = 0  # attempts so far
     out: dict[int, Attempt] = field(default_factory=dict)
+    counted: Counted | None = None  # in the ledger, where one is kept
 
 
 class Node:
@@ -90,6 +92,7 @@
     ) -> None:  # fmt: skip
         self.limits = limits  # routes of the service file
         self._roster = roster  # what operators have ordered of servers, where they can
+        self.ledger: Keeper | None = None
         self.told = asyncio.Event()  # a list or a change of it has come from discovery
         self._config = config
         self._now = system.monotonic_ns
@@ -230,6 +233,11 @@
         """A client's request has come. Returns its number, for `client_gone`."""
         self._last_number += 1
         request = Open(self._last_number, call)
+        if self.ledger is not None and call.asked is not None:
+            aim = self._config.settings.classes[call.class_index].aim
+            call.client = request.counted = self.ledger.follow(
+                call.client, call.asked.tenant, aim, call.resubmitted
+            )
         now = self._now()
         left = call.deadline - TRANSIT - now
         rules = self.limits.find(call.asked) if self.limits is not None and call.asked is not None else None
@@ -270,6 +278,8 @@
         request = self._open.get(number)
         if request is None or request.answered:
             return
+        if request.counted is not None:
+            request.counted.gone()
         self._close(request)
 
     def _overdue(self, request: Open, status: int = 504) -> None:
@@ -323,6 +333,8 @@
                 api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
             )
             return
+        if request.out and request.counted is not None:
+            request.counted.copied()
         now = self._now()
         # Of a stream: as if its last byte had come now. Its attempt counts from when that is written.
         deadline = now + request.call.patience if isinstance(body, Stream) else request.call.deadline
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -59,6 +59,9 @@
         """Set up a connection that came up for requests one at a time. What is returned tells whether it is
         quiet: nothing has come, nor its end, that the loop has not read yet."""
 
+    async def aside(self, what: Callable[[], None]) -> None:
+        """Do what waits for a disk, off the loop's turn."""
+
 
 class SocketListener:
     def __init__(self, own: socket.socket) -> None:
@@ -128,5 +131,8 @@
             own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
         return lambda: not poll.poll(0)
 
+    async def aside(self, what: Callable[[], None]) -> None:
+        await asyncio.to_thread(what)
+
 
 SOCKETS = SocketSystem()
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -37,3 +37,7 @@
     def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
         endpoint = cast(Endpoint, transport)
         return lambda: not endpoint.has_unread()
+
+    async def aside(self, what: Callable[[], None]) -> None:
+        """At once: a thread would not be in step with this world's time."""
+        what()
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -103,8 +103,19 @@
     every: SomeTime
 
 
+class Ledger(Table):
+    """What tenants used, for billing: kept in a folder that outlives the process."""
+
+    folder: Annotated[str, Field(min_length=1)]
+    zone: str = "UTC"  # of billing periods
+    commit: SomeTime = 200_000_000  # between two writes: what a killed process may lose
+    clock_off: Duration = 50_000_000  # that the node's clock may be off
+    survives: Literal["process", "machine"] = "process"  # what a commit that was written does
+
+
 class Service(Table):
     version: Version
     route: tuple[Route, ...] = ()
     fleet: Fleet = Fleet()
     tally: Tally | None = None
+    ledger: Ledger | None = None
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import logging
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 from driftstair.limits.proof import Platform, prove
 from driftstair.limits.table import Table
 from driftstair.service.load import Loaded, Problem, ServiceError, parse, read
 from driftstair.settings import Config
 
+if TYPE_CHECKING:
+    from driftstair.ledger.keeper import Keeper
+    from driftstair.net.system import System
+
 log = logging.getLogger(__name__)
 
 
@@ -47,3 +53,31 @@
         for one in warnings:
             log.warning("%s", one)
         return table
+
+    def keeper(self, config: Config, system: System) -> tuple[Keeper, float] | None:
+        """The ledger that the file asks for, opened, and the s between two commits. Raises ServiceError for
+        one that can't be kept."""
+        loaded = self.load()
+        wanted = loaded.service.ledger
+        if wanted is None:
+            return None
+        from driftstair.ledger.keeper import Keeper
+        from driftstair.ledger.periods import Calendar, PeriodError
+        from driftstair.ledger.segments import Store, StoreError
+
+        try:
+            calendar = Calendar(wanted.zone)
+        except PeriodError as problem:
+            raise ServiceError([loaded.problem(("ledger", "zone"), str(problem))]) from None
+        try:
+            folder = Path(wanted.folder)
+            if not folder.is_dir():
+                raise StoreError(f"{wanted.folder} is no folder; one that outlives the process would do")
+            keeper = Keeper(
+                config.name, Store(folder, config.name), calendar, wanted.clock_off // 1_000_000,
+                wanted.survives == "machine", system.time_ns, system.aside,
+            )  # fmt: skip
+            keeper.open()
+        except (StoreError, OSError) as problem:
+            raise ServiceError([loaded.problem(("ledger", "folder"), str(problem))]) from None
+        return keeper, wanted.commit / 1e9
--- a/driftstair/settings.py
+++ b/driftstair/settings.py
@@ -27,3 +27,4 @@
     open_cap: int  # requests that the node may hold
     memory: int = 64 << 20  # bytes that the process may take
     operators: tuple[str, int] | None = None  # where they call
+    name: str = ""  # the node's, the same after a restart
