driftstair ledger export: a node's entries to the billing side, each once, over TCP

Need: the export had a protocol and no carrier. Messages are lines of JSON; the exporter reads segments while the daemon writes them, and keeps nothing. A collector that keeps lines in files stands in for the billing side.

Seen with both as processes, killed at random: an exporter hung for good behind a collector that had been restarted. It knows no session and turns each offer away, and the exporter, once acknowledged, never said hello again (Exporter.receive). A refusal that is not final sends it back to asking now; the test fails without that.

--- a/driftstair/ledger/command.py
+++ b/driftstair/ledger/command.py
@@ -26,6 +26,8 @@
     try:
         if options.what in ("correct", "close"):
             return _write(options)
+        if options.what == "export":
+            return _export(options)
         return _read(options)
     except (StoreError, PeriodError, EntryError, OSError) as problem:
         print(f"driftstair: {problem}", file=sys.stderr)
@@ -112,6 +114,33 @@
         print(f"{len(books.heads)} nodes, {len(books.findings)} findings, {books.doubles} entries came twice")
 
 
+def _export(options: argparse.Namespace) -> int:
+    import asyncio
+    import secrets
+
+    from driftstair.hosts import ListError, parse_address
+    from driftstair.ledger.carrier import Segments, carry
+    from driftstair.ledger.export import Exporter
+
+    try:
+        address = parse_address(options.to)
+    except ListError:
+        raise StoreError(f"--to {options.to[:60]!r} is no address; 10.0.0.9:7000 would do") from None
+    folder = Path(options.folder)
+    if not folder.is_dir() or not segments(folder, options.node):
+        raise StoreError(f"{options.folder} holds no ledger of {options.node[:60]!r}")
+    session = secrets.randbits(52)
+    exporter = Exporter(options.node, Segments(folder, options.node).lines(), session, session)
+    try:
+        why = asyncio.run(carry(exporter, address, options.give_up, options.follow))
+    except KeyboardInterrupt:
+        why = "stopped by hand"
+    print(f"{options.node}: entries up to {max(0, exporter.acknowledged)} are in the books", flush=True)
+    if why:
+        print(f"driftstair: the export ended: {why}", file=sys.stderr)
+    return FOUND if why else FINE
+
+
 def _write(options: argparse.Namespace) -> int:
     """A life of its own in the node's ledger: what a hand wrote stands between a begin and an end."""
     calendar, period = Calendar(options.zone), Period.parse(options.period)
--- a/driftstair/ledger/export.py
+++ b/driftstair/ledger/export.py
@@ -105,6 +105,7 @@
         if isinstance(message, Refused):
             if message.final:
                 self.stopped = message.why
+            self.acknowledged = -1  # it may be a new life, which knows no session: ask first
             return []
         if not isinstance(message, Taken) or message.number <= self.acknowledged:
             return []  # late, or a repeat
@@ -133,8 +134,9 @@
     """The billing side: keeps each node's entries in order, once. `keep` has to have kept them when it
     returns; if it raises, nothing is acknowledged. `heads`: what was kept in an earlier life."""
 
-    def __init__(self, keep: Keep, heads: dict[str, Head]) -> None:
+    def __init__(self, keep: Keep, heads: dict[str, Head], lease: int = LEASE) -> None:
         self._keep = keep
+        self._lease = lease
         self._books = {node: _Books(head) for node, head in heads.items()}
 
     def head(self, node: str) -> Head:
@@ -149,7 +151,7 @@
             if isinstance(message, Offer):
                 # Of a session that ended, or of one that this life has not met: it has to ask first.
                 return [Refused(message.node, message.session, "another exporter is at work", False)]
-            if books.session >= 0 and now - books.heard < LEASE:
+            if books.session >= 0 and now - books.heard < self._lease:
                 return [Refused(message.node, message.session, "another exporter is at work", False)]
             books.session = message.session
         books.heard = now
--- a/driftstair/ledger/options.py
+++ b/driftstair/ledger/options.py
@@ -10,9 +10,9 @@
 
 def add(commands: Any) -> None:
     ledger: argparse.ArgumentParser = commands.add_parser(
-        "ledger", help="show, verify, join, correct and close the ledgers of nodes", epilog=EPILOG
+        "ledger", help="show, verify, join, export, correct and close the ledgers of nodes", epilog=EPILOG
     )
-    verbs = ledger.add_subparsers(title="what", metavar="verify|show|reconcile|correct|close", required=True)
+    verbs = ledger.add_subparsers(title="what", metavar="WHAT", required=True)
 
     verify = verbs.add_parser("verify", help="hold each line against the chain", epilog=EPILOG)
     show = verbs.add_parser("show", help="totals by period, tenant and word", epilog=EPILOG)
@@ -24,6 +24,14 @@
         one.add_argument("--period", default="", help="one alone, as 2026-02")
         one.add_argument("--tenant", default="", help="one alone")
 
+    export = verbs.add_parser("export", help="deliver a node's ledger, each entry once", epilog=EPILOG)
+    export.add_argument("folder", metavar="FOLDER")
+    export.add_argument("--node", required=True, help="whose ledger; its daemon may run")
+    export.add_argument("--to", required=True, metavar="HOST:PORT", help="the billing side's collector")
+    export.add_argument("--follow", action="store_true", help="go on with what is written")
+    export.add_argument(
+        "--give-up", type=float, default=120.0, metavar="S", help="end after so long without progress"
+    )
     correct = verbs.add_parser("correct", help="an entry that corrects; nothing is changed", epilog=EPILOG)
     close = verbs.add_parser("close", help="close a period that has ended", epilog=EPILOG)
     for one in (correct, close):
--- a/tests/ledger/test_export.py
+++ b/tests/ledger/test_export.py
@@ -182,3 +182,22 @@
     assert max(own[0] for own in waits) <= 500
     assert min(own[8] for own in waits) >= 16_000
     assert max(own[8] for own in waits) <= 32_000
+
+
+def test_an_exporter_goes_on_with_a_collector_that_was_restarted() -> None:
+    """A new life of the collector knows no session: it turned every offer away, for ever, until the exporter
+    was restarted as well."""
+    lines, _ = life("n0", seed=4, requests=300)
+    billing, exporter = Billing(), Exporter("n0", of(lines), 1, 1)
+    now = 0
+    for turn in range(400):
+        now += 100
+        if turn == 1:
+            billing.restart()
+        messages = exporter.poll(now)
+        while messages:
+            answers = [answer for one in messages for answer in billing.collector.receive(now, one)]
+            messages = [] if turn == 0 else [more for one in answers for more in exporter.receive(now, one)]
+            if turn == 0:  # the hello is answered, and then the collector dies
+                exporter.receive(now, answers[0])
+    assert exporter.is_done() and billing.kept["n0"] == lines
