--- a/benchmarks/request.py
+++ b/benchmarks/request.py
@@ -44,6 +44,7 @@
     number = 0
     done: asyncio.Future[None]
     statuses: dict[bytes, int] = {}  # noqa: RUF012
+    took: list[float] = []  # noqa: RUF012 - s
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport: Any = transport
@@ -55,9 +56,10 @@
             return
         cls.left -= 1
         cls.number += 1
+        self.asked = time.perf_counter()
         self.transport.write(
             b"GET /api HTTP/1.1\r\nHost: captions\r\nX-Request-Id: %016x\r\nX-Class: page\r\nX-Key: k%d\r\n"
-            b"X-Deadline: 5000m\r\n\r\n" % (cls.number, cls.number % 997)
+            b"X-Tenant: t%d\r\nX-Deadline: 5000m\r\n\r\n" % (cls.number, cls.number % 997, cls.number % 20)
         )
 
     def data_received(self, data: bytes) -> None:
@@ -67,6 +69,7 @@
             return
         self.got = b""
         status = head[9:12]
+        Client.took.append(time.perf_counter() - self.asked)
         Client.statuses[status] = Client.statuses.get(status, 0) + 1
         if Client.left <= 0 and sum(Client.statuses.values()) >= Client.number:
             if not Client.done.done():
@@ -131,7 +134,7 @@
             clients = [(await loop.create_connection(Client, host, int(port)))[1] for _ in range(connections)]
             figures = {}
             for phase, number in (("warm", requests // 5), ("measured", requests)):
-                Client.left, Client.number, Client.statuses = number, 0, {}
+                Client.left, Client.number, Client.statuses, Client.took = number, 0, {}, []
                 Client.done = loop.create_future()
                 cpu, began = cpu_of(process.pid), time.monotonic()
                 for client in clients:
@@ -143,6 +146,7 @@
             return {
                 "cpu_us": cpu / requests * 1e6, "per_s": requests / took, "served": served / requests,
                 "rss_mb": memory_of(process.pid),
+                "p99_ms": sorted(Client.took)[int(0.99 * len(Client.took))] * 1e3,
             }  # fmt: skip
         finally:
             process.kill()
