--- a/driftstair/ledger/command.py
+++ b/driftstair/ledger/command.py
@@ -10,10 +10,11 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from driftstair.files import FileProblem, parsed, read_text
 from driftstair.ledger.book import Book
 from driftstair.ledger.entries import Entry, EntryError, Word
 from driftstair.ledger.periods import Calendar, Period, PeriodError
-from driftstair.ledger.reconcile import Account, Copy, Joined, Total, chained, joined
+from driftstair.ledger.reconcile import Account, Copy, Joined, Total, against, chained, joined
 from driftstair.ledger.segments import Store, StoreError, lines, segments
 
 FINE, FOUND, UNREADABLE = 0, 1, 2
@@ -63,12 +64,45 @@
         for account, total in sorted(books.totals.items())
         if options.period in ("", account.period) and options.tenant in ("", account.tenant)
     ]
+    seen = seen_of(options.served) if getattr(options, "served", "") else None
+    beyond = {} if seen is None else against(books, seen)
     if options.json:
-        json.dump(_document(books, rows), sys.stdout, indent=1)
+        document = _document(books, rows)
+        if seen is not None:
+            document["beyond"] = [{**account._asdict(), "by": by} for account, by in beyond.items()]
+        json.dump(document, sys.stdout, indent=1)
         print()
     else:
         _tell(books, rows, findings=options.what == "reconcile")
-    return FOUND if books.findings else FINE
+        for account, by in beyond.items():
+            more = "more" if by > 0 else "less"
+            name = f"{account.period} {_shown(account.tenant)} {account.word}"
+            print(f"{name}: the books say {abs(by)} {more} than the report")
+        if seen is not None and not beyond:
+            print(f"all {len(seen)} accounts of the report are as the books say")
+    return FOUND if books.findings or beyond else FINE
+
+
+def seen_of(file: str) -> dict[Account, int]:
+    """What someone else saw, by the rows of `{"totals": [{"period", "tenant", "word", "count"}, ...]}`. Raises
+    StoreError, PeriodError."""
+    try:
+        tree = parsed(read_text(file), json.loads)
+        rows = tree["totals"]
+        seen = {Account(row["period"], row["tenant"], row["word"]): row["count"] for row in rows}
+    except FileProblem as problem:
+        raise StoreError(f"{file}: {problem}") from None
+    except (ValueError, KeyError, TypeError):
+        why = 'is no report; {"totals": [{"period": "2026-02", ...}]} would do'
+        raise StoreError(f"{file}: {why}") from None
+    for place, (account, count) in enumerate(seen.items()):
+        texts = all(isinstance(text, str) for text in account)
+        if not texts or isinstance(count, bool) or not isinstance(count, int) or count < 0:
+            raise StoreError(f"{file}: totals[{place}]: wants period, tenant and word as text, count from 0")
+        Period.parse(account.period)
+    if len(seen) != len(rows):
+        raise StoreError(f"{file}: two rows are of one period, tenant and word")
+    return {account: count for account, count in seen.items() if count}
 
 
 def _verify(options: argparse.Namespace) -> int:
--- a/driftstair/ledger/options.py
+++ b/driftstair/ledger/options.py
@@ -24,6 +24,7 @@
         one.add_argument("--period", default="", help="one alone, as 2026-02")
         one.add_argument("--tenant", default="", help="one alone")
 
+    reconcile.add_argument("--served", default="", metavar="REPORT", help="what was seen, to hold against it")
     export = verbs.add_parser("export", help="deliver a node's ledger, each entry once", epilog=EPILOG)
     export.add_argument("folder", metavar="FOLDER")
     export.add_argument("--node", required=True, help="whose ledger; its daemon may run")
--- a/tests/ledger/test_ledger_command.py
+++ b/tests/ledger/test_ledger_command.py
@@ -122,3 +122,36 @@
     store.close()
     assert run(["ledger", "show", str(tmp_path)]) == 0
     assert "a?[2Jb??c" in capsys.readouterr().out
+
+
+def test_books_are_held_against_what_was_seen(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    folder, report = ledger(tmp_path / "a"), tmp_path / "seen.json"
+    row = {"period": "2026-02", "tenant": "live", "word": "served", "count": 7}
+    words = ["ledger", "reconcile", str(folder), "--served", str(report)]
+    report.write_text(json.dumps({"totals": [row, row | {"word": "late", "count": 0}]}))
+    assert run(words) == 0
+    assert "all 1 accounts of the report are as the books say" in capsys.readouterr().out
+    report.write_text(json.dumps({"totals": [row | {"count": 9}]}))
+    assert run(words) == 1
+    assert "2026-02 live served: the books say 2 less than the report" in capsys.readouterr().out
+    report.write_text(json.dumps({"totals": [row | {"tenant": "other"}]}))
+    assert run([*words, "--json"]) == 1
+    beyond = {(one["tenant"], one["by"]) for one in json.loads(capsys.readouterr().out)["beyond"]}
+    assert beyond == {("live", 7), ("other", -7)}
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "{}", "[]", '{"totals": 3}', '{"totals": [{}]}', "[" * 100_000, '{"totals": [7]}',
+     '{"totals": [{"period": "2026-13", "tenant": "a", "word": "served", "count": 1}]}',
+     '{"totals": [{"period": "2026-02", "tenant": "a", "word": "served", "count": -1}]}',
+     '{"totals": [{"period": "2026-02", "tenant": 5, "word": "served", "count": 1}]}',
+     '{"totals": [{"period": ["x"], "tenant": "a", "word": "served", "count": 1}]}',
+     '{"totals": [{"period": "2026-02", "tenant": "a", "word": "served", "count": 1},'
+     ' {"period": "2026-02", "tenant": "a", "word": "served", "count": 2}]}'],
+)  # fmt: skip
+def test_what_is_no_report_is_one_line(tmp_path: Path, text: str, capsys: pytest.CaptureFixture[str]) -> None:
+    folder, report = ledger(tmp_path / "a"), tmp_path / "seen.json"
+    report.write_text(text)
+    assert run(["ledger", "reconcile", str(folder), "--served", str(report)]) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 1
