--- a/driftstair/ledger/command.py
+++ b/driftstair/ledger/command.py
@@ -84,8 +84,8 @@
 
 
 def seen_of(file: str) -> dict[Account, int]:
-    """What someone else saw, by the rows of `{"totals": [{"period", "tenant", "word", "count"}, ...]}`. Raises
-    StoreError, PeriodError."""
+    """What someone else saw, by rows: `{"totals": [{"period", "tenant", "word", "count"}, ...]}`.
+    Raises StoreError, PeriodError."""
     try:
         tree = parsed(read_text(file), json.loads)
         rows = tree["totals"]
