A node starts while the disk of its ledger is full

Seen by reading Keeper.open against what the design says of a full disk: the first line of a life could not be written, so the start ended with status 2, on the very evening on which a node may have to be restarted. A full disk is waited for as another process of the node is; other errors still end the start. The test fails without.

--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -24,6 +25,7 @@
 
 MS = 1_000_000  # ns
 REFUSED = (429, 503)
+FULL = (errno.ENOSPC, errno.EDQUOT)
 
 Aside = Callable[[Callable[[], None]], Awaitable[None]]
 """Does something that waits for a disk, off the loop's turn."""
@@ -100,7 +102,7 @@
 
     def open(self) -> None:
         """Raises StoreError for a ledger that can't be trusted or kept there, OSError; one that another
-        process of this node still writes is waited for."""
+        process of this node still writes, and a disk that is full, are waited for."""
         try:
             opened = self._store.open()
         except Busy as problem:
@@ -109,9 +111,13 @@
         self.book.head = opened.head
         try:
             self._append(self.book.begin(self.now(), self._uncertainty, opened.cut))
-        except OSError:
+        except OSError as problem:
             self._store.close()
-            raise
+            if problem.errno not in FULL:
+                raise
+            # Guards against a node that can't be restarted on the evening on which the disk is full.
+            self._warn(f"the ledger can't be begun, and is counted on: {problem}")
+            return
         self._open = True
 
     def _append(self, entries: list[Any]) -> None:
--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -135,6 +135,29 @@
     assert sum("can't be written" in one.message for one in caplog.records) == 1
 
 
+def test_a_node_starts_while_the_disk_is_full(tmp_path: Path) -> None:
+    full = True
+
+    def write(file: int, data: bytes) -> int:
+        if full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return os.write(file, data)
+
+    ledger = keeper(tmp_path, Clock(), write=write)
+
+    async def test() -> None:
+        nonlocal full
+        for number in range(4):
+            full = number < 2
+            ledger.follow(Asked(), "a", 1, False).answer(503, [], b"")
+            await ledger.commit()
+
+    run(test())
+    ledger.close()
+    assert totals(tmp_path) == {("a", "refused"): 4}
+    assert not joined(copies(str(tmp_path))).findings
+
+
 def test_a_second_process_of_the_node_waits_for_the_first(tmp_path: Path) -> None:
     """In an upgrade both serve for a while, and one writes."""
     clock = Clock()
