--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -112,49 +112,35 @@
     assert totals(tmp_path) == {("a", "refused"): 2}
 
 
-def test_a_full_disk_costs_no_count_and_one_line(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
-    full = False
+def on_a_disk(folder: Path, turns: int, full: range) -> None:
+    """A life of so many commits, one count each; at first and in some turns the disk may be full."""
+    turn = 0
 
     def write(file: int, data: bytes) -> int:
-        if full:
+        if turn in full:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         return os.write(file, data)
 
-    ledger = keeper(tmp_path, Clock(), write=write)
+    ledger = keeper(folder, Clock(), write=write)
 
     async def test() -> None:
-        nonlocal full
-        for number in range(10):
-            full = 2 <= number < 7
+        nonlocal turn
+        for turn in range(turns):  # noqa: B007 - the disk goes by it
             ledger.follow(Asked(), "a", 1, False).answer(503, [], b"")
             await ledger.commit()
 
     run(test())
     ledger.close()
-    assert totals(tmp_path) == {("a", "refused"): 10}
-    assert sum("can't be written" in one.message for one in caplog.records) == 1
-
-
-def test_a_node_starts_while_the_disk_is_full(tmp_path: Path) -> None:
-    full = True
+    assert totals(folder) == {("a", "refused"): turns}
 
-    def write(file: int, data: bytes) -> int:
-        if full:
-            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-        return os.write(file, data)
 
-    ledger = keeper(tmp_path, Clock(), write=write)
+def test_a_full_disk_costs_no_count_and_one_line(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    on_a_disk(tmp_path, 10, full=range(2, 7))
+    assert sum("can't be written" in one.message for one in caplog.records) == 1
 
-    async def test() -> None:
-        nonlocal full
-        for number in range(4):
-            full = number < 2
-            ledger.follow(Asked(), "a", 1, False).answer(503, [], b"")
-            await ledger.commit()
 
-    run(test())
-    ledger.close()
-    assert totals(tmp_path) == {("a", "refused"): 4}
+def test_a_node_starts_while_the_disk_is_full(tmp_path: Path) -> None:
+    on_a_disk(tmp_path, 4, full=range(2))
     assert not joined(copies(str(tmp_path))).findings
 
 
