--- a/driftstair/rehearsal/platform.py
+++ b/driftstair/rehearsal/platform.py
@@ -16,7 +16,7 @@
     return int(seconds * 1e9)
 
 
-def settings(of: Scenario) -> dict[str, Any]:
+def settings(of: Scenario, number: int = 0) -> dict[str, Any]:
     """The object that tells a node of its deployment."""
     coldest = max(load.kinds(of), key=lambda kind: kind.cold_s)
     tenants = load.tenants(of)
@@ -49,6 +49,7 @@
             "SendCap": of.nodes.attempts,
         },
         "PeersTotal": of.nodes.count,
+        "SelfIndex": number,
         "WorthBy": "request",
     }  # fmt: skip
 
@@ -64,7 +65,7 @@
         "discovery": f"{discovery[0]}:{discovery[1]}",
         "seed": f"{seed:016x}",
         "limits": {"cores": 1.0, "memory_mb": of.nodes.memory_mb, "sockets": of.nodes.descriptors},
-        "settings": settings(of),
+        "settings": settings(of, int(name.removeprefix("n"))),
         "known": known,
     }
 
--- a/driftstair/rehearsal/stands/clients.py
+++ b/driftstair/rehearsal/stands/clients.py
@@ -16,7 +16,7 @@
 from driftstair.rehearsal.stands.http1 import MessageReader, WireError, status_of
 from driftstair.rehearsal.stands.place import Place
 from driftstair.rehearsal.stands.workload import Choice, Kind, Workload, zipf
-from lichenspring.balance import mix
+from lichenspring.subset import mix
 
 NOBODY_ASKS = 0.05  # s until the next look, while the load is none
 IDLE_LOOK = 1.0  # s
--- a/driftstair/rehearsal/stands/workload.py
+++ b/driftstair/rehearsal/stands/workload.py
@@ -14,7 +14,7 @@
 from statistics import NormalDist
 
 from driftstair.rehearsal.scenario import Class
-from lichenspring.balance import mix
+from lichenspring.subset import mix
 
 _MASK = (1 << 64) - 1
 _NORMAL = NormalDist()
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -1,5 +1,5 @@
-"""All decisions of the balancer. Its events, actions and settings are in interface.py, and the breaker of one
-class in breaker.py, beside this file.
+"""All decisions of the balancer. Its events, actions and settings are in interface.py, the breaker of one
+class in breaker.py, and which servers a node of many goes to in subset.py, beside this file.
 
 The ordinary path of a request: its class's adaptive circuit breaker admits or refuses it at once; its key
 names two servers and the one with fewer of this node's own requests in flight gets it. The rest is what
@@ -19,10 +19,11 @@
 from lichenspring import interface as api
 from lichenspring.breaker import CENSORED, KEEP, PERIOD, SECOND, TARGET, Breaker, InFlight, pooled_tail
 from lichenspring.interface import NEVER_RAN, Group, ListKind, ListMode, Repeat, Result, ServerState
+from lichenspring.subset import HELD, members, mix, parts
 
 # Admission, beside the breaker's own.
 IDLE_BELOW = 0.6  # mean part of cores in use, by report: below it the target is the aim itself
-START_PER_SERVER = 10.0  # requests in flight, of all nodes together: the cap until a window tells
+START_PER_SERVER = HELD  # requests in flight, of all nodes together: the cap until a window tells
 LEAST_PER_SERVER = 0.3  # of a class, likewise, are always let in: without samples no cap could rise again
 UNANSWERED_WEIGHT = 0.08  # part of the newest attempt in the share that goes unanswered: the last dozen or so
 WORTH_ABOVE = 1.2  # times the worth for its work: a class whose threshold binds the lesser ones too
@@ -35,6 +36,7 @@
 
 # Servers.
 TABLE_SIZE = 2039  # slots, a prime: a key's walk reaches every one
+STRIDE = 701  # from a slot of a server that is not this node's to the next
 HOT = 0.5  # of a server's fair share of this node's requests: a key above it goes to more than two
 KEY_MEMORY = 6.0  # requests for each server are remembered: at a small share of traffic that takes long
 FULL_WEIGHT = 0.2  # part of the newest outcome in a server's share of full answers
@@ -81,15 +83,6 @@
 DOUBLINGS = 4  # of that pause and of an ejection, at most
 
 TICK_TOKEN, ASK_TOKEN, LATER_TOKEN = 1, 2, 3
-MASK = (1 << 64) - 1
-
-
-def mix(value: int) -> int:
-    """A well spread 64-bit hash of a whole number, alike on every node."""
-    value = (value + 0x9E3779B97F4A7C15) & MASK
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
-    return value ^ (value >> 31)
 
 
 @dataclass(slots=True, eq=False)
@@ -192,7 +185,9 @@
         self._random = Random(seed)
         self._breakers = [Breaker(kind.aim) for kind in settings.classes]
         self._backends: dict[api.ServerId, Backend] = {}
-        self._ready: list[Backend] = []
+        self._ready: list[Backend] = []  # this node's own part of the servers, in the list's order
+        self._others: list[Backend] = []  # of other nodes' parts: where no one of its own may be used
+        self._parts = 1
         self._table: list[Backend] = []
         self._open: dict[int, Open] = {}
         self._caps = [0.0] * len(settings.classes)  # requests in flight at which a class is refused
@@ -286,7 +281,7 @@
         take, those left out for nothing: after a release or a lost zone the list holds more than can serve,
         and a cap learned before it would fill the rest."""
         able = sum(self._warmth(now, one.entry) for one in self._ready if not one.ejected_until)
-        return max(1.0, able) / self._settings.nodes
+        return max(1.0, able) * self._parts / self._settings.nodes
 
     def _set_caps(self, now: int) -> None:
         """A class stops at its own threshold, and short of those of the classes that are worth more. All
@@ -310,7 +305,7 @@
         return self._has_room(now, request, part * RESUBMITTED_PART if request.resubmitted else part)
 
     def _has_room(self, now: int, request: api.Request, part: float = 1.0) -> bool:
-        least = LEAST_PER_SERVER * len(self._ready) / self._settings.nodes
+        least = LEAST_PER_SERVER * len(self._ready) * self._parts / self._settings.nodes
         own = self._breakers[request.class_index].in_flight
         cap = part * self._caps[request.class_index]
         return self._in_flight.is_below(now, cap) or own.is_below(now, least)
@@ -582,9 +577,11 @@
                 backend = table[place % len(table)]
                 if place >> 44 < self._kinds[backend.entry.kind].share * (1 << 20):
                     yield backend
-            turn = mix(key) % len(self._ready)  # the head of the list would get all that finds no other
-            yield from self._ready[turn:]
-            yield from self._ready[:turn]
+            for servers in (self._ready, self._others):
+                # The head of the list would get all that finds no other.
+                turn = mix(key) % max(1, len(servers))
+                yield from servers[turn:]
+                yield from servers[:turn]
 
     def _find_hot_keys(self) -> None:
         total = sum(self._key_counts.values())
@@ -827,23 +824,42 @@
         kept = {key: one for key, one in self._backends.items() if one.entry.state is not ServerState.GONE}
         self._backends = kept
         ids = sorted(key for key, one in self._backends.items() if one.entry.state is ServerState.READY)
-        self._ready = [self._backends[key] for key in ids]
-        self._table = self._filled_table()
+        classes = self._settings.classes
+        answers_within = sum(kind.aim for kind in classes) / len(classes)
+        self._parts = parts(self._settings.nodes, answers_within, len(ids))
+        mine = members(ids, self._settings.number, self._parts)
+        self._ready = [self._backends[key] for key in ids if key in mine]
+        self._others = [self._backends[key] for key in ids if key not in mine]
+        self._table = self._own_table()
         self._set_caps(now)
 
+    def _own_table(self) -> list[Backend]:
+        """The slots of all servers, those of others' servers led on to one of this node's own: nodes go the
+        same way from a slot, so a key has the same servers at all that have them in common."""
+        table = self._filled_table()
+        mine = set(map(id, self._ready))
+        led = []
+        for slot, backend in enumerate(table):
+            while id(backend) not in mine:  # a stride in a table of prime size comes by every slot
+                slot = (slot + STRIDE) % TABLE_SIZE
+                backend = table[slot]
+            led.append(backend)
+        return led
+
     def _filled_table(self) -> list[Backend]:
         """Servers take slots in turn, each in its own order, as often as its weight says: even shares,
         and a change of the list moves few keys."""
         if not self._ready:
             return []
-        heaviest = max(backend.entry.weight for backend in self._ready)
+        servers = sorted((*self._ready, *self._others), key=lambda one: one.entry.id)
+        heaviest = max(backend.entry.weight for backend in servers)
         table: list[Backend | None] = [None] * TABLE_SIZE
-        places = [mix(int.from_bytes(backend.entry.id, "little")) for backend in self._ready]
+        places = [mix(int.from_bytes(backend.entry.id, "little")) for backend in servers]
         steps = [1 + mix(place) % (TABLE_SIZE - 1) for place in places]
         credits = [0.0] * len(places)
         left = TABLE_SIZE
         while left:
-            for index, backend in enumerate(self._ready):
+            for index, backend in enumerate(servers):
                 credits[index] += backend.entry.weight / heaviest
                 if credits[index] < 1.0 or not left:
                     continue
--- a/lichenspring/interface.py
+++ b/lichenspring/interface.py
@@ -114,13 +114,14 @@
     report_fields: tuple[str, ...]  # what a server's load report holds
     idle_close: int = 0  # an idle connection is closed after this time
     key_rest: int = 0  # in order: a key waits so long after a time-out, a reset or a cancel
+    number: int = 0  # of this node among those that share the servers, from 0
 
     def __post_init__(self) -> None:
         _require("classes", len(self.classes) >= 1, self.classes)
         _require("cold_share", 0.0 <= self.cold_share <= 1.0, self.cold_share)
         for name, least in (
             ("nodes", 1), ("max_attempts", 1), ("ask_within", 0), ("cold_time", 0),
-            ("max_retry_after", 0), ("idle_close", 0), ("key_rest", 0),
+            ("max_retry_after", 0), ("idle_close", 0), ("key_rest", 0), ("number", 0),
         ):  # fmt: skip
             value = getattr(self, name)
             _require(name, value >= least, value)
--- a/lichenspring/settings.py
+++ b/lichenspring/settings.py
@@ -135,4 +135,5 @@
         report_fields=tuple(REPORT_FIELDS.get(word, word) for word in values.words("Feedback.Fields")),
         idle_close=values.whole("Limits.IdleClose"),
         key_rest=values.whole("Contract.KeyRest") if values.has("Contract.KeyRest") else 0,
+        number=values.whole("SelfIndex") if values.has("SelfIndex") else 0,
     )
