driftstair model: the whole fleet's scenario on one core, with the real decision module

The model plays the module alone through the daemon's events and actions, before the kit's own engine of boxes, its troubles and scenario files; what it does not hold is refused by name.

--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -19,6 +19,7 @@
     commands = top.add_subparsers(title="subcommands", metavar="COMMAND", required=True)
 
     from driftstair.ledger import options as ledger
+    from driftstair.model import options as model
     from driftstair.rehearsal import options as rehearsal
     from driftstair.service import options as service
 
@@ -27,6 +28,7 @@
     rehearsal.add(commands)
     service.add(commands)
     ledger.add(commands)
+    model.add(commands)
     return top
 
 
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -81,7 +81,7 @@
 
 
 class Nodes(_Table):
-    count: Annotated[Whole, Field(ge=1, le=64)] = 3
+    count: Annotated[Whole, Field(ge=1, le=4096)] = 3
     descriptors: Annotated[Whole, Field(ge=96)] = 1024
     memory_mb: Count = 192
     attempts: Annotated[Whole, Field(ge=1, le=16)] = 5  # of one request at most
@@ -150,6 +150,8 @@
 
 class FrontLayer(_Table):
     notice_s: Range = (1.9, 3.7)  # it sends on to a dead node for so long
+    busy_part: Share = 0.0  # of the nodes, that see `busy_times` as much as the others
+    busy_times: Positive = 3.0
 
 
 class Clients(_Table):
