--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -837,14 +837,22 @@
         """The slots of all servers, those of others' servers led on to one of this node's own: nodes go the
         same way from a slot, so a key has the same servers at all that have them in common."""
         table = self._filled_table()
+        if not self._others or not self._ready:
+            return table
         mine = set(map(id, self._ready))
-        led = []
-        for slot, backend in enumerate(table):
-            while id(backend) not in mine:  # a stride in a table of prime size comes by every slot
-                slot = (slot + STRIDE) % TABLE_SIZE
+        first = next((slot for slot, backend in enumerate(table) if id(backend) in mine), None)
+        if first is None:
+            return self._ready  # too light for a slot
+        # Backwards from a slot of its own, so that the next one is known: a stride in a table of prime size
+        # comes by every slot.
+        backend = table[first]
+        for turn in range(1, TABLE_SIZE):
+            slot = (first - turn * STRIDE) % TABLE_SIZE
+            if id(table[slot]) in mine:
                 backend = table[slot]
-            led.append(backend)
-        return led
+            else:
+                table[slot] = backend
+        return table
 
     def _filled_table(self) -> list[Backend]:
         """Servers take slots in turn, each in its own order, as often as its weight says: even shares,
--- a/lichenspring/subset.py
+++ b/lichenspring/subset.py
@@ -16,7 +16,7 @@
 
 SECOND = 1_000_000_000  # ns
 HELD = 10.0  # requests in flight, of all nodes together, of a server that works at full pace
-MEETS_WITHIN = 4.0  # s, in which a node is to meet a server then: half of that goes by until most nodes have
+MEETS_WITHIN = 2.0  # s, in which a node is to meet a server then: half of that goes by until most nodes have
 LEAST = 12  # servers of a part: the two candidates of a key, and enough to go elsewhere
 ROUND = 32  # nodes, a power of two: there are so many parts at most
 MASK = (1 << 64) - 1
