Caps end where servers' reports say that all cores are in use

Now no cap passes what is carried over the part of cores that reports tell of, the lesser classes' at all cores, nor falls below what a node starts with by that.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -24,6 +24,10 @@
 # Admission, beside the breaker's own.
 IDLE_BELOW = 0.6  # mean part of cores in use, by report: below it the target is the aim itself
 START_PER_SERVER = HELD  # requests in flight, of all nodes together: the cap until a window tells
+TOLD_WEIGHT = 1 / 16  # part of the newest report in the mean part of cores in use
+TOLD_LEAST = 8  # reports; fewer say nothing
+TOLD_LOW = 0.2  # of it: what little is in use tells little of how much more would be
+CARRIED_WEIGHT = 0.25  # part of a window in the mean of requests in flight that late reports belong to
 LEAST_PER_SERVER = 0.3  # of a class, likewise, are always let in: without samples no cap could rise again
 UNANSWERED_WEIGHT = 0.08  # part of the newest attempt in the share that goes unanswered: the last dozen or so
 WORTH_ABOVE = 1.2  # times the worth for its work: a class whose threshold binds the lesser ones too
@@ -192,6 +196,8 @@
         self._open: dict[int, Open] = {}
         self._caps = [0.0] * len(settings.classes)  # requests in flight at which a class is refused
         self._in_flight = InFlight()
+        self._carried = 0.0  # its mean over the time that reports tell of
+        self._told, self._reports = 0.0, 0  # mean part of cores in use, by reports of late, and their number
         self._arrivals = 0  # of all tenants
         self._shares: dict[int, tuple[float, int]] = {}  # a tenant's credit, and arrivals at its last request
         self._later: list[tuple[int, int, Callable[[int], None]]] = []  # a heap: when, number, what to do
@@ -256,6 +262,7 @@
             able, pooled = self._able(now), pooled_tail(self._breakers)
             for breaker in self._breakers:
                 breaker.update(self._in_flight.mean / able, START_PER_SERVER, self._is_idle(), pooled)
+            self._carried += CARRIED_WEIGHT * (self._in_flight.mean - self._carried)
             self._set_caps(now)
             for backend in self._ready:
                 for index in backend.fullness:
@@ -288,7 +295,8 @@
         stop sooner where fewer than half of all attempts are answered: overdriven servers need to rest."""
         brake = min(1.0, 2.0 * (1.0 - self._unanswered))
         able = self._able(now)
-        thresholds = [able * breaker.threshold(START_PER_SERVER) for breaker in self._breakers]
+        full = max(able * START_PER_SERVER, self._full())
+        thresholds = [min(full, able * breaker.threshold(START_PER_SERVER)) for breaker in self._breakers]
         values = [self._value(index) for index in range(len(thresholds))]
         for index, own in enumerate(thresholds):
             above = [
@@ -298,6 +306,15 @@
             ]
             self._caps[index] = brake * min([own, *above])
 
+    def _full(self) -> float:
+        """Requests in flight at which the lesser classes would have all cores in use, by the servers' own
+        reports: as many more as are carried now as cores are free. Each answer tells of another server, so
+        a node that carries three requests at once knows their mean well. Guards against caps that grow while
+        all is quiet (to the target's response time it is a long way) and let a burst in until servers jam."""
+        if self._reports < TOLD_LEAST:
+            return inf
+        return self._carried / max(TOLD_LOW, self._told) / RESERVE
+
     def _admits(self, now: int, request: api.Request) -> bool:
         part = OVER_SHARE_PART if self._is_over_share(request.tenant) else 1.0
         if request.limits is not None:
@@ -718,7 +735,11 @@
     def _note_report(self, now: int, backend: Backend, report: tuple[float, ...]) -> None:
         values = dict(zip(self._settings.report_fields, report, strict=False))
         if "utilization" in values:
-            self._note_busy(now, backend, min(1.0, max(0.0, values["utilization"])))
+            busy = min(1.0, max(0.0, values["utilization"]))
+            self._note_busy(now, backend, busy)
+            if self._warmth(now, backend.entry) >= 1.0:
+                self._reports += 1
+                self._told += max(TOLD_WEIGHT, 1 / self._reports) * (busy - self._told)
 
     def _note_busy(self, now: int, backend: Backend, busy: float) -> None:
         kind = self._kinds[backend.entry.kind]
