A watch that never came up leaves no parser behind

Seen: test_connections_that_have_ended_are_freed_at_once failed in three of four whole runs on a busy machine, and alone never. Ruled out: an earlier test's objects (counted before and after: it was made within the test) and too short a wait (it stayed for 20 s). Its referrers: discovery._Watch, whose parser holds it by bound methods and is made before the connection is there. The module asks for the list at a random time of its first seconds; a refused call then waits for the collector, which the test turns off, as the daemon's does for hours.

Now the parser lives from connection_made to connection_lost, as those of clients and servers do. The test has a watch refused every time and fails without this.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -110,7 +110,7 @@
     def __init__(self, owner: Discovery) -> None:
         self._owner = owner
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = None  # while it is up: the two hold each other
         self._rest = bytearray()
         loop = asyncio.get_running_loop()
         self._heard = loop.time()
@@ -137,12 +137,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         if self._owner.is_current(self):
+            self._parser = httptools.HttpResponseParser(self)
             transport.write(self._owner.request())
         else:  # given up while it was dialed: a watch that nobody reads is load for discovery
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
         self._heard = asyncio.get_running_loop().time()
+        if self._parser is None:
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -150,11 +153,13 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._timer.cancel()
+        self._parser = None
         self._owner.failed(self, f"connection ended: {exc!r}")
 
     # What the parser finds.
 
     def on_headers_complete(self) -> None:
+        assert self._parser is not None  # it is what calls
         status = self._parser.get_status_code()
         if status != 200:
             self._fail(f"status {status}")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import os
-from collections import Counter
 
 import pytest
 from rig import (
@@ -221,26 +220,21 @@
     async def test() -> None:
         once = says(answer(Connection="close"))
         async with Server("s-1", once) as server, Rig(configuration(server)) as rig:
-            names = ("HttpRequestParser", "HttpResponseParser", "ClientConnection", "Connection")
-
-            def kept() -> Counter[str]:
-                return Counter(name for one in gc.get_objects() if (name := type(one).__name__) in names)
-
             gc.collect()
             gc.disable()
             try:
-                # What an earlier test's clients have left open is not of this one: seen once in three whole
-                # runs on a busy machine.
-                before = kept()
+                # The module asks for the list at a random time of its first seconds, and here nobody answers:
+                # where that fell into this test, the parser of a watch that never came up was left over.
+                rig.node.watch()
                 for _ in range(20):
                     client = await rig.client()
                     assert status(await client.ask(request())) == 200
                     client.writer.close()
                 await until(lambda: not rig.front._connections and not rig.node._pools.sockets)
                 await asyncio.sleep(0)
-                left = kept() - before
-                assert left["HttpRequestParser"] == left["HttpResponseParser"] == 0
-                assert left["ClientConnection"] + left["Connection"] <= 2
+                left = [type(one).__name__ for one in gc.get_objects()]
+                assert left.count("HttpRequestParser") == left.count("HttpResponseParser") == 0
+                assert left.count("ClientConnection") + left.count("Connection") <= 2
             finally:
                 gc.enable()
 
