--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -8,7 +8,7 @@
 
 Run = Callable[[argparse.Namespace], int]
 
-EXTRAS = {"rich": "rehearsal", "pydantic": "service", "tomli_w": "rehearsal"}
+EXTRAS = {"rich": "rehearsal", "pydantic": "service", "tomli_w": "rehearsal", "msgspec": "tier"}
 
 
 def parser() -> argparse.ArgumentParser:
--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -73,6 +73,7 @@
         open_cap=values.whole("Limits.OpenCap", least=1),
         memory=_memory(document),
         operators=_operators(environment, document),
+        between=_between(document, tree),
         name=str(environment.get("BALANCER_NAME") or document.get("name") or ""),
     )
 
@@ -100,6 +101,16 @@
     return _address(environment, "BALANCER_OPS", document, "ops")
 
 
+def _between(document: dict[str, Any], tree: dict[str, Any]) -> dict[str, Any] | None:
+    """Kept as it stands: without a tier nobody reads it, and a node starts whatever it says."""
+    limits = tree.get("Limits")
+    if not isinstance(limits, dict) or limits.get("Peers") is not True:
+        return None
+    return {"zone": tree.get("MyZone")} | {
+        key: document[key] for key in ("peer_listen", "peers") if key in document
+    }
+
+
 def _seed(document: dict[str, Any]) -> int:
     seed = document.get("seed")
     try:
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -23,6 +23,7 @@
     from driftstair.operations.roster import Roster
     from driftstair.operations.service import Operations
     from driftstair.service.use import ServiceFile
+    from driftstair.tier.service import Tier
 
 log = logging.getLogger("driftstair")
 
@@ -74,7 +75,7 @@
 
 
 def follow_files(
-    node: Node, config: Config, reread: Callable[[], Config], service: ServiceFile | None
+    node: Node, config: Config, reread: Callable[[], Config], service: ServiceFile | None, tier: Tier | None
 ) -> None:
     """SIGHUP: files have been replaced. Whatever is wrong with one, the node serves on as before."""
     try:
@@ -83,6 +84,8 @@
         log.error("the new configuration is not used: %s", problem)
     else:
         node.reload(config)
+        if tier is not None:
+            tier.reload(config)
     if service is not None:
         from driftstair.service.load import ServiceError
 
@@ -109,8 +112,9 @@
     if operations is not None:
         config = operations.config
     node, front = assemble(config, system, limits, None if operations is None else operations.roster)
+    tier = None if service is None else service.tier(config, system)
     # Guards against the default, which ends the process and all that it holds.
-    loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service)
+    loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier)
     try:
         if operations is None:
             address = front.listen()
@@ -131,11 +135,18 @@
         except OSError as problem:
             print(f"driftstair: BALANCER_OPS can't be used: {problem.strerror}", file=sys.stderr)
             return 2
+        operations.tier = tier
+    if tier is not None:
+        tier.start()
     ready()
     log.info("serving on %s:%d", *address)
     await stop.wait()
     log.info("stopping")
+    if tier is not None:
+        tier.leave()
     await front.stop(*plan_end(config))
+    if tier is not None:
+        await tier.close()
     if kept is not None:
         ended.set()
         await committing
--- /dev/null
+++ b/driftstair/model/tier/swim.py
@@ -0,0 +1,65 @@
+"""The shipped core in the modelled tier."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from driftstair.model.tier.world import SECOND, Host
+from driftstair.tier import wire
+from driftstair.tier.membership import events as api
+from driftstair.tier.membership.core import Membership
+from driftstair.tier.membership.members import Claim, State, Traits
+
+HEAD = 1 + wire.SEAL + 10  # bytes of a datagram beside its claims, about
+
+
+class Swim:
+    """One life. `period` in s; lives of one number follow each other by `first_life + life`."""
+
+    def __init__(self, host: Host, life: int, count: int, period: float, seed: int) -> None:
+        random = Random(f"{seed}/{host.number}/{life}")
+        self.host = host
+        self.core = Membership(
+            host.number, count, 100 + life, Traits(host.number % 3, 1, wire.MEMBERSHIP), int(period * SECOND),
+            random, wire.ROOM, wire.size,
+        )  # fmt: skip
+
+    def start(self) -> None:
+        self._do(self.core.handle(self.host.now(), api.Start()))
+
+    def wake(self) -> None:
+        self._do(self.core.handle(self.host.now(), api.Wake()))
+
+    def wake_at(self) -> int:
+        return self.core.wake_at
+
+    def take(self, datagram: Any) -> None:
+        self._do(self.core.handle(self.host.now(), api.Heard(datagram)))
+
+    def leave(self) -> None:
+        self._do(self.core.handle(self.host.now(), api.Leave()))
+
+    def dead(self) -> set[int]:
+        return {one.number for one in self.core.members.values() if one.state in (State.DEAD, State.LEFT)}
+
+    def view(self) -> dict[int, tuple[int, int, int] | None]:
+        """What is held of everyone, this node included."""
+        found: dict[int, tuple[int, int, int] | None] = {
+            one.number: one.claim.rank() if one.claim else None for one in self.core.members.values()
+        }
+        found[self.core.own] = self.core.mine.rank()
+        return found
+
+    def _do(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send):
+                message = action.message
+                size = HEAD + wire.size(message.mine) + sum(map(_size, message.news))
+                self.host.send(message.to, message, size)
+            elif isinstance(action, api.Changed):
+                self.host.held(action.claim.number, action.claim.state)
+
+
+def _size(claim: Claim) -> int:
+    return wire.size(claim)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -129,8 +129,9 @@
     def reload(self, config: Config) -> None:
         """A new configuration: the watch moves to the address that it names. List and requests stay."""
         kept = replace(
-            config, discovery=self._config.discovery, known=self._config.known, seed=self._config.seed
-        )
+            config, discovery=self._config.discovery, known=self._config.known, seed=self._config.seed,
+            between=self._config.between,
+        )  # fmt: skip
         if kept != self._config:
             log.warning("of the new configuration only discovery is used before a restart")
         log.info("discovery is at %s:%d", *config.discovery)
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -42,6 +42,19 @@
     def close(self) -> None: ...
 
 
+class Datagrams(Protocol):
+    """A UDP socket."""
+
+    address: tuple[str, int]
+    unsent: int  # datagrams that the machine would not take
+    broken: int  # errors that reading brought: what another machine has refused
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Or not at all: whatever the machine says against it, the datagram is lost."""
+
+    def close(self) -> None: ...
+
+
 class System(Protocol):
     """Times are whole nanoseconds."""
 
@@ -55,6 +68,12 @@
     async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
         """A connection; raises OSError, and waits for as long as nothing answers."""
 
+    def datagrams(
+        self, address: tuple[str, int], received: Callable[[bytes, tuple[str, int]], None], most: int
+    ) -> Datagrams:
+        """A UDP socket; `received` is called with each datagram and where it came from, one of more than
+        `most` bytes as `most` + 1 of them. Raises OSError."""
+
     def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Set up a connection that came up for requests one at a time. What is returned tells whether it is
         quiet: nothing has come, nor its end, that the loop has not read yet."""
@@ -122,6 +141,13 @@
         _, protocol = await asyncio.get_running_loop().create_connection(factory, *address)
         return protocol
 
+    def datagrams(
+        self, address: tuple[str, int], received: Callable[[bytes, tuple[str, int]], None], most: int
+    ) -> Datagrams:
+        from driftstair.net.datagrams import SocketDatagrams  # only a tier sends any
+
+        return SocketDatagrams(address, received, most)
+
     def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
         own = transport.get_extra_info("socket")
         poll = select.poll()
--- a/driftstair/operations/calls.py
+++ b/driftstair/operations/calls.py
@@ -15,13 +15,14 @@
 
     READY = b"ready"
     COUNTERS = b"counters"
+    TIER = b"tier"
     NODE_OUT = b"out-of-service"
     NODE_IN = b"in-service"
     SERVER_OUT = b"offline"
     SERVER_IN = b"online"
 
 
-READS = frozenset((Order.READY, Order.COUNTERS))
+READS = frozenset((Order.READY, Order.COUNTERS, Order.TIER))
 OF_A_SERVER = frozenset((Order.SERVER_OUT, Order.SERVER_IN))
 _PLAIN = {order.value: order for order in Order if order not in OF_A_SERVER}
 _OF_A_SERVER = {order.value: order for order in OF_A_SERVER}
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from driftstair.net.front import BACKLOG, Front
 from driftstair.net.node import Node
@@ -21,6 +22,9 @@
 from driftstair.operations.state import State
 from driftstair.settings import Config
 
+if TYPE_CHECKING:
+    from driftstair.tier.service import Tier
+
 log = logging.getLogger(__name__)
 
 LIST_WITHIN = 2.0  # s: a new process says that it serves without a newer list than the old one's
@@ -41,6 +45,7 @@
         self._desk: Desk | None = None
         self._link: Link | None = None
         self._settling: asyncio.Task[None] | None = None
+        self.tier: Tier | None = None  # what is told of the other nodes
         state = State()
         if self._store is not None:
             self._predecessor = find_predecessor(self._store)
@@ -122,6 +127,10 @@
             return 200, self._node.counters() | self._front.counters() | {
                 "servers_out": sorted(self.roster.orders.out), "drained": self.roster.orders.drained > 0,
             }  # fmt: skip
+        if call.order is Order.TIER:
+            if self.tier is None:
+                return 404, {"error": "this node is in no tier"}
+            return 200, self.tier.report()
         if call.order is Order.NODE_OUT:
             await self._order(lambda orders: setattr(orders, "drained", orders.drained or now))
         elif call.order is Order.NODE_IN:
--- a/driftstair/rehearsal/sim/network.py
+++ b/driftstair/rehearsal/sim/network.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from driftstair.rehearsal.sim.datagrams import SimulatedDatagrams
 from driftstair.rehearsal.sim.loop import ProcessLoop
 from driftstair.rehearsal.sim.scheduler import SECOND, Event, Scheduler
 from driftstair.rehearsal.sim.stream import Endpoint
@@ -57,6 +58,7 @@
         self.reachable = True
         self.listeners: dict[int, Listener] = {}
         self.endpoints: dict[Endpoint, None] = {}
+        self.datagrams: dict[int, SimulatedDatagrams] = {}  # UDP sockets by port
         self._next_port = FIRST_PORT
 
     def take_descriptor(self) -> None:
@@ -101,6 +103,7 @@
             listener.close()
         for endpoint in list(self.endpoints):
             endpoint.vanish_with_process()
+        self.datagrams.clear()
         self.descriptors = 0
 
 
@@ -174,6 +177,9 @@
         self.random = Random(seed)
         self.kernel = ProcessLoop(scheduler, "network", self._failed)  # type: ignore[abstract]
         self.between: Callable[[Machine, Machine], Link | None] = lambda one, other: None
+        self.fate: Callable[[Machine, Machine, bytes], list[tuple[float, bytes]]] = (
+            lambda source, target, data: [(0.0, data)]
+        )  # of a datagram: what arrives, and how many s later than usual
         self._machines: dict[str, Machine] = {}
         self._held: list[tuple[Machine, Callable[[], None]]] = []  # requests for a connection
 
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from driftstair.net.system import Factory, Listener, System
+from driftstair.net.system import Datagrams, Factory, Listener, System
+from driftstair.rehearsal.sim.datagrams import SimulatedDatagrams
 from driftstair.rehearsal.sim.loop import ProcessLoop
 from driftstair.rehearsal.sim.network import Machine
 from driftstair.rehearsal.sim.stream import Endpoint
@@ -34,6 +35,11 @@
     async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
         return await self._machine.network.dial(self._loop, self._machine, factory, address)
 
+    def datagrams(
+        self, address: tuple[str, int], received: Callable[[bytes, tuple[str, int]], None], most: int
+    ) -> Datagrams:
+        return SimulatedDatagrams(self._machine, self._loop, address, received, most)
+
     def prepare(self, transport: asyncio.Transport) -> Callable[[], bool]:
         endpoint = cast(Endpoint, transport)
         return lambda: not endpoint.has_unread()
--- /dev/null
+++ b/driftstair/rehearsal/tier/histories.py
@@ -0,0 +1,94 @@
+"""What the processes of a tier came to hold, by time: read from their histories."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from driftstair.tier import history
+
+Rank = tuple[int, int, int]
+STATES = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}
+FOREVER = 1 << 62
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """One change of a view. Times in ns."""
+
+    at: int
+    member: int
+    state: str
+    rank: Rank  # life, incarnation, state
+    told: bool
+    why: str
+
+
+@dataclass(slots=True)
+class Process:
+    """One process of a node, from its start to its last line."""
+
+    node: int
+    began: int
+    ended: int = FOREVER  # ns: where it has said so itself
+    held: list[Held] = field(default_factory=list)
+    stood_still: list[tuple[int, int]] = field(default_factory=list)  # ns, by its own word
+
+    def state(self, member: int, at: int) -> str:
+        """What it held of a member at a time; "unknown" before anything was heard."""
+        found = "unknown"
+        for one in self.held:
+            if one.at > at:
+                break
+            if one.member == member:
+                found = one.state
+        return found
+
+    def spans(self, member: int, state: str, until: int) -> list[tuple[int, int, Held]]:
+        """When it held a member so, and what began it."""
+        out: list[tuple[int, int, Held]] = []
+        since: Held | None = None
+        for one in self.held:
+            if one.member != member:
+                continue
+            if since is None and one.state == state:
+                since = one
+            elif since is not None and one.state != state:
+                out.append((since.at, one.at, since))
+                since = None
+        if since is not None:
+            out.append((since.at, min(until, self.ended), since))
+        return out
+
+    def last(self) -> dict[int, Held]:
+        return {one.member: one for one in self.held}
+
+
+def processes(events: list[dict[str, Any]]) -> list[Process]:
+    """Of one node's history, in order. Events before a first start are none's."""
+    out: list[Process] = []
+    for event in events:
+        if event["event"] == "start":
+            out.append(Process(event["node"], event["t_ns"]))
+        elif not out:
+            continue
+        elif event["event"] == "end":
+            out[-1].ended = event["t_ns"]
+        elif event["event"] == "stood-still":
+            out[-1].stood_still.append((event["t_ns"] - event["late_ns"], event["t_ns"]))
+        elif event["event"] == "member":
+            state = event["state"]
+            rank = (event["member_life"], event["incarnation"], STATES[state])
+            out[-1].held.append(
+                Held(event["t_ns"], event["member"], state, rank, event["told"], event["why"])
+            )
+    return out
+
+
+def read_folder(folder: Path) -> list[Process]:
+    """Of all nodes whose histories are there. Raises HistoryError."""
+    found: list[Process] = []
+    for path in sorted(folder.glob("*.jsonl")):
+        found += processes(history.read(path))
+    return found
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -113,9 +113,19 @@
     survives: Literal["process", "machine"] = "process"  # what a commit that was written does
 
 
+class Tier(Table):
+    """What the nodes tell each other, where the platform lets them."""
+
+    key: Annotated[str, Field(min_length=1)]  # a file that all nodes have alike, closed to others
+    period: Annotated[Duration, Field(ge=50_000_000, le=60_000_000_000)] = 1_000_000_000  # of probes
+    folder: Annotated[str, Field(min_length=1)] | None = None  # outlives the process: the last list
+    history: Annotated[str, Field(min_length=1)] | None = None  # a folder: what each process came to hold
+
+
 class Service(Table):
     version: Version
     route: tuple[Route, ...] = ()
     fleet: Fleet = Fleet()
     tally: Tally | None = None
     ledger: Ledger | None = None
+    tier: Tier | None = None
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from driftstair.files import FileProblem
 from driftstair.limits.proof import Platform, prove
 from driftstair.limits.table import Table
 from driftstair.service.load import Loaded, Problem, ServiceError, parse, read
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from driftstair.ledger.keeper import Keeper
     from driftstair.net.system import System
+    from driftstair.tier.service import Tier
 
 log = logging.getLogger(__name__)
 
@@ -81,3 +83,35 @@
         except (StoreError, OSError) as problem:
             raise ServiceError([loaded.problem(("ledger", "folder"), str(problem))]) from None
         return keeper, wanted.commit / 1e9
+
+    def tier(self, config: Config, system: System) -> Tier | None:
+        """This node's part in the tier that the file asks for, not yet started. Raises ServiceError."""
+        loaded = self.load()
+        wanted = loaded.service.tier
+        if wanted is None:
+            return None
+        try:
+            from driftstair.tier import told
+            from driftstair.tier.history import History, HistoryError
+            from driftstair.tier.key import read_key
+            from driftstair.tier.service import Tier
+        except ModuleNotFoundError as problem:
+            why = f"wants {problem.name}: pip install 'driftstair[tier]'"
+            raise ServiceError([loaded.problem(("tier",), why)]) from None
+        try:
+            peers = told.read(config)
+        except told.ToldError as problem:
+            raise ServiceError([loaded.problem(("tier",), str(problem), instead="no such table")]) from None
+        try:
+            key = read_key(wanted.key)
+        except FileProblem as problem:
+            raise ServiceError([loaded.problem(("tier", "key"), f"{wanted.key} {problem}")]) from None
+        folder = None if wanted.folder is None else Path(wanted.folder)
+        if folder is not None and not folder.is_dir():
+            why = f"{folder} is no folder; one that outlives the process would do"
+            raise ServiceError([loaded.problem(("tier", "folder"), why)])
+        try:
+            history = None if wanted.history is None else History(wanted.history, config.name)
+        except HistoryError as problem:
+            raise ServiceError([loaded.problem(("tier", "history"), str(problem))]) from None
+        return Tier(config, peers, wanted.period, key, history, folder, system)
--- a/driftstair/settings.py
+++ b/driftstair/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from driftstair.hosts import HostList
 from lichenspring import interface as api
@@ -28,3 +29,4 @@
     memory: int = 64 << 20  # bytes that the process may take
     operators: tuple[str, int] | None = None  # where they call
     name: str = ""  # the node's, the same after a restart
+    between: dict[str, Any] | None = None  # what is told of the other nodes, unread: for `driftstair.tier`
--- /dev/null
+++ b/driftstair/tier/kept.py
@@ -0,0 +1,62 @@
+"""The last list of members, in a folder that outlives the process: versioned, checksummed, never half
+written."""
+
+from __future__ import annotations
+
+import json
+import os
+from hashlib import blake2b
+from pathlib import Path
+
+from driftstair.files import FileProblem, parsed, read_text
+from driftstair.tier.membership.members import Claim, State, Traits
+from driftstair.tier.wire import COUNT_MOST, NUMBER_MOST
+
+FORMAT = "driftstair.members/1"
+
+
+class KeptError(Exception):
+    """A file that tells nothing; the text says why."""
+
+
+def _sum(rows: object) -> str:
+    return blake2b(json.dumps(rows).encode(), digest_size=16).hexdigest()
+
+
+def write(path: Path, claims: tuple[Claim, ...]) -> None:
+    """Raises OSError."""
+    rows = [[*claim[:5], *claim.traits] for claim in claims]
+    new = path.with_suffix(".new")
+    with open(new, "w", encoding="utf-8") as file:
+        json.dump({"format": FORMAT, "sum": _sum(rows), "members": rows}, file)
+        file.flush()
+        os.fsync(file.fileno())
+    new.replace(path)
+
+
+def read(path: Path) -> tuple[Claim, ...]:
+    """Nothing if there is no file. Raises KeptError."""
+    if not path.exists():
+        return ()
+    try:
+        tree = parsed(read_text(str(path)), json.loads)
+    except (FileProblem, ValueError) as problem:
+        raise KeptError(str(problem)) from None
+    if not isinstance(tree, dict) or tree.get("format") != FORMAT:
+        raise KeptError(f"is no {FORMAT}")
+    rows = tree.get("members")
+    if not isinstance(rows, list) or tree.get("sum") != _sum(rows):
+        raise KeptError("its sum is not right")
+    try:
+        return tuple(_claim(row) for row in rows)
+    except (TypeError, ValueError) as problem:
+        raise KeptError(f"holds no claim: {problem}") from None
+
+
+def _claim(row: list[int]) -> Claim:
+    number, life, incarnation, state, by, *traits = row
+    if not all(type(one) is int for one in row) or len(traits) != len(Traits._fields):
+        raise ValueError(f"{row!r}")
+    if not (0 <= number < NUMBER_MOST and 0 <= life <= COUNT_MOST and 0 <= incarnation <= NUMBER_MOST):
+        raise ValueError(f"{row!r}")
+    return Claim(number, life, incarnation, State(state), by, Traits(*traits))
--- /dev/null
+++ b/driftstair/tier/key.py
@@ -0,0 +1,33 @@
+"""The key that the nodes of a tier share, from a file."""
+
+from __future__ import annotations
+
+import os
+import stat
+
+from driftstair.files import FileProblem
+
+LEAST, MOST = 16, 64  # bytes: of what can be guessed, and of what blake2b takes
+OTHERS = stat.S_IRWXG | stat.S_IRWXO
+
+
+def read_key(path: str) -> bytes:
+    """What stands in the file, without white space at its ends. Raises FileProblem."""
+    try:
+        descriptor = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    except (OSError, ValueError) as problem:
+        why = problem.strerror if isinstance(problem, OSError) else "no path has a zero byte"
+        raise FileProblem(f"can't be read: {why}") from None
+    with os.fdopen(descriptor, "rb") as file:
+        found = os.fstat(file.fileno())
+        if not stat.S_ISREG(found.st_mode):
+            raise FileProblem("can't be read: it is no regular file; a path of one would do")
+        if found.st_mode & OTHERS:
+            raise FileProblem(f"is open to others (mode {found.st_mode & 0o777:o}); mode 600 would do")
+        try:
+            key = file.read(MOST + 64).strip()
+        except OSError as problem:
+            raise FileProblem(f"can't be read: {problem.strerror}") from None
+    if not LEAST <= len(key) <= MOST:
+        raise FileProblem(f"holds a key of {len(key)} bytes; {LEAST} to {MOST} would do")
+    return key
--- /dev/null
+++ b/driftstair/tier/service.py
@@ -0,0 +1,280 @@
+"""The tier in the daemon: between the core of the membership, a socket, a timer and what is written down.
+
+Nothing of a request waits for any of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from driftstair.net.system import Datagrams, System
+from driftstair.settings import Config
+from driftstair.tier import kept, told, wire
+from driftstair.tier.history import History
+from driftstair.tier.kept import KeptError
+from driftstair.tier.membership import events as api
+from driftstair.tier.membership.core import NEVER, Membership
+from driftstair.tier.membership.members import Claim, State, Traits
+from driftstair.tier.wire import Codec, Unreadable
+
+log = logging.getLogger(__name__)
+
+EPOCH = 1_704_067_200  # s of Unix time: 2024-01-01 00:00 UTC
+LIVES_PER_S = 16
+BIND_AGAIN = 0.5  # s: the process before this one may hold the address yet
+SAID_EVERY = 60.0  # s between two lines on datagrams that were thrown away
+KEPT_EVERY = 5.0  # s between two writes of the list
+FORMAT = "driftstair.tier/1"
+
+
+def life_at(time_ns: int) -> int:
+    """The life of a process that starts at that time. A clock that is off is no harm: the tier tells a
+    process what its number was called before."""
+    return min(max(1, (time_ns - EPOCH * 1_000_000_000) * LIVES_PER_S // 1_000_000_000), wire.COUNT_MOST - 1)
+
+
+class Tier:
+    """One process of the tier. `folder`: where its list of members outlives it."""
+
+    def __init__(
+        self, config: Config, peers: told.Told, period: int, key: bytes, history: History | None,
+        folder: Path | None, system: System,
+    ) -> None:  # fmt: skip
+        self._told = peers
+        self._system = system
+        self._codec = Codec(key)
+        self._history = history
+        self._kept = folder / f"{config.name}.members" if folder else None
+        self._loop = asyncio.get_running_loop()
+        self._socket: Datagrams | None = None
+        self._binding: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = NEVER
+        self._keeping: asyncio.TimerHandle | None = None
+        self._saying: asyncio.TimerHandle | None = None
+        self._thrown: Counter[str] = Counter()  # datagrams, since the last line on them
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._bytes_in = self._bytes_out = self._datagrams_in = 0
+        self._thrown_all: Counter[str] = Counter()
+        self._numbers = {address: number for number, address in enumerate(peers.peers)}
+        self.core = Membership(
+            peers.own, len(peers.peers), life_at(system.time_ns()),
+            Traits(peers.zone, wire.VERSION, wire.MEMBERSHIP), period, Random(config.seed ^ 0x7E12),
+            wire.ROOM, wire.size,
+        )  # fmt: skip
+
+    # Its life.
+
+    def start(self) -> None:
+        claims: tuple[Claim, ...] = ()
+        if self._kept is not None:
+            try:
+                claims = kept.read(self._kept)
+            except KeptError as problem:
+                log.warning("%s tells of no member: it %s", self._kept.name, problem)
+            self._keeping = self._loop.call_later(KEPT_EVERY, self._keep_again)
+        self._bind(first=True)
+        self._write("start", nodes=len(self._told.peers))
+        self._tell(api.Start(claims))
+
+    def _bind(self, first: bool = False) -> None:
+        self._binding = None
+        try:
+            self._socket = self._system.datagrams(self._told.listen, self._came, wire.DATAGRAM_MOST)
+        except OSError as problem:
+            if first:
+                log.warning("peer_listen can't be used yet: %s", problem.strerror)
+            self._binding = self._loop.call_later(BIND_AGAIN, self._bind)
+
+    def reload(self, config: Config) -> None:
+        """The platform may name other peers."""
+        try:
+            peers = told.read(config)
+        except told.ToldError as problem:
+            log.error("the new peers are not used: %s", problem)
+            return
+        before, self._told = self._told, peers
+        if peers == before:
+            return
+        moved = frozenset(
+            number for number, address in enumerate(peers.peers)
+            if number < len(before.peers) and before.peers[number] != address
+        )  # fmt: skip
+        self._numbers = {address: number for number, address in enumerate(peers.peers)}
+        log.info("the tier has %d nodes, and this is number %d", len(peers.peers), peers.own)
+        if peers.listen != before.listen:
+            self._unbind()
+            self._bind(first=True)
+        self._tell(api.Peers(len(peers.peers), peers.own, moved))
+        self._write("moved", number=peers.own, nodes=len(peers.peers))
+
+    def leave(self) -> None:
+        """The process ends as planned; until `close` others are still answered."""
+        self._tell(api.Leave())
+
+    async def close(self) -> None:
+        for timer in (self._timer, self._keeping, self._saying):
+            if timer is not None:
+                timer.cancel()
+        self._unbind()
+        for task in list(self._tasks):
+            await task
+        if self._kept is not None:
+            await self._keep()
+        self._write("end")
+        if self._history is not None:
+            self._history.close()
+
+    def _unbind(self) -> None:
+        if self._binding is not None:
+            self._binding.cancel()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    # The core.
+
+    def _tell(self, event: api.Event) -> None:
+        for action in self.core.handle(self._system.monotonic_ns(), event):
+            match action:
+                case api.Send(message):
+                    self._send(message)
+                case api.Changed(claim, why, told_too):
+                    if claim.number != self._told.own:
+                        log.info("node %d is %s: %s", claim.number, claim.state.name.lower(), why)
+                    self._write(
+                        "member", member=claim.number, state=claim.state.name.lower(),
+                        incarnation=claim.incarnation, member_life=claim.life, told=told_too, why=why,
+                    )  # fmt: skip
+                case api.StoodStill(late):
+                    self._write("stood-still", late_ns=late)
+                case api.Superseded(life):
+                    log.error("another process is node %d; this one is out of the tier", self._told.own)
+                    self._write("superseded", by_life=life)
+        self._set_timer()
+
+    def _write(self, event: str, **fields: Any) -> None:
+        if self._history is not None:
+            now = self._system.monotonic_ns()
+            self._history.write(now, self._told.own, self.core.mine.life, event, **fields)
+
+    def _set_timer(self) -> None:
+        wanted = self.core.wake_at
+        if self._timer is not None:
+            if self._timer_at <= wanted:
+                return  # it is early, and sets itself again
+            self._timer.cancel()
+            self._timer = None
+        if wanted < NEVER:
+            wait = max(0, wanted - self._system.monotonic_ns()) / 1e9
+            self._timer_at = wanted
+            self._timer = self._loop.call_later(wait, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        if self._system.monotonic_ns() < self.core.wake_at:
+            self._set_timer()
+        else:
+            self._tell(api.Wake())
+
+    # Datagrams.
+
+    def _send(self, message: api.Message) -> None:
+        if self._socket is not None and message.to < len(self._told.peers):
+            data = self._codec.encode(message)
+            self._bytes_out += len(data)
+            self._socket.send(data, self._told.peers[message.to])
+
+    def _came(self, data: bytes, source: tuple[str, int]) -> None:
+        number = self._numbers.get(source)
+        if number is None:
+            self._throw("unknown_address")
+            return
+        try:
+            message = self._codec.decode(data)
+        except Unreadable as problem:
+            self._throw(str(problem))
+            return
+        if message.mine.number != number:
+            self._throw("other_address")  # of a node that has been told other peers, or a forgery
+            return
+        self._bytes_in += len(data)
+        self._datagrams_in += 1
+        self._tell(api.Heard(message))
+
+    def _throw(self, why: str) -> None:
+        """Counted, and said once a minute at most."""
+        self._thrown[why] += 1
+        self._thrown_all[why] += 1
+        if self._saying is None:
+            self._saying = self._loop.call_later(0.0, self._say)
+
+    def _say(self) -> None:
+        if not self._thrown:
+            self._saying = None
+            return
+        counts = ", ".join(f"{why} {number}" for why, number in sorted(self._thrown.items()))
+        log.warning("datagrams thrown away: %s", counts)
+        self._thrown.clear()
+        self._saying = self._loop.call_later(SAID_EVERY, self._say)
+
+    # The list that outlives the process.
+
+    def _keep_again(self) -> None:
+        task = self._loop.create_task(self._keep())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self._keeping = self._loop.call_later(KEPT_EVERY, self._keep_again)
+
+    async def _keep(self) -> None:
+        path, claims = self._kept, self.core.held()
+        assert path is not None
+        try:
+            await self._system.aside(lambda: kept.write(path, claims))
+        except OSError as problem:
+            log.warning("the list of members is not kept: %s", problem.strerror)
+
+    # For those who ask.
+
+    def report(self) -> dict[str, Any]:
+        """As JSON: `driftstair.tier/1`. Times in s."""
+        core, socket = self.core, self._socket
+        mine = core.mine
+        return {
+            "format": FORMAT,
+            "node": {
+                "number": mine.number, "life": mine.life, "incarnation": mine.incarnation,
+                "state": mine.state.name.lower(), "zone": mine.traits.zone, "health": core.health.score,
+                "alone": core.alone(), "superseded": core.superseded,
+            },
+            "members": [
+                {
+                    "number": one.number, "state": _name(one.state), "life": one.life,
+                    "incarnation": one.incarnation, "zone": one.zone, "version": one.version,
+                    "supports": one.supports, "held_s": _seconds(one.held), "heard_s": _seconds(one.heard),
+                    "round_trip_s": _seconds(one.round_trip) if one.round_trip else None,
+                    "suspected_by": list(one.suspected_by), "dead_in_s": _seconds(one.ends_in),
+                    "unheard": one.unheard,
+                }
+                for one in core.seen(self._system.monotonic_ns())
+            ],
+            "counts": {
+                **core.counts, "in": self._datagrams_in, "bytes_in": self._bytes_in,
+                "bytes_out": self._bytes_out, "unsent": socket.unsent if socket else 0,
+                "broken": socket.broken if socket else 0, "bound": int(socket is not None),
+                **{f"thrown_{why}": number for why, number in sorted(self._thrown_all.items())},
+            },
+        }  # fmt: skip
+
+
+def _name(state: State | None) -> str:
+    return "unknown" if state is None else state.name.lower()
+
+
+def _seconds(ns: int) -> float | None:
+    return None if ns < 0 else round(ns / 1e9, 3)
--- /dev/null
+++ b/driftstair/tier/told.py
@@ -0,0 +1,46 @@
+"""What the platform tells of the other nodes, checked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from driftstair.hosts import ListError, parse_address
+from driftstair.settings import Config
+
+NODES_MOST = 4096
+ZONE_MOST = 255
+
+
+class ToldError(Exception):
+    """What is told is no tier; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    listen: tuple[str, int]
+    peers: tuple[tuple[str, int], ...]  # in the order of their numbers, this node's among them
+    own: int
+    zone: int  # its index in the settings
+
+
+def read(config: Config) -> Told:
+    """Raises ToldError."""
+    between = config.between
+    if between is None:
+        raise ToldError("the platform's settings allow no peers (Limits.Peers)")
+    peers = between.get("peers")
+    if not isinstance(peers, list) or not 0 < len(peers) <= NODES_MOST:
+        raise ToldError(f"the platform's peers are no list of 1 to {NODES_MOST} addresses")
+    try:
+        listen = parse_address(between.get("peer_listen"))
+        found = tuple(parse_address(one) for one in peers)
+    except ListError as problem:
+        raise ToldError(f"the platform's peers: {problem}") from None
+    if len(set(found)) < len(found):
+        raise ToldError("the platform's peers: an address stands there twice")
+    own = config.settings.number
+    if own >= len(found):
+        raise ToldError(f"the platform's peers are {len(found)}, and SelfIndex is {own}")
+    zone = between.get("zone")
+    known = isinstance(zone, int) and not isinstance(zone, bool) and 0 <= zone <= ZONE_MOST
+    return Told(listen, found, own, zone if known else 0)  # type: ignore[arg-type]
--- /dev/null
+++ b/driftstair/tier/wire.py
@@ -0,0 +1,148 @@
+"""The form of a datagram between nodes: at most 256 bytes, version, seal, and MessagePack arrays in between.
+
+    version (1 byte) | seal (8 bytes, blake2b keyed, over version and body) | body
+
+The body is the array `_Body`; fields that a later version adds at its end are passed over. A kind that is not
+known, another version byte, a seal that is not right, a body that is none, or a claim out of range is counted
+and thrown away whole.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from hmac import compare_digest
+
+import msgspec
+
+from driftstair.tier.membership.events import Kind, Message
+from driftstair.tier.membership.members import Claim, State, Traits
+
+VERSION = 1
+DATAGRAM_MOST = 256  # bytes, by the protocol page
+SEAL = 8  # bytes
+NUMBER_MOST = 0xFFFF
+COUNT_MOST = (1 << 32) - 1
+KEY_LEAST, KEY_MOST = 16, 64  # bytes; blake2b takes no more
+
+MEMBERSHIP = 1  # of `supports`
+
+
+class _Claim(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    number: int
+    life: int
+    incarnation: int
+    state: int
+    by: int
+    zone: int
+    version: int
+    supports: int
+
+
+class _Body(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    kind: int
+    mine: _Claim
+    to: int
+    order: int
+    seq: int
+    about: int
+    news: list[_Claim]
+
+
+def _head() -> int:
+    """Bytes of a datagram with no claims but the sender's own, at the most."""
+    mine = _Claim(NUMBER_MOST, COUNT_MOST, NUMBER_MOST, State.LEFT, NUMBER_MOST, 255, 255, NUMBER_MOST)
+    body = _Body(Kind.NEWS, mine, NUMBER_MOST, COUNT_MOST, COUNT_MOST, NUMBER_MOST, [])
+    return 1 + SEAL + len(msgspec.msgpack.encode(body))
+
+
+ROOM = DATAGRAM_MOST - _head() - 2
+"""Bytes for claims in a datagram; an array of more than 15 has a longer head."""
+
+
+def _wide(value: int) -> int:
+    """Bytes of a whole number in MessagePack."""
+    return 1 if value < 128 else 2 if value < 256 else 3 if value < 1 << 16 else 5
+
+
+def size(claim: Claim) -> int:
+    """Bytes of a claim in a datagram."""
+    zone, version, supports = claim.traits
+    return (
+        2 + _wide(claim.number) + _wide(claim.life) + _wide(claim.incarnation) + _wide(claim.by)
+        + _wide(zone) + _wide(version) + _wide(supports)
+    )  # fmt: skip
+
+
+class Unreadable(Exception):
+    """A datagram that is thrown away; the text is the count that it goes to."""
+
+
+class Codec:
+    """Of one key, in bytes from KEY_LEAST to KEY_MOST of them."""
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._decode = msgspec.msgpack.Decoder[_Body](_Body).decode
+
+    def _seal(self, version: bytes, body: bytes) -> bytes:
+        return blake2b(version + body, digest_size=SEAL, key=self._key).digest()
+
+    def encode(self, message: Message) -> bytes:
+        body = self._encode(
+            _Body(
+                message.kind, _bare(message.mine), message.to, message.order, message.seq, message.about,
+                [_bare(claim) for claim in message.news],
+            )  # fmt: skip
+        )
+        version = bytes((VERSION,))
+        data = version + self._seal(version, body) + body
+        if len(data) > DATAGRAM_MOST:
+            raise ValueError(f"{len(data)} bytes for one datagram")
+        return data
+
+    def decode(self, data: bytes) -> Message:
+        """Raises Unreadable."""
+        if len(data) > DATAGRAM_MOST:
+            raise Unreadable("too_long")
+        if len(data) <= 1 + SEAL:
+            raise Unreadable("too_short")
+        if data[0] != VERSION:
+            raise Unreadable("other_version")
+        version, seal, body = data[:1], data[1 : 1 + SEAL], data[1 + SEAL :]
+        if not compare_digest(seal, self._seal(version, body)):
+            raise Unreadable("wrong_seal")
+        try:
+            found = self._decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            raise Unreadable("no_message") from None
+        try:
+            kind = Kind(found.kind)
+        except ValueError:
+            raise Unreadable("other_kind") from None
+        numbers = (found.to, found.about)
+        if not all(0 <= one <= NUMBER_MOST for one in numbers) or not (
+            0 <= found.order <= COUNT_MOST and 0 <= found.seq <= COUNT_MOST
+        ):
+            raise Unreadable("out_of_range")
+        return Message(
+            kind, _claim(found.mine), found.to, found.order, found.seq, found.about,
+            tuple(_claim(one) for one in found.news),
+        )  # fmt: skip
+
+
+def _bare(claim: Claim) -> _Claim:
+    return _Claim(*claim[:5], *claim.traits)
+
+
+def _claim(bare: _Claim) -> Claim:
+    fits = (
+        0 <= bare.number < NUMBER_MOST and 0 <= bare.life <= COUNT_MOST
+        and 0 <= bare.incarnation <= NUMBER_MOST and 0 <= bare.state <= State.LEFT
+        and 0 <= bare.by < NUMBER_MOST and 0 <= bare.zone <= 255 and 0 <= bare.version <= 255
+        and 0 <= bare.supports <= NUMBER_MOST
+    )  # fmt: skip
+    if not fits:
+        raise Unreadable("out_of_range")
+    traits = Traits(bare.zone, bare.version, bare.supports)
+    return Claim(bare.number, bare.life, bare.incarnation, State(bare.state), bare.by, traits)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -25,8 +25,13 @@
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
+    run_for(test, PATIENCE * 2)
+
+
+def run_for(test: Coroutine[Any, Any, None], most: float) -> None:
+    """`most`: s that only a test that has failed takes."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(asyncio.wait_for(test, PATIENCE * 2))
+        runner.run(asyncio.wait_for(test, most))
 
 
 async def until(what: Callable[[], object]) -> None:
