--- a/driftstair/model/tier/swim.py
+++ b/driftstair/model/tier/swim.py
@@ -58,7 +58,7 @@
                 size = HEAD + wire.size(message.mine) + sum(map(_size, message.news))
                 self.host.send(message.to, message, size)
             elif isinstance(action, api.Changed):
-                self.host.held(action.claim.number, action.claim.state)
+                self.host.held(action.claim.number, action.claim.state, action.told)
 
 
 def _size(claim: Claim) -> int:
--- a/driftstair/model/tier/world.py
+++ b/driftstair/model/tier/world.py
@@ -69,8 +69,9 @@
         self.datagrams_out += 1
         self.world.carry(self.number, to, datagram)
 
-    def held(self, number: int, state: State) -> None:
-        self.world.note(self.number, number, state)
+    def held(self, number: int, state: State, told: bool = True) -> None:
+        """`told`: whether other nodes hear of it."""
+        self.world.note(self.number, number, state, told)
 
 
 class World:
@@ -82,7 +83,7 @@
         self.link = link
         self.links: dict[tuple[int, int], Link] = {}
         self.cut: Callable[[int, int], bool] = lambda source, target: False
-        self.note: Callable[[int, int, State], None] = lambda observer, number, state: None
+        self.note: Callable[[int, int, State, bool], None] = lambda observer, number, state, told: None
         self.hosts = [Host(self, number) for number in range(count_)]
         self._make = make
         self._order = count()
--- a/driftstair/rehearsal/command.py
+++ b/driftstair/rehearsal/command.py
@@ -152,7 +152,10 @@
         nowhere = ("127.0.0.1", 1)
         config = read({}, platform.document(scenario, "n0", nowhere, nowhere, 1, known))
         try:
-            ServiceFile(scenario.nodes.service).table(config, shares(config)[0])
+            file = ServiceFile(scenario.nodes.service)
+            file.table(config, shares(config)[0])
+            if scenario.nodes.tier is not None and file.load().service.tier is not None:
+                raise UseError(f"{file.file}: tier: the scenario's [nodes.tier] says the same")
         except ServiceError as problem:
             first, more = problem.problems[0], len(problem.problems) - 1
             raise UseError(f"{first}" + (f" (and {more} more)" if more else "")) from None
@@ -161,7 +164,8 @@
 def status_of(report: Report) -> int:
     verdict = report["verdict"]
     stuck = report["ended"].startswith("stuck")
-    return BROKEN if verdict["breaks"] or verdict["crashes"] or stuck else KEPT
+    found = verdict["breaks"] or verdict["crashes"] or verdict.get("tier_findings")
+    return BROKEN if found or stuck else KEPT
 
 
 def _check_writable(path: str | None) -> None:
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -27,6 +27,7 @@
 from driftstair.rehearsal.stands.front import FrontLayer
 from driftstair.rehearsal.stands.place import Place
 from driftstair.rehearsal.stands.workload import Choice, Workload
+from driftstair.rehearsal.tier.stage import TierStage
 from driftstair.rehearsal.troubles import Troubles
 from driftstair.rehearsal.wire import HostState
 
@@ -136,6 +137,10 @@
         for name, kind in zip(load.box_names(of.boxes.count), self._kinds_in_turn(random), strict=True):
             self.boxes[name] = self._box(name, kind, ground.place(name))
         self.nodes = {name: ground.node(name, self._node_ended) for name in self.node_names}
+        self.tier: TierStage | None = None
+        if of.nodes.tier is not None:
+            self.tier = TierStage(of.nodes.tier, self.node_names, seed_for(self.seed, "links"))
+            ground.join(self.tier.links)
 
     def _kinds_in_turn(self, random: Random) -> list[model.Kind]:
         """Kinds by their shares, as evenly as whole boxes allow, in an order drawn by the seed."""
@@ -178,6 +183,8 @@
 
     def note(self, seen: wire.Observation) -> None:
         self.checker.note(seen)
+        if self.tier is not None:
+            self.tier.note(seen)
 
     def _left(self, at: int, box: str, node: str, since: int) -> int:
         """While a machine is cut off, what is written to its connections waits and comes later: the rules are
@@ -270,9 +277,14 @@
             return
         self.over = True
         self.clients.cut_off()
-        self.checker.finish(self.now())
+        self._judge()
         self.ground.finish()
 
+    def _judge(self) -> None:
+        self.checker.finish(self.now())
+        if self.tier is not None:
+            self.tier.finish(self.now(), self.ground.histories())
+
     def interrupt(self) -> None:
         """A person wants no more of it: the report is on what has been."""
         if not self.over:
@@ -286,7 +298,7 @@
         self.stuck = why
         self.over = True
         self.clients.cut_off()
-        self.checker.finish(self.now())
+        self._judge()
 
     # Nodes.
 
@@ -297,6 +309,7 @@
         return platform.document(
             self.scenario, name, self.nodes[name].address(), self.box_list.addresses[name],
             seed_for(self.seed, "node", name, self._lives[name]), self.box_list.known(name),
+            None if self.tier is None else self.ground.peers(name),
         )  # fmt: skip
 
     def start_node(self, name: str, first: bool = False) -> None:
--- a/driftstair/rehearsal/ground.py
+++ b/driftstair/rehearsal/ground.py
@@ -5,7 +5,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from driftstair.rehearsal.platform import Peers
 from driftstair.rehearsal.stands.place import Place
+from driftstair.rehearsal.tier.histories import Process
+from driftstair.rehearsal.tier.links import Links
 
 
 class NodeProcess(Protocol):
@@ -35,6 +38,12 @@
 
     def come_back(self) -> None: ...
 
+    def stand_still(self) -> None:
+        """SIGSTOP."""
+
+    def go_on(self) -> None:
+        """SIGCONT."""
+
     def descriptors(self) -> int:
         """In use now."""
 
@@ -47,6 +56,15 @@
         """A machine for a node. `ended(name, why)` is called when its process ends by itself; `why` is empty
         for an end with status 0."""
 
+    def join(self, links: Links) -> None:
+        """Once all nodes are made: datagrams between them go through `links`, by number."""
+
+    def peers(self, name: str) -> Peers:
+        """Only after `join`."""
+
+    def histories(self) -> list[Process]:
+        """What the nodes of a tier have written down, with times as the director's."""
+
     def stuck(self) -> str:
         """What waits for something that can never happen, or nothing."""
 
--- a/driftstair/rehearsal/load.py
+++ b/driftstair/rehearsal/load.py
@@ -137,7 +137,8 @@
     """The type of the table at a path, to tell its keys."""
     tables: dict[tuple[int | str, ...], type[BaseModel]] = {
         (): Scenario, ("load",): model.Load, ("class",): model.Class, ("tenant",): model.Tenant,
-        ("nodes",): model.Nodes, ("boxes",): model.Boxes, ("boxes", "kind"): model.Kind,
+        ("nodes",): model.Nodes, ("nodes", "tier"): model.Tier, ("boxes",): model.Boxes,
+        ("boxes", "kind"): model.Kind,
         ("boxes", "jam"): model.Jam, ("boxes", "reports"): model.Reports, ("list",): model.BoxList,
         ("front",): model.FrontLayer, ("clients",): model.Clients, ("network",): model.Net,
         ("rules",): model.Rules, ("phase",): model.Phase,
@@ -196,14 +197,14 @@
     if isinstance(trouble, model.ListMoves) and found.list.mode == "pushed":
         refuse(f"{key}.kind", "a pushed list is on the node's own machine and does not move")
     if isinstance(trouble, model._AtNodes):
-        nodes = node_names(found.nodes.count)
-        if trouble.nodes is None or isinstance(trouble.nodes, int):
-            if trouble.nodes is None or not 1 <= trouble.nodes <= len(nodes):
-                refuse(f"{key}.nodes", f"{trouble.nodes} of {len(nodes)} nodes can't be chosen")
-        else:
-            for name in trouble.nodes:
-                if name not in nodes:
-                    refuse(f"{key}.nodes", f"no such node: {name!r}; there are {nodes[0]} to {nodes[-1]}")
+        if trouble.nodes is None:
+            refuse(f"{key}.nodes", "give how many, or names")
+        _check_nodes(found, trouble.nodes, f"{key}.nodes", refuse)
+    if isinstance(trouble, model.Links):
+        if found.nodes.tier is None:
+            refuse(f"{key}.kind", "nodes send each other nothing without a table [nodes.tier]")
+        _check_nodes(found, trouble.senders, f"{key}.senders", refuse)
+        _check_nodes(found, trouble.receivers, f"{key}.receivers", refuse)
     if isinstance(trouble, model._AtBoxes):
         if (trouble.boxes is None) == (trouble.part is None):
             refuse(f"{key}.boxes", "give either boxes (how many, or names) or part (a share of them)")
@@ -221,6 +222,15 @@
                     refuse(f"{key}.boxes", f"no such box: {name!r}; there are {names[0]} to {names[-1]}")
 
 
+def _check_nodes(found: Scenario, chosen: model.Chosen, key: str, refuse: Any) -> None:
+    nodes = node_names(found.nodes.count)
+    if isinstance(chosen, int) and not 1 <= chosen <= len(nodes):
+        refuse(key, f"{chosen} of {len(nodes)} nodes can't be chosen")
+    for name in chosen if isinstance(chosen, tuple) else ():
+        if name not in nodes:
+            refuse(key, f"no such node: {name!r}; there are {nodes[0]} to {nodes[-1]}")
+
+
 def node_names(count: int) -> list[str]:
     return [f"n{index}" for index in range(count)]
 
--- a/driftstair/rehearsal/platform.py
+++ b/driftstair/rehearsal/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 from driftstair.rehearsal import load
@@ -12,6 +13,14 @@
 SEMANTICS = {"safe": "repeatable", "keyed": "by_key", "unsafe": "once"}
 
 
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """Addresses of the datagrams between nodes, as one of them is told."""
+
+    listen: str
+    all: list[str]  # by number
+
+
 def _ns(seconds: float) -> int:
     return int(seconds * 1e9)
 
@@ -47,7 +56,8 @@
             "OpenCap": of.nodes.open_most,
             "RetryAfter": of.nodes.retry_after_most_s > 0,
             "SendCap": of.nodes.attempts,
-        },
+        } | ({} if of.nodes.tier is None else {"Peers": True}),
+        "MyZone": 0,
         "PeersTotal": of.nodes.count,
         "SelfIndex": number,
         "WorthBy": "request",
@@ -56,10 +66,11 @@
 
 def document(
     of: Scenario, name: str, listen: tuple[str, int], discovery: tuple[str, int], seed: int,
-    known: dict[str, Any],
+    known: dict[str, Any], peers: Peers | None = None,
 ) -> dict[str, Any]:  # fmt: skip
     """What the file at BALANCER_CONFIG holds."""
-    return {
+    told = {} if peers is None else {"peer_listen": peers.listen, "peers": peers.all}
+    return told | {
         "name": name,
         "listen": f"{listen[0]}:{listen[1]}",
         "discovery": f"{discovery[0]}:{discovery[1]}",
--- a/driftstair/rehearsal/report/build.py
+++ b/driftstair/rehearsal/report/build.py
@@ -13,6 +13,7 @@
 from driftstair.rehearsal import load
 from driftstair.rehearsal.account import REASONS, Tally
 from driftstair.rehearsal.director import Rehearsal
+from driftstair.rehearsal.report import tier
 from driftstair.rehearsal.rules import NAMES
 from driftstair.rehearsal.scenario import Scenario
 
@@ -47,6 +48,7 @@
             "breaks": len(of.checker.breaks),
             "breaks_by_rule": {str(rule): number for rule, number in by_rule.items()},
             "crashes": len(of.crashes),
+            **({} if of.tier is None else {"tier_findings": len(of.tier.findings)}),
             "requests_judged": of.checker.judged,
             "first_attempts": of.checker.first_attempts,
             "further_attempts": of.checker.further_attempts,
@@ -67,6 +69,7 @@
         "crashes": [
             {"at": at(one.at), "node": one.node, "what": one.what, "trace": one.trace} for one in of.crashes
         ],
+        **({} if of.tier is None else {"tier": tier.part(of.tier, at)}),
         "pushed_over_unknowingly": [{"at": at(when), "box": box} for when, box in of.checker.fallen],
         "troubles": [{"from": at(begin), "to": at(end), "kind": kind} for begin, end, kind in of.spans],
         "events": [{"at": at(one.at), "what": one.what} for one in of.events],
--- a/driftstair/rehearsal/report/html.py
+++ b/driftstair/rehearsal/report/html.py
@@ -21,6 +21,8 @@
     "unreachable": "#4a5568", "cut off": "#a0aec0",
 }  # fmt: skip
 
+STATE_COLOURS = {"alive": "#68d391", "suspect": "#d69e2e", "dead": "#c53030", "left": "#a0aec0"}
+
 STYLE = """
 body { font: 14px/1.45 system-ui, sans-serif; margin: 2em auto; max-width: 1100px; color: #1a202c; }
 h1 { font-size: 1.4em; margin: 0 } h2 { font-size: 1.05em; margin: 1.6em 0 .3em }
@@ -67,6 +69,8 @@
         _boxes(report, axis),
         _lines(report, axis, "descriptors, by node", "descriptors"),
     ]
+    if "tier" in report:
+        plots.append(_members(report, axis))
     where = "virtual time" if report["ground"] == "virtual" else "loopback sockets"
     subtitle = (
         f"{of['nodes']} nodes, {of['boxes']} boxes, {of['rate']:g} requests/s for {of['seconds']:g} s, seed "
@@ -98,6 +102,8 @@
         )
     if found["crashes"]:
         parts.append(f" <span class='broken'>{found['crashes']} crashes.</span>")
+    if found.get("tier_findings"):
+        parts.append(f" <span class='broken'>{found['tier_findings']} findings on the tier.</span>")
     if report["ended"] != "whole":
         parts.append(f" <span class='broken'>{escape(report['ended'])}</span>")
     parts.append("</p>")
@@ -110,6 +116,10 @@
         f"{one['at']:.3f} s  {one['node']} crashed: {one['what']}\n    " + "\n    ".join(one["trace"])
         for one in report["crashes"][:10]
     ]
+    lines += [
+        f"{one['at']:.3f} s  {one['rule']}: {one['node']} of {one['member']}\n    {one['evidence']}"
+        for one in report.get("tier", {}).get("findings", [])[:20]
+    ]
     if lines:
         parts.append(f"<pre>{escape(chr(10).join(lines))}</pre>")
     return "".join(parts)
@@ -234,6 +244,33 @@
     return _frame(title, axis, HEIGHT, report["troubles"], _scale(top, HEIGHT) + lines + legend)
 
 
+def _members(report: Report, axis: Axis) -> str:
+    """A map: one row a node, by what most of the others that run hold it for; darker the more of them."""
+    rows = report["tier"]["members"]
+    height = TOP + BOTTOM + ROW * max(1, len(rows))
+    cells = []
+    for row, (name, spells) in enumerate(rows.items()):
+        for spell, following in zip(spells, [*spells[1:], None], strict=True):
+            x1, x2 = axis.x(spell["at"]), axis.x(following["at"] if following else axis.end)
+            worst = next((state for state in ("dead", "suspect", "left", "alive") if spell.get(state)), None)
+            if worst is None or x2 <= x1:
+                continue
+            of = sum(spell.get(state, 0) for state in STATE_COLOURS)
+            told = ", ".join(f"{spell[state]} {state}" for state in STATE_COLOURS if spell.get(state))
+            cells.append(
+                f"<rect x='{x1:.1f}' y='{TOP + ROW * row}' width='{x2 - x1 + 0.2:.1f}' height='{ROW - 1}' "
+                f"fill='{STATE_COLOURS[worst]}' opacity='{0.3 + 0.7 * spell[worst] / of:.2f}'>"
+                f"<title>{escape(name)} from {spell['at']:.2f} s: {told}</title></rect>"
+            )
+    labels = "".join(
+        f"<text x='{LEFT - 6}' y='{TOP + ROW * row + 9}' text-anchor='end'>{escape(name)}</text>"
+        for row, name in enumerate(rows)
+    )
+    legend = _legend(list(STATE_COLOURS.items()))
+    title = "nodes, as the others hold them"
+    return _frame(title, axis, height, report["troubles"], "".join(cells) + labels + legend)
+
+
 def _boxes(report: Report, axis: Axis) -> str:
     """A map: one row a box, darker where more requests are held for each that it can work on at once."""
     samples = report["samples"]
--- a/driftstair/rehearsal/report/text.py
+++ b/driftstair/rehearsal/report/text.py
@@ -10,6 +10,7 @@
 from rich.text import Text
 
 from driftstair.rehearsal.account import REASONS
+from driftstair.rehearsal.report import tier
 from driftstair.rehearsal.report.build import Report
 
 BLOCKS = " ▁▂▃▄▅▆▇█"
@@ -30,6 +31,8 @@
         console.print(crashes(report))
     if report["breaks"]:
         console.print(breaks(report))
+    if "tier" in report:
+        console.print(tier.shown(report))
     for line in report["log"][:log_lines]:
         console.print(f"{line['at']:8.3f} {line['node']} {line['level']} {line['text']}", markup=False)
     console.print(verdict(report))
@@ -148,6 +151,8 @@
         line.append(f"; all four rules kept over {found['requests_judged']} requests", style="green")
     if found["crashes"]:
         line.append(f"; {found['crashes']} crashes", style="bold red")
+    if found.get("tier_findings"):
+        line.append(f"; {found['tier_findings']} findings on the tier", style="bold red")
     if report["ended"] != "whole":
         line.append(f"; {report['ended']}", style="bold yellow")
     return line
--- /dev/null
+++ b/driftstair/rehearsal/report/tier.py
@@ -0,0 +1,71 @@
+"""What a report tells of a tier: findings, and how the nodes were held by the others through the run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from rich.console import RenderableType
+from rich.text import Text
+
+from driftstair.rehearsal.tier.histories import Process
+from driftstair.rehearsal.tier.stage import TierStage
+
+FINDINGS_MOST = 200  # told one by one
+FINDINGS_SHOWN = 10
+
+Spell = dict[str, Any]
+
+
+def part(of: TierStage, at: Callable[[int], float]) -> dict[str, Any]:
+    names = of.names
+    return {
+        "findings": [
+            {
+                "rule": one.rule, "at": at(one.at), "node": names[one.node] if one.node >= 0 else "",
+                "member": names[one.member], "evidence": one.evidence,
+            }
+            for one in of.findings[:FINDINGS_MOST]
+        ],
+        "datagrams": of.links.carried,
+        "lost": of.links.lost,
+        "stood_still": sum(len(one.stood_still) for one in of.processes),
+        "members": {name: _spells(of.processes, number, at) for number, name in enumerate(names)},
+    }  # fmt: skip
+
+
+def _spells(processes: list[Process], member: int, at: Callable[[int], float]) -> list[Spell]:
+    """By how many of the others a node is held for what, from when on. A process counts until the next one
+    of its node."""
+    held: dict[int, str] = {}
+    changes: list[tuple[int, int, str | None]] = []
+    for process in processes:
+        if process.node != member:
+            changes.append((process.began, process.node, None))
+            changes += [(one.at, process.node, one.state) for one in process.held if one.member == member]
+    out: list[Spell] = []
+    for when, node, state in sorted(changes, key=lambda one: one[0]):
+        if state is None:
+            held.pop(node, None)
+        else:
+            held[node] = state
+        spell = {"at": at(when), **Counter(held.values())}
+        if out and out[-1]["at"] == spell["at"]:
+            out.pop()
+        out.append(spell)
+    return out
+
+
+def shown(report: dict[str, Any]) -> RenderableType:
+    of = report["tier"]
+    text = Text(f"tier: {of['datagrams']} datagrams, {of['lost']} lost")
+    found = of["findings"]
+    if not found:
+        text.append("; every node judged as it should", style="green")
+    for one in found[:FINDINGS_SHOWN]:
+        text.append(f"\n{one['at']:.3f} s  {one['rule']}: {one['node']} of {one['member']}\n", style="red")
+        text.append(f"    {one['evidence']}")
+    if len(found) > FINDINGS_SHOWN:
+        text.append(f"\nand {len(found) - FINDINGS_SHOWN} more")
+    return text
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -80,6 +80,16 @@
     share: Positive
 
 
+class Tier(_Table):
+    """The nodes are told of one another, and judge one another by datagrams; the last three bound what their
+    histories may show."""
+
+    period_ms: Annotated[Number, Field(ge=50, le=60_000)] = 1000.0  # of probes
+    wrongly_s: NotNegative = 0.0  # that a node which runs and is reached may be held dead
+    settle_s: Positive = 10.0  # after a trouble's end, in which what it caused may still show
+    death_s: Positive = 10.0  # after its end, until all hold a node dead
+
+
 class Nodes(_Table):
     count: Annotated[Whole, Field(ge=1, le=4096)] = 3
     descriptors: Annotated[Whole, Field(ge=96)] = 1024
@@ -89,6 +99,7 @@
     dial_timeout_ms: Positive = 200.0
     open_most: Count = 20_000  # requests that a node may hold
     service: str | None = None  # a service file that all nodes use, by its path
+    tier: Tier | None = None  # left out: no node knows of another
 
 
 class Kind(_Table):
@@ -309,10 +320,41 @@
     kind: Literal["node-restarts"]
 
 
+class NodeStalls(_AtNodes):
+    """Its process stands still (SIGSTOP), its machine does not, and goes on when the trouble ends."""
+
+    kind: Literal["node-stalls"]
+
+
+class NodeStarves(_AtNodes):
+    """Its process gets its share of CPU in pieces: it stands still and runs in turn."""
+
+    kind: Literal["node-starves"]
+    stands_ms: Positive = 30.0
+    runs_ms: Positive = 10.0
+
+
+class Links(_Trouble):
+    """What happens to datagrams between nodes, one way, from each of some to each of others (left out: from
+    all, to all). Shares of datagrams; a delay comes on top of the network's own."""
+
+    kind: Literal["links"]
+    senders: Chosen = None
+    receivers: Chosen = None
+    both_ways: Flag = False
+    cut: Flag = False
+    loss: Share = 0.0
+    delay_ms: Range = (0.0, 0.0)
+    duplicate: Share = 0.0
+    reorder: Share = 0.0
+    garble: Share = 0.0
+    truncate: Share = 0.0
+
+
 AnyTrouble = (
     SlowBoxes | EverythingSlow | BoxDies | BoxVanishes | BoxErrors | BrokenConnections | Replace |
     TrafficJump | Surge | SilentCrowd | ListOutage | ListLag | ListMoves | NodeDies | NodeVanishes |
-    NodeRestarts
+    NodeRestarts | NodeStalls | NodeStarves | Links
 )  # fmt: skip
 Trouble = Annotated[AnyTrouble, Field(discriminator="kind")]
 
--- a/driftstair/rehearsal/sim/loop.py
+++ b/driftstair/rehearsal/sim/loop.py
@@ -26,6 +26,7 @@
         self.scheduler = scheduler
         self.name = name
         self.dead = False
+        self.held: list[asyncio.Handle] | None = None  # of a process that stands still: what it will do
         self._on_crash = on_crash
         self._signals: dict[int, tuple[Callable[..., object], tuple[Any, ...]]] = {}
         self._tasks: dict[asyncio.Task[Any], None] = {}
@@ -72,6 +73,16 @@
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
         """The queue passes over it when its time comes."""
 
+    def stand_still(self) -> None:
+        """As SIGSTOP: what becomes due waits."""
+        if self.held is None:
+            self.held = []
+
+    def go_on(self) -> None:
+        held, self.held = self.held or [], None
+        for handle in held:
+            self.scheduler.soon(self, handle)
+
     # Futures and tasks.
 
     def create_future(self) -> asyncio.Future[Any]:
--- a/driftstair/rehearsal/sim/network.py
+++ b/driftstair/rehearsal/sim/network.py
@@ -287,7 +287,8 @@
             network.happen(back, self._answered, client)
 
     def _answered(self, client: Endpoint) -> None:
-        if self._over or self._loop.dead:
+        # A process that stands still has given it up, but could not say so yet.
+        if self._over or self._loop.dead or self.established.done():
             client.counted = False  # its descriptor went back when it was given up
             client.vanish_with_process()
         elif not self._source.reachable:
@@ -296,7 +297,7 @@
             self.established.set_result(client)
 
     def _refused(self) -> None:
-        if not self._over and not self._loop.dead:
+        if not self._over and not self._loop.dead and not self.established.done():
             self.established.set_exception(error(errno.ECONNREFUSED))
 
     def give_up(self) -> None:
--- a/driftstair/rehearsal/sim/scheduler.py
+++ b/driftstair/rehearsal/sim/scheduler.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 if TYPE_CHECKING:
     import asyncio
@@ -106,6 +106,9 @@
                     raise Deadlock("nothing is left to happen")
                 if handle._cancelled or loop.dead:
                     continue
+                if loop.held is not None:
+                    loop.held.append(cast("asyncio.Handle", handle))
+                    continue
                 self.events += 1
                 if loop is not current:
                     current = loop
--- a/driftstair/rehearsal/sockets.py
+++ b/driftstair/rehearsal/sockets.py
@@ -24,9 +24,15 @@
 import uvloop
 
 from driftstair.net.system import SOCKETS, Factory, SocketListener, SocketSystem, bound
+from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.director import Rehearsal
+from driftstair.rehearsal.platform import Peers
 from driftstair.rehearsal.report.build import LogLine
 from driftstair.rehearsal.scenario import Scenario
+from driftstair.rehearsal.tier.histories import Process, read_folder
+from driftstair.rehearsal.tier.links import Links
+from driftstair.rehearsal.tier.relay import Relay
+from driftstair.rehearsal.tier.stage import KEY
 
 HOST = "127.0.0.1"
 LINE = re.compile(r"(DEBUG|INFO|WARNING|ERROR|CRITICAL) (\S+): (.*)")
@@ -284,6 +290,9 @@
     def come_back(self) -> None:
         self._signal(signal.SIGCONT)
 
+    stand_still = vanish
+    go_on = come_back
+
     def descriptors(self) -> int:
         if self._process is None or not self.running:
             return 0
@@ -310,8 +319,11 @@
 
 
 class SocketGround:
-    def __init__(self, folder: Path, service: str | None = None) -> None:
+    def __init__(self, folder: Path, service: str | None = None, tier: model.Tier | None = None) -> None:
         self.folder = folder
+        self._tier = tier
+        self._relay: Relay | None = None
+        self._peer_ports: list[int] = []
         self.service = str(Path(service).resolve()) if service else None
         self.root = Path(__file__).resolve().parents[2]
         self.log: list[LogLine] = []
@@ -338,6 +350,29 @@
         self.nodes.append(node)
         return node
 
+    def join(self, links: Links) -> None:
+        """A [tier] table beside what the service file says, and a folder for histories."""
+        assert self._tier is not None
+        histories, key, service = self.folder / "histories", self.folder / "key", self.folder / "tier.toml"
+        histories.mkdir()
+        key.write_bytes(KEY)
+        key.chmod(0o600)
+        base = "version = 1\n" if self.service is None else Path(self.service).read_text(encoding="utf-8")
+        period = f"{self._tier.period_ms:g}ms"
+        table = f'[tier]\nkey = "{key}"\nperiod = "{period}"\nhistory = "{histories}"\n'
+        service.write_text(f"{base}\n{table}", encoding="utf-8")
+        self.service = str(service)
+        self._peer_ports = [free_port() for _ in self.nodes]
+        self._relay = Relay(links, self._peer_ports)
+
+    def peers(self, name: str) -> Peers:
+        assert self._relay is not None
+        number = [node.name for node in self.nodes].index(name)
+        return Peers(f"{HOST}:{self._peer_ports[number]}", self._relay.peers(number))
+
+    def histories(self) -> list[Process]:
+        return read_folder(self.folder / "histories", self._origin)
+
     def stuck(self) -> str:
         return ""  # a process that waits for ever looks like one that waits
 
@@ -352,6 +387,8 @@
         for node in self.nodes:
             node.come_back()
             node.kill()
+        if self._relay is not None:
+            self._relay.close()
         tasks = list(self._tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=ENDS_WITHIN)
@@ -360,7 +397,7 @@
 async def _play(
     scenario: Scenario, tick: Callable[[float], None], interrupted: Callable[[], bool], folder: Path
 ) -> tuple[Rehearsal, list[LogLine]]:
-    ground = SocketGround(folder, scenario.nodes.service)
+    ground = SocketGround(folder, scenario.nodes.service, scenario.nodes.tier)
     rehearsal = Rehearsal(scenario, cast(Any, ground), tick)
     ground.rehearsal = rehearsal
     failures: list[BaseException] = []
--- a/driftstair/rehearsal/tier/checks.py
+++ b/driftstair/rehearsal/tier/checks.py
@@ -21,6 +21,12 @@
     begin: int
     end: int
     down: bool = False  # it did not run
+    apart: frozenset[int] | None = None  # from these alone; None: from all
+
+    def excuses(self, other: int, settle: int) -> tuple[int, int]:
+        """When this node and that one may be wrong about each other: ns, and so many after its end."""
+        concerned = self.apart is None or other in self.apart
+        return (self.begin if concerned else self.end), self.end + settle
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,9 +78,9 @@
     settle = int(bounds.settle * SECOND)
     for process in story.processes:
         for member in members - {process.node}:
-            excused = [
-                (one.begin, one.end + settle) for one in story.of(member) + story.of(process.node)
-            ] + [(0, process.began + settle)]  # fmt: skip
+            excused = [(0, process.began + settle)]
+            excused += [one.excuses(process.node, settle) for one in story.of(member)]
+            excused += [one.excuses(member, settle) for one in story.of(process.node)]
             for begin, end, held in process.spans(member, "dead", story.until):
                 for lasted in _outside(begin, end, excused):
                     if lasted[1] - lasted[0] > bounds.wrongly * SECOND:
@@ -97,7 +103,8 @@
         for process in story.processes:
             if process.node == down.node or process.began + settle > late or process.ended < late:
                 continue
-            if any(one.begin < late and late < one.end + settle for one in story.of(process.node)):
+            spans = [one.excuses(down.node, settle) for one in story.of(process.node)]
+            if any(begin < late < end for begin, end in spans):
                 continue
             state = process.state(down.node, late)
             if state not in ("dead", "left", "unknown"):
--- a/driftstair/rehearsal/tier/histories.py
+++ b/driftstair/rehearsal/tier/histories.py
@@ -31,7 +31,7 @@
 
     node: int
     began: int
-    ended: int = FOREVER  # ns: where it has said so itself
+    ended: int = FOREVER  # ns: where it has said so itself, or the next process of its node began
     held: list[Held] = field(default_factory=list)
     stood_still: list[tuple[int, int]] = field(default_factory=list)  # ns, by its own word
 
@@ -65,11 +65,14 @@
         return {one.member: one for one in self.held}
 
 
-def processes(events: list[dict[str, Any]]) -> list[Process]:
-    """Of one node's history, in order. Events before a first start are none's."""
+def processes(events: list[dict[str, Any]], origin: int = 0) -> list[Process]:
+    """Of one node's history; times from `origin` (ns) on. What precedes a first start is left out."""
     out: list[Process] = []
     for event in events:
+        event = event | {"t_ns": event["t_ns"] - origin}
         if event["event"] == "start":
+            if out and out[-1].ended == FOREVER:
+                out[-1].ended = event["t_ns"]  # it was killed, some time before
             out.append(Process(event["node"], event["t_ns"]))
         elif not out:
             continue
@@ -86,9 +89,9 @@
     return out
 
 
-def read_folder(folder: Path) -> list[Process]:
-    """Of all nodes whose histories are there. Raises HistoryError."""
+def read_folder(folder: Path, origin: int = 0) -> list[Process]:
+    """Of all nodes whose histories are there; times from `origin` (ns) on. Raises HistoryError."""
     found: list[Process] = []
     for path in sorted(folder.glob("*.jsonl")):
-        found += processes(history.read(path))
+        found += processes(history.read(path), origin)
     return found
--- a/driftstair/rehearsal/troubles.py
+++ b/driftstair/rehearsal/troubles.py
@@ -8,9 +8,11 @@
 
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal import wire
+from driftstair.rehearsal.ground import NodeProcess
 from driftstair.rehearsal.seeds import random_for
 from driftstair.rehearsal.stands.box import Box
 from driftstair.rehearsal.stands.crowd import SilentCrowd
+from driftstair.rehearsal.tier.links import Fault
 from driftstair.rehearsal.wire import HostState
 
 if TYPE_CHECKING:
@@ -225,10 +227,24 @@
 
     def _nodes_vanish(self, trouble: model.NodeVanishes, index: int) -> End:
         names = self._choose_nodes(trouble, index)
+        return self._silent(
+            names, "is cut off in silence", lambda node: node.vanish(), lambda node: node.come_back()
+        )
+
+    def _nodes_stall(self, trouble: model.NodeStalls, index: int) -> End:
+        names = self._choose_nodes(trouble, index)
+        return self._silent(
+            names, "stands still", lambda node: node.stand_still(), lambda node: node.go_on()
+        )
+
+    def _silent(
+        self, names: list[str], what: str, fall: Callable[[NodeProcess], None],
+        come_back: Callable[[NodeProcess], None],
+    ) -> End:  # fmt: skip
         for name in names:
-            self._stage.say(f"{name} is cut off in silence")
+            self._stage.say(f"{name} {what}")
             self._stage.vanished.add(name)
-            self._stage.nodes[name].vanish()
+            fall(self._stage.nodes[name])
             self._stage.cuts[name] = (self._stage.now(), FOREVER)
             self._stage.note(wire.NodeDown(self._stage.now(), name))
             self._stage.front.node_dies(name)
@@ -237,13 +253,58 @@
             for name in names:
                 self._stage.say(f"{name} is back")
                 self._stage.vanished.discard(name)
-                self._stage.nodes[name].come_back()
+                come_back(self._stage.nodes[name])
                 self._end_cut(name)
                 self._stage.note(wire.NodeUp(self._stage.now(), name, anew=False))
                 self._stage.front.node_starts(name, self._stage.nodes[name].address(), lambda: None)
 
         return end
 
+    def _nodes_starve(self, trouble: model.NodeStarves, index: int) -> End:
+        names = self._choose_nodes(trouble, index)
+        over = False
+        self._stage.say(f"{', '.join(names)}: {trouble.stands_ms:g} of each "
+                        f"{trouble.stands_ms + trouble.runs_ms:g} ms it stands still")  # fmt: skip
+
+        def stand() -> None:
+            if not over and not self._stage.over:
+                for name in names:
+                    self._stage.nodes[name].stand_still()
+                self._stage.after(trouble.stands_ms / 1e3, run)
+
+        def run() -> None:
+            for name in names:
+                if name not in self._stage.vanished:
+                    self._stage.nodes[name].go_on()
+            self._stage.after(trouble.runs_ms / 1e3, stand)
+
+        def end() -> None:
+            nonlocal over
+            over = True
+
+        stand()
+        return end
+
+    def _links(self, trouble: model.Links, index: int) -> End:
+        tier, random = self._stage.tier, random_for(self._stage.seed, "trouble", index)
+        assert tier is not None
+        senders, receivers = tier.chosen(trouble.senders, random), tier.chosen(trouble.receivers, random)
+        low, high = trouble.delay_ms
+        fault = Fault(
+            trouble.cut, trouble.loss, (low / 1e3, high / 1e3), trouble.duplicate, trouble.reorder,
+            trouble.garble, trouble.truncate,
+        )  # fmt: skip
+        cut = tier.begin(self._stage.now(), senders, receivers, fault, trouble.both_ways)
+        end_cut = tier.end
+        what = "carry nothing" if trouble.cut else "are bad"
+        self._stage.say(f"{len(cut.pairs)} links between nodes {what}")
+
+        def end() -> None:
+            self._stage.say(f"{len(cut.pairs)} links between nodes are sound")
+            end_cut(self._stage.now(), cut)
+
+        return end
+
     def _nodes_restart(self, trouble: model.NodeRestarts, index: int) -> End:
         names = self._choose_nodes(trouble, index)
         for place, name in enumerate(names):
@@ -258,6 +319,7 @@
         model.TrafficJump: _jump, model.Surge: _surge, model.ListOutage: _list_out,
         model.ListLag: _list_lags, model.ListMoves: _list_moves, model.NodeDies: _nodes_die,
         model.NodeVanishes: _nodes_vanish, model.NodeRestarts: _nodes_restart,
+        model.NodeStalls: _nodes_stall, model.NodeStarves: _nodes_starve, model.Links: _links,
     }  # fmt: skip
 
 
--- a/driftstair/rehearsal/virtual.py
+++ b/driftstair/rehearsal/virtual.py
@@ -14,6 +14,7 @@
 from driftstair.config import read
 from driftstair.daemon import serve
 from driftstair.rehearsal.director import Rehearsal
+from driftstair.rehearsal.platform import Peers
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import seed_for
 from driftstair.rehearsal.sim.loop import ProcessLoop, enter
@@ -21,10 +22,14 @@
 from driftstair.rehearsal.sim.scheduler import Deadlock, Runaway, Scheduler
 from driftstair.rehearsal.sim.stream import Endpoint
 from driftstair.rehearsal.sim.system import SimulatedSystem
+from driftstair.rehearsal.tier.histories import Process, processes
+from driftstair.rehearsal.tier.links import Links
+from driftstair.service.use import ServiceFile
 from driftstair.settings import Config
 
 EPOCH = 1_767_225_600_000_000_000  # ns: the wall clock starts at 2026-01-01 00:00 UTC
 PORT = 3000
+PEER_PORT = 3001
 FOREVER = 1 << 62
 TRACE_MOST = 12  # frames of a crash that are kept
 COLLECTED = (50_000, 20, 50)  # the collector else takes a sixth of the time, for what is no garbage
@@ -143,6 +148,14 @@
     def come_back(self) -> None:
         self.machine.come_back()
 
+    def stand_still(self) -> None:
+        if self.loop is not None:
+            self.loop.stand_still()
+
+    def go_on(self) -> None:
+        if self.loop is not None:
+            self.loop.go_on()
+
     def descriptors(self) -> int:
         return self.machine.descriptors
 
@@ -159,11 +172,11 @@
         self._descriptors = scenario.nodes.descriptors
         self._hosts = 0
         self._nodes: list[SimulatedNode] = []
-        self.service = None
+        self.service: ServiceFile | None = None
         if scenario.nodes.service is not None:
-            from driftstair.service.use import ServiceFile
-
             self.service = ServiceFile(scenario.nodes.service)
+        self._tier = scenario.nodes.tier
+        self._written: dict[str, list[dict[str, Any]]] = {}  # by node: its history
         self._loops: list[ProcessLoop] = []
 
     def new_loop(self, name: str, on_crash: Callable[[str, BaseException | None], None]) -> ProcessLoop:
@@ -188,11 +201,27 @@
         self._nodes.append(node)
         return node
 
+    def join(self, links: Links) -> None:
+        from driftstair.rehearsal.tier.inside import TierFile
+
+        assert self._tier is not None
+        numbers = {node.machine: number for number, node in enumerate(self._nodes)}
+        self.network.fate = lambda source, target, data: links.pass_on(numbers[source], numbers[target], data)
+        period = int(self._tier.period_ms * 1e6)
+        self.service = TierFile(self.service, period, lambda name: self._written.setdefault(name, []))
+
+    def peers(self, name: str) -> Peers:
+        addresses = {node.name: f"{node.machine.host}:{PEER_PORT}" for node in self._nodes}
+        return Peers(addresses[name], list(addresses.values()))
+
+    def histories(self) -> list[Process]:
+        return [one for events in self._written.values() for one in processes(events)]
+
     def stuck(self) -> str:
         """A node that runs, and for which nothing can ever happen again."""
         for node in self._nodes:
             loop = node.loop
-            if not node.running or loop is None or node.machine.descriptors:
+            if not node.running or loop is None or node.machine.descriptors or loop.held is not None:
                 continue
             if not self.scheduler.has_work(loop):
                 waits = ", ".join(loop.waiting()) or "nothing"
--- a/driftstair/tier/membership/core.py
+++ b/driftstair/tier/membership/core.py
@@ -6,9 +6,10 @@
 suspect first. Beyond the papers:
 
 - a node that stood still (it is woken late) judges nobody by what it missed;
-- a node that hears nobody at all spreads no verdict, and holds others dead for itself alone;
+- a node that nobody answers judges nobody, and in time holds those it does not hear dead for itself alone;
 - no verdict falls on a suspect that goes on speaking to this node, up to the longest suspicion;
 - those who hear of a suspicion probe the suspect next, a few of them: it is confirmed or refuted sooner;
+- a node in doubt of itself waits longer for answers, but probes as often: else it finds no way out of it;
 - each node probes its neighbour by number too, so that each is probed in every period;
 - members that are dead, gone or never heard of are called in turn, so that halves find each other again.
 """
@@ -37,7 +38,7 @@
 LOOKS_MOST = 2  # of those probes a node sends at most in a period
 LATE_BEYOND = 0.4  # of a period: a node woken so late stood still
 JOINING = 10  # periods from the start on in which a node that knows nobody calls often
-SILENT = 3  # periods without any datagram from anybody: this node itself is cut off
+SILENT = 6  # periods in which no probe is answered: this node itself is cut off
 LIVES_MOST = 8  # times that a number is claimed back from a later life
 QUIET = 60  # periods after which such claims are forgotten
 LIFE_MOST = (1 << 32) - 1  # what a datagram holds
@@ -77,7 +78,7 @@
         self._next_spread = NEVER
         self._last_spread = -period
         self._looks = 0  # in this period
-        self._last_heard = 0
+        self._answered_at = 0
         self._joining_until = 0
         self._alone = False
         self._alone_since = 0
@@ -98,7 +99,7 @@
         return sorted([self.own, *(one.number for one in self.members.values() if one.counts())])
 
     def alone(self) -> bool:
-        """Whether nobody has been heard for so long that this node holds itself cut off."""
+        """Whether nobody has answered for so long that this node holds itself cut off."""
         return self._alone
 
     def leaving(self) -> bool:
@@ -148,7 +149,7 @@
 
     def _start(self, now: int, kept: tuple[Claim, ...]) -> None:
         self._started = True
-        self._last_heard = now
+        self._answered_at = now
         self._joining_until = now + JOINING * self._period
         self._next_period = now
         self._changed(self.mine, "starts")
@@ -229,37 +230,38 @@
             suspicion = self.members[number].suspicion
             assert suspicion is not None
             suspicion.anew(now)
-        self._last_heard = now
+        self._answered_at = now
         if not self._left:
             self._next_period = now
         if self._next_spread < now:
             self._next_spread = now
 
     def _hears(self, now: int) -> bool:
-        """Whether somebody was heard of late; else the fault may be here, and nobody is judged."""
-        return not self._alone and now - self._last_heard <= self._period
+        """Whether a probe was answered of late; else the fault may be here, and nobody is judged. That others
+        are heard says little: they may not hear this node."""
+        return not self._alone and now - self._answered_at <= self._period
 
     def _check_alone(self, now: int) -> None:
-        silent = now - self._last_heard
+        silent = now - self._answered_at
         if not self._alone and silent > SILENT * self._period:
             self._alone = True
             self._alone_since = now
         if self._alone and now >= self._alone_since + self._patience():
             for member in self.members.values():
-                if member.counts() and not member.unheard:
+                if member.counts() and not member.unheard and member.heard < self._alone_since:
                     assert member.claim is not None
                     member.unheard = True
                     member.since = now
                     held = member.claim._replace(state=State.DEAD, by=self.own)
-                    self._actions.append(Changed(held, "nobody is heard", told=False))
+                    self._actions.append(Changed(held, "nobody answers", told=False))
 
     def _patience(self) -> int:
         """ns that a node alone waits before it holds the others dead."""
         return MOST_TIMES * least(self._period, self._spread, FAN, self._living, self._probing.trip)
 
     def _company(self, now: int) -> None:
-        """Somebody was heard."""
-        self._last_heard = now
+        """Somebody has answered."""
+        self._answered_at = now
         if not self._alone:
             return
         self._alone = False
@@ -267,10 +269,13 @@
             if member.suspicion is not None:
                 member.suspicion.anew(now)
             if member.unheard:
-                assert member.claim is not None
-                member.unheard = False
-                member.since = now
-                self._changed(member.claim, "others are heard again")
+                self._heard_again(now, member)
+
+    def _heard_again(self, now: int, member: Member) -> None:
+        assert member.claim is not None
+        member.unheard = False
+        member.since = now
+        self._changed(member.claim, "others are there again")
 
     # What is due.
 
@@ -309,11 +314,11 @@
         if self._left:
             self._next_period = NEVER
             return
-        self._next_period = now + self._period * self.health.times()
+        self._next_period = now + self._period
         self._looks = 0
         if self._claimed and now - self._claimed_at > QUIET * self._period:
             self._claimed = 0
-        self._neighbour_at = now + self._period * self.health.times() // 2
+        self._neighbour_at = now + self._period // 2
         target = self._next_of(self._round, lambda one: one.counts())
         if target is not None:
             self._probe(now, target)
@@ -366,7 +371,7 @@
         member = self.members[probe.target]
         self.counts["failed_probes"] += 1
         # Helpers that said nothing at all, not even that they have no answer, speak against this node.
-        self.health.worse(probe.helpers if probe.asked else 1)
+        self.health.worse(min(1, probe.helpers) if probe.asked else 1)
         if member.heard >= probe.sent or not member.counts() or member.claim is None or not self._hears(now):
             return
         claim = member.claim
@@ -379,6 +384,7 @@
         if found is None:
             return
         probe, in_time = found
+        self._company(now)
         target = self.members[about]
         if itself:
             target.round_trip = now - probe.sent
@@ -407,11 +413,12 @@
         if not member.window.take(message.order):
             self.counts["replayed"] += 1
             return
-        self._company(now)
         self._merge(now, message.mine, "it says so", spread=True)
         if self.superseded:
             return
         member.heard = now
+        if member.unheard:
+            self._heard_again(now, member)
         for claim in message.news:
             self._take(now, claim, number)
             if self.superseded:
--- a/tests/rehearsal/test_pairs_of_troubles.py
+++ b/tests/rehearsal/test_pairs_of_troubles.py
@@ -9,7 +9,9 @@
 
 from driftstair.rehearsal.load import TROUBLES
 
-KEYS: dict[str, dict[str, Any]] = {"surge": {"of_class": "paid-live"}, "silent-crowd": {"per_s": 20}}
+KEYS: dict[str, dict[str, Any]] = {
+    "surge": {"of_class": "paid-live"}, "silent-crowd": {"per_s": 20}, "links": {"cut": True},
+}  # fmt: skip
 BOXES = ("slow-boxes", "box-dies", "box-vanishes", "box-errors", "broken-connections", "replace")
 
 
@@ -21,10 +23,11 @@
 @pytest.mark.parametrize("first", TROUBLES)
 def test_every_pair_of_kinds_ends_whole(first: str) -> None:
     for second in TROUBLES:
+        nodes = {"count": 2} | ({"tier": {}} if "links" in (first, second) else {})
         run = Run(
             {
                 "version": 1, "name": "pair", "seconds": 3.5, "load": {"rate": 25.0, "keys": 20},
-                "nodes": {"count": 2}, "boxes": {"count": 3, "grace_s": 0.8},
+                "nodes": nodes, "boxes": {"count": 3, "grace_s": 0.8},
                 "list": {"notice_s": 0.2, "silent_notice_s": 0.5, "ask_within_s": 1.0},
                 "class": [{"name": "paid-live", "share": 1, "work_ms": 60, "given_up_ms": 900}],
                 "trouble": [drawn(first, 1.2, 1.0), drawn(second, 1.6, 1.2)],
