driftstair tier show; the tier's parts and any order of events tested; a key that is a folder

A [tier] key that names a folder ended the start with a traceback (IsADirectoryError from fdopen): one line and status 2 now, like any other key that is none. The kept list checks all numbers of a claim, as datagrams do.

A state machine plays loss, delay, repeats, pauses, cuts, crashes, leaves and restarts on 2 to 5 nodes: what is held only rises, nobody invents an incarnation, and once the network is sound all agree.

--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -22,6 +22,7 @@
     from driftstair.model import options as model
     from driftstair.rehearsal import options as rehearsal
     from driftstair.service import options as service
+    from driftstair.tier import options as tier
 
     top.add_argument("--service", metavar="FILE", help="the daemon with a service file (or "
         "DRIFTSTAIR_SERVICE)")
@@ -29,6 +30,7 @@
     service.add(commands)
     ledger.add(commands)
     model.add(commands)
+    tier.add(commands)
     return top
 
 
--- /dev/null
+++ b/driftstair/tier/command.py
@@ -0,0 +1,104 @@
+"""`driftstair tier show`: a running node's report, for people or as it came."""
+
+from __future__ import annotations
+
+import json
+import sys
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from driftstair.hosts import ListError, parse_address
+from driftstair.tier.service import FORMAT
+
+WITHIN = 3.0  # s for an answer
+ANSWER_MOST = 4 << 20  # bytes
+SHOWN, NO_TIER, NO_ANSWER = 0, 1, 2
+
+
+class AskError(Exception):
+    """No report; the text says why, in one line."""
+
+
+class NoTier(AskError):
+    """The node answered that it is in none."""
+
+
+def ask(host: str, port: int) -> dict[str, Any]:
+    """Raises AskError."""
+    connection = HTTPConnection(host, port, timeout=WITHIN)
+    try:
+        connection.request("GET", "/control/tier", headers={"Connection": "close"})
+        answer = connection.getresponse()
+        body = answer.read(ANSWER_MOST)
+    except TimeoutError:
+        raise AskError(f"no answer within {WITHIN:g} s") from None
+    except OSError as problem:
+        raise AskError(f"can't be asked: {problem.strerror or problem}") from None
+    except HTTPException as problem:
+        raise AskError(f"gives no HTTP answer: {type(problem).__name__}") from None
+    finally:
+        connection.close()
+    if answer.status == 404:
+        raise NoTier("this node is in no tier; [tier] in its service file would put it into one")
+    try:
+        found = json.loads(body)
+    except (ValueError, RecursionError):
+        found = None
+    if answer.status != 200 or not isinstance(found, dict) or found.get("format") != FORMAT:
+        raise AskError(f"gives no {FORMAT}, but status {answer.status}")
+    return found
+
+
+def show(address: str, as_json: bool) -> int:
+    try:
+        host, port = parse_address(address)
+    except ListError:
+        print(f"driftstair: {address}: no address; HOST:PORT would do", file=sys.stderr)
+        return NO_ANSWER
+    try:
+        found = ask(host, port)
+    except AskError as problem:
+        print(f"driftstair: {address}: {problem}", file=sys.stderr)
+        return NO_TIER if isinstance(problem, NoTier) else NO_ANSWER
+    if as_json:
+        json.dump(found, sys.stdout, indent=1, sort_keys=True)
+        print()
+    else:
+        _print(found, Console())
+    return SHOWN
+
+
+def _print(found: dict[str, Any], console: Console) -> None:
+    node = found["node"]
+    about = f"node {node['number']}, {node['state']}, incarnation {node['incarnation']}"
+    about += f", doubt {node['health']}"
+    if node["alone"]:
+        about += "; nobody answers it"
+    if node["superseded"]:
+        about += "; another process has its number, and it is out of the tier"
+    console.print(about, highlight=False)
+    table = Table(box=None, pad_edge=False, header_style="dim")
+    for column in ("node", "state", "for s", "zone", "heard s ago", "round trip ms", "why"):
+        table.add_column(column, justify="left" if column in ("state", "why") else "right")
+    for one in found["members"]:
+        trip = one["round_trip_s"]
+        table.add_row(
+            str(one["number"]), one["state"], f"{one['held_s']:.0f}", str(one["zone"]),
+            "" if one["heard_s"] is None else f"{one['heard_s']:.1f}",
+            "" if trip is None else f"{trip * 1e3:.1f}", _why(one),
+        )  # fmt: skip
+    console.print(table)
+    counts = ", ".join(f"{name} {number}" for name, number in found["counts"].items() if number)
+    console.print(counts, style="dim", highlight=False)
+
+
+def _why(one: dict[str, Any]) -> str:
+    if one["unheard"]:
+        return "nobody answers this node"
+    if not one["suspected_by"]:
+        return ""
+    by = ", ".join(map(str, one["suspected_by"]))
+    return f"suspected by {by}; dead in {one['dead_in_s']:.1f} s"
--- a/driftstair/tier/kept.py
+++ b/driftstair/tier/kept.py
@@ -10,7 +10,7 @@
 
 from driftstair.files import FileProblem, parsed, read_text
 from driftstair.tier.membership.members import Claim, State, Traits
-from driftstair.tier.wire import COUNT_MOST, NUMBER_MOST
+from driftstair.tier.wire import fits
 
 FORMAT = "driftstair.members/1"
 
@@ -57,6 +57,7 @@
     number, life, incarnation, state, by, *traits = row
     if not all(type(one) is int for one in row) or len(traits) != len(Traits._fields):
         raise ValueError(f"{row!r}")
-    if not (0 <= number < NUMBER_MOST and 0 <= life <= COUNT_MOST and 0 <= incarnation <= NUMBER_MOST):
+    claim = Claim(number, life, incarnation, State(state), by, Traits(*traits))
+    if not fits(claim):
         raise ValueError(f"{row!r}")
-    return Claim(number, life, incarnation, State(state), by, Traits(*traits))
+    return claim
--- a/driftstair/tier/key.py
+++ b/driftstair/tier/key.py
@@ -18,16 +18,17 @@
     except (OSError, ValueError) as problem:
         why = problem.strerror if isinstance(problem, OSError) else "no path has a zero byte"
         raise FileProblem(f"can't be read: {why}") from None
-    with os.fdopen(descriptor, "rb") as file:
-        found = os.fstat(file.fileno())
+    try:
+        found = os.fstat(descriptor)
         if not stat.S_ISREG(found.st_mode):
             raise FileProblem("can't be read: it is no regular file; a path of one would do")
         if found.st_mode & OTHERS:
             raise FileProblem(f"is open to others (mode {found.st_mode & 0o777:o}); mode 600 would do")
-        try:
-            key = file.read(MOST + 64).strip()
-        except OSError as problem:
-            raise FileProblem(f"can't be read: {problem.strerror}") from None
+        key = os.read(descriptor, MOST + 64).strip()
+    except OSError as problem:
+        raise FileProblem(f"can't be read: {problem.strerror}") from None
+    finally:
+        os.close(descriptor)
     if not LEAST <= len(key) <= MOST:
         raise FileProblem(f"holds a key of {len(key)} bytes; {LEAST} to {MOST} would do")
     return key
--- a/driftstair/tier/wire.py
+++ b/driftstair/tier/wire.py
@@ -136,13 +136,20 @@
 
 
 def _claim(bare: _Claim) -> Claim:
-    fits = (
-        0 <= bare.number < NUMBER_MOST and 0 <= bare.life <= COUNT_MOST
-        and 0 <= bare.incarnation <= NUMBER_MOST and 0 <= bare.state <= State.LEFT
-        and 0 <= bare.by < NUMBER_MOST and 0 <= bare.zone <= 255 and 0 <= bare.version <= 255
-        and 0 <= bare.supports <= NUMBER_MOST
-    )  # fmt: skip
-    if not fits:
+    if not 0 <= bare.state <= State.LEFT:
         raise Unreadable("out_of_range")
     traits = Traits(bare.zone, bare.version, bare.supports)
-    return Claim(bare.number, bare.life, bare.incarnation, State(bare.state), bare.by, traits)
+    claim = Claim(bare.number, bare.life, bare.incarnation, State(bare.state), bare.by, traits)
+    if not fits(claim):
+        raise Unreadable("out_of_range")
+    return claim
+
+
+def fits(claim: Claim) -> bool:
+    """Whether all its numbers have room in a datagram."""
+    zone, version, supports = claim.traits
+    return (
+        0 <= claim.number < NUMBER_MOST and 0 <= claim.life <= COUNT_MOST
+        and 0 <= claim.incarnation <= NUMBER_MOST and 0 <= claim.by < NUMBER_MOST and 0 <= zone <= 255
+        and 0 <= version <= 255 and 0 <= supports <= NUMBER_MOST
+    )  # fmt: skip
--- /dev/null
+++ b/tests/tier/test_membership_machine.py
@@ -0,0 +1,166 @@
+"""Any interleaving of loss, delay, repeat, pause, crash and restart, on 2 to 5 nodes."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from driftstair.tier import wire
+from driftstair.tier.membership import events as api
+from driftstair.tier.membership.core import Membership
+from driftstair.tier.membership.members import Traits
+
+PERIOD = 1_000_000_000
+OLD_MOST = 60  # datagrams that may come once more, however late
+
+
+class Tier(RuleBasedStateMachine):
+    """A network that carries, loses and delays, and old datagrams that come again at any time."""
+
+    @initialize(count=st.integers(2, 5))
+    def begin(self, count: int) -> None:
+        self.now = 0
+        self.lives = [0] * count
+        self.nodes: list[Membership | None] = [None] * count
+        self.flight: list[tuple[int, int, api.Message]] = []
+        self.old: list[api.Message] = []
+        self.loss, self.delay, self.cut = 0.0, 0, (-1, -1)
+        self.random = Random(count)
+        self.order = 0
+        self.ranks: dict[tuple[int, int], Any] = {}
+        for number in range(count):
+            self._start(number)
+
+    def _start(self, number: int) -> None:
+        self.lives[number] += 1
+        self.nodes[number] = node = Membership(
+            number, len(self.nodes), self.lives[number], Traits(0, 1, 1), PERIOD,
+            Random(number), wire.ROOM, wire.size,
+        )  # fmt: skip
+        self.ranks = {pair: rank for pair, rank in self.ranks.items() if pair[0] != number}
+        self._handle(node, api.Start())
+
+    def _handle(self, node: Membership, event: api.Event) -> None:
+        for action in node.handle(self.now, event):
+            if isinstance(action, api.Send):
+                message = action.message
+                self.old = [*self.old[1 - OLD_MOST :], message]
+                if self.random.random() >= self.loss and (message.mine.number, message.to) != self.cut:
+                    self.order += 1
+                    at = self.now + self.random.randint(1, 1 + self.delay)
+                    heappush(self.flight, (at, self.order, message))
+
+    def _deliver(self, message: api.Message) -> None:
+        node = self.nodes[message.to]
+        if node is not None:
+            self._handle(node, api.Heard(message))
+
+    @rule(index=st.integers(0, OLD_MOST))
+    def again(self, index: int) -> None:
+        if self.old:
+            self._deliver(self.old[index % len(self.old)])
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.0, 0.4, 0.9, 1.0]), delay=st.sampled_from([0.01, 0.3, 3.0]),
+        one=st.integers(-1, 4), other=st.integers(0, 4),
+    )  # fmt: skip
+    def weather(self, loss: float, delay: float, one: int, other: int) -> None:
+        self.loss, self.delay, self.cut = loss, int(delay * PERIOD), (one, other)
+
+    @rule(part=st.sampled_from([0.3, 1.0, 2.5, 8.0, 20.0]), stopped=st.integers(0, 9))
+    def wait(self, part: float, stopped: int) -> None:
+        """Time passes, for all but one that stands still; what comes for that one waits."""
+        until, waiting = self.now + int(part * PERIOD), []
+        while True:
+            due = [node for number, node in enumerate(self.nodes)
+                   if node is not None and number != stopped and node.wake_at <= until]  # fmt: skip
+            node = min(due, key=lambda one: one.wake_at, default=None)
+            if self.flight and self.flight[0][0] <= (until if node is None else node.wake_at):
+                at, order, message = heappop(self.flight)
+                if message.to == stopped:
+                    waiting.append((at, order, message))
+                    continue
+                self.now = max(self.now, at)
+                self._deliver(message)
+            elif node is not None:
+                self.now = max(self.now, node.wake_at)
+                self._handle(node, api.Wake())
+            else:
+                break
+        self.now = until
+        for one in waiting:
+            heappush(self.flight, one)
+
+    @precondition(lambda self: any(node is not None for node in self.nodes))
+    @rule(number=st.integers(0, 4), leaves=st.booleans())
+    def end(self, number: int, leaves: bool) -> None:
+        node = self.nodes[number % len(self.nodes)]
+        if node is not None:
+            if leaves:
+                self._handle(node, api.Leave())
+            self.nodes[node.own] = None
+
+    @rule(number=st.integers(0, 4))
+    def start(self, number: int) -> None:
+        number %= len(self.nodes)
+        if self.nodes[number] is None:
+            self._start(number)
+
+    @invariant()
+    def what_is_held_only_rises_and_is_nobodys_invention(self) -> None:
+        for node in self.nodes:
+            if node is None:
+                continue
+            for member in node.members.values():
+                if member.claim is None:
+                    continue
+                pair, rank = (node.own, member.number), member.claim.rank()
+                assert rank >= self.ranks.get(pair, rank)
+                self.ranks[pair] = rank
+                # Only a process raises its own life and incarnation.
+                own = self.nodes[member.number]
+                if own is not None and not own.superseded and own.mine.life == rank[0]:
+                    assert rank[1] <= own.mine.incarnation
+
+    @invariant()
+    def each_wants_to_be_woken_and_no_datagram_is_too_long(self) -> None:
+        codec = wire.Codec(b"sixteen bytes!!!")
+        for message in self.old[-4:]:
+            assert len(codec.encode(message)) <= wire.DATAGRAM_MOST
+        for node in self.nodes:
+            if node is not None and not node.superseded and not node.leaving():
+                assert node.wake_at <= self.now + 30 * PERIOD
+
+    def teardown(self) -> None:
+        """Once the network is sound again and time passes, all hold the same of those that run."""
+        if not hasattr(self, "nodes"):
+            return
+        running = [node for node in self.nodes if node is not None]
+        self.weather(0.0, 0.01, -1, 0)
+        for _ in range(200):
+            if all(self._agrees(node, running) for node in running):
+                return
+            self.wait(1.0, -1)
+        raise AssertionError([(node.own, node.mine, node.seen(self.now)) for node in running])
+
+    def _agrees(self, node: Membership, running: list[Membership]) -> bool:
+        living = {other.own: other.mine.rank() for other in running}
+        for member in node.members.values():
+            rank = member.claim.rank() if member.claim is not None else None
+            if member.number in living and rank != living[member.number]:
+                return False
+            if member.number not in living and len(running) > 1 and rank is not None and rank[2] < 2:
+                return False
+        return True
+
+
+Tier.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=40, derandomize=True, deadline=None,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+TestTier = Tier.TestCase
