--- a/tests/tier/fleet.py
+++ b/tests/tier/fleet.py
@@ -41,7 +41,7 @@
         self.troubles: list[Span] = []
         self.lines: dict[int, list[str]] = {}
         self.ready: dict[int, tuple[str, int]] = {}
-        self._code = code  # the program, in the place of `-m driftstair`
+        self.code = dict.fromkeys(range(count), code)  # the program, in the place of `-m driftstair`
         self._ports = [free_port() for _ in range(count)]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._readers: list[asyncio.Task[None]] = []
@@ -86,7 +86,8 @@
         for number in numbers or range(self.count):
             path = self.folder / f"n{number}.json"
             path.write_text(json.dumps(self.document(number)))
-            options = ("-c", self._code) if self._code else ("-m", "driftstair")
+            code = self.code[number]
+            options = ("-c", code) if code else ("-m", "driftstair")
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *options, "--service", str(self.service), cwd=ROOT,
                 env={**os.environ, "BALANCER_CONFIG": str(path), **(env or {})},
