--- /dev/null
+++ b/driftstair/tier/shared/purse.py
@@ -0,0 +1,44 @@
+"""What a node may spend now: a bucket that fills by the shares that it holds.
+
+Over any time t all nodes together spend at most budget x (t + depth) x (1 + drift): each share fills one
+bucket at a time, and no bucket keeps more than `depth` s of what fills it. A process that stops between a
+check and what it does by it, and goes on later, does so for the one check that was under way.
+"""
+
+from __future__ import annotations
+
+from driftstair.tier.shared.rights import Rights
+
+
+class Purse:
+    """`share`: tokens a second that one share gives; `depth`: s of them that are kept. Whoever changes
+    `rights` calls `advance` before and after."""
+
+    def __init__(self, rights: Rights, share: float, depth: float, now: int) -> None:
+        self.rights = rights
+        self._share = share
+        self._depth = depth
+        self._tokens = 0.0
+        self._at = now
+        self._held = rights.held(now)
+
+    def spend(self, now: int, tokens: float = 1.0) -> bool:
+        """Whether it may; then it has."""
+        self.advance(now)
+        if tokens > self._tokens:
+            return False
+        self._tokens -= tokens
+        return True
+
+    def advance(self, now: int) -> None:
+        """Let time pass, over each moment at which what is held changes."""
+        while (ends := self.rights.ends_at()) <= now:
+            self._fill(max(ends, self._at))
+        self._fill(now)
+
+    def _fill(self, now: int) -> None:
+        held = self.rights.held(now)
+        # Between two looks the fewer count: what came in between may have come late.
+        gained = min(held, self._held) * self._share * max(0, now - self._at) / 1e9
+        self._tokens = min(self._tokens + gained, held * self._share * self._depth)
+        self._at, self._held = max(self._at, now), held
--- /dev/null
+++ b/driftstair/tier/shared/rights.py
@@ -0,0 +1,157 @@
+"""Who may spend which part of a fleet's budget: a share has one holder at a time, and no clock is shared.
+
+A budget is cut into equal shares, and each node is home to as many. It keeps some for itself always (its
+floor) and lends the rest for a time T:
+
+- the borrower counts T from when it *asked*, on its own clock: before that the loan can't have been granted;
+- the lender counts T, and more by the stated drift, from when it *granted*, on its own clock.
+
+So the borrower's time is over first, whatever is late, repeated or lost (Gray and Cheriton, "Leases", SOSP
+1989). A process that starts does not know what the one before it has lent: for the longest a loan can last it
+holds its floor alone. What silence costs is use, never the bound. Times are monotonic ns.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+NEVER = 1 << 62  # ns
+
+
+class Terms(NamedTuple):
+    """Alike on all nodes of a tier. `lent`: ns of a loan; `drift`: the part by which a clock may run fast or
+    slow."""
+
+    shares: int  # that each node is home to
+    floor: int  # of these, that it never lends
+    lent: int = 2_000_000_000
+    drift: float = 0.01
+
+    def waited(self) -> int:
+        """ns that a lender counts: its clock may be fast and the borrower's slow."""
+        return int(self.lent * (1 + self.drift) / (1 - self.drift)) + 1
+
+
+class Ask(NamedTuple):
+    """From a node that wants more. `at`: its own clock, which comes back with the grant."""
+
+    borrower: int
+    life: int
+    at: int
+    shares: int
+
+
+class Grant(NamedTuple):
+    """`loan`: a number that the lender's life gives to no other loan."""
+
+    lender: int
+    lender_life: int
+    loan: int
+    borrower: int
+    life: int  # of the borrower's process that asked
+    asked_at: int  # by the borrower's clock
+    shares: int
+
+
+class GiveBack(NamedTuple):
+    """Not wanted any more: the lender may use it at once, if the borrower never spends on it again."""
+
+    lender: int
+    lender_life: int
+    loan: int
+    borrower: int
+
+
+@dataclass(slots=True)
+class Loan:
+    shares: int
+    until: int  # ns, by the clock of who keeps this record
+
+
+class Rights:
+    """One process's part. `started`: ns; it is not known what an earlier process has lent."""
+
+    def __init__(self, own: int, life: int, terms: Terms, started: int) -> None:
+        if not 0 < terms.floor <= terms.shares:
+            raise ValueError(f"a floor of {terms.floor} shares; 1 to {terms.shares} would do")
+        self.own = own
+        self.life = life
+        self.terms = terms
+        self._whole_at = started + terms.waited()
+        self._out: dict[int, tuple[int, Loan]] = {}  # by number: the borrower
+        self._in: dict[tuple[int, int, int], Loan] = {}  # by lender, its life, number
+        self._done: dict[tuple[int, int, int], int] = {}  # given back, and until when that is remembered
+        self._last = 0
+        self._seen = started  # the latest time that was told
+
+    def held(self, now: int) -> int:
+        """Shares that this node may spend on, now."""
+        self._forget(now)
+        home = self.terms.floor if now < self._whole_at else self.terms.shares
+        return home - self._lent() + sum(loan.shares for loan in self._in.values())
+
+    def spare(self, now: int) -> int:
+        """Shares that it could lend."""
+        self._forget(now)
+        return 0 if now < self._whole_at else self.terms.shares - self.terms.floor - self._lent()
+
+    def ends_at(self) -> int:
+        """ns at which what is held changes by itself next; NEVER where it does not."""
+        times = [loan.until for _, loan in self._out.values()] + [loan.until for loan in self._in.values()]
+        if self._seen < self._whole_at:
+            times.append(self._whole_at)
+        return min(times, default=NEVER)
+
+    def _lent(self) -> int:
+        return sum(loan.shares for _, loan in self._out.values())
+
+    def _forget(self, now: int) -> None:
+        self._seen = max(self._seen, now)
+        self._out = {number: one for number, one in self._out.items() if one[1].until > now}
+        self._in = {key: loan for key, loan in self._in.items() if loan.until > now}
+        self._done = {key: until for key, until in self._done.items() if until > now}
+
+    # A borrower's part.
+
+    def ask(self, now: int, shares: int) -> Ask:
+        return Ask(self.own, self.life, now, shares)
+
+    def take(self, now: int, grant: Grant) -> bool:
+        """Whether something is held by it; a grant may be repeated, late, or another process's."""
+        until = grant.asked_at + self.terms.lent
+        key = grant.lender, grant.lender_life, grant.loan
+        mine = grant.borrower == self.own and grant.life == self.life and grant.asked_at <= now
+        if not mine or until <= now or grant.shares <= 0 or key in self._done:
+            return False
+        self._in[key] = Loan(grant.shares, until)
+        return True
+
+    def give_back(self, now: int, shares: int) -> list[GiveBack]:
+        """The loans that end soonest, up to so many shares; none is held from here on."""
+        self._forget(now)
+        out = []
+        for key, loan in sorted(self._in.items(), key=lambda one: one[1].until):
+            if loan.shares <= shares:
+                shares -= loan.shares
+                del self._in[key]
+                self._done[key] = loan.until
+                out.append(GiveBack(*key, self.own))
+        return out
+
+    # A lender's part.
+
+    def lend(self, now: int, ask: Ask, most: int) -> Grant | None:
+        """`most`: shares that it wants to part with, for whatever reasons."""
+        shares = min(ask.shares, most, self.spare(now))
+        if shares <= 0 or ask.borrower == self.own:
+            return None
+        self._last += 1
+        self._out[self._last] = ask.borrower, Loan(shares, now + self.terms.waited())
+        return Grant(self.own, self.life, self._last, ask.borrower, ask.life, ask.at, shares)
+
+    def returned(self, back: GiveBack) -> None:
+        """Of another life, or not lent to who gives it back: nothing is taken."""
+        one = self._out.get(back.loan)
+        if (back.lender, back.lender_life) == (self.own, self.life) and one and one[0] == back.borrower:
+            del self._out[back.loan]
