A rehearsal that a person ends is judged on its tier too; a key's bounds stand once

Read again: the report of an interrupted run said that every node had judged as it should, with no history looked at (the director judged the tier only at a whole end). The test fails without the mend. Beside it: the bounds of a key stood in wire.py, unused, and again in key.py; the tests' fleet read the folder of histories by a loop of its own, where read_folder does.

--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -282,6 +282,9 @@
 
     def _judge(self) -> None:
         self.checker.finish(self.now())
+        self._judge_tier()
+
+    def _judge_tier(self) -> None:
         if self.tier is not None:
             self.tier.finish(self.now(), self.ground.histories())
 
@@ -292,6 +295,7 @@
             self.over = True
             self.clients.stop()
             self.clients.cut_off()
+            self._judge_tier()
             self.ground.finish()
 
     def deadlocked(self, why: str) -> None:
--- a/driftstair/tier/key.py
+++ b/driftstair/tier/key.py
@@ -6,8 +6,8 @@
 import stat
 
 from driftstair.files import FileProblem
+from driftstair.tier.wire import KEY_LEAST, KEY_MOST
 
-LEAST, MOST = 16, 64  # bytes: of what can be guessed, and of what blake2b takes
 OTHERS = stat.S_IRWXG | stat.S_IRWXO
 
 
@@ -24,11 +24,11 @@
             raise FileProblem("can't be read: it is no regular file; a path of one would do")
         if found.st_mode & OTHERS:
             raise FileProblem(f"is open to others (mode {found.st_mode & 0o777:o}); mode 600 would do")
-        key = os.read(descriptor, MOST + 64).strip()
+        key = os.read(descriptor, KEY_MOST + 64).strip()
     except OSError as problem:
         raise FileProblem(f"can't be read: {problem.strerror}") from None
     finally:
         os.close(descriptor)
-    if not LEAST <= len(key) <= MOST:
-        raise FileProblem(f"holds a key of {len(key)} bytes; {LEAST} to {MOST} would do")
+    if not KEY_LEAST <= len(key) <= KEY_MOST:
+        raise FileProblem(f"holds a key of {len(key)} bytes; {KEY_LEAST} to {KEY_MOST} would do")
     return key
--- a/driftstair/tier/wire.py
+++ b/driftstair/tier/wire.py
@@ -22,7 +22,7 @@
 SEAL = 8  # bytes
 NUMBER_MOST = 0xFFFF
 COUNT_MOST = (1 << 32) - 1
-KEY_LEAST, KEY_MOST = 16, 64  # bytes; blake2b takes no more
+KEY_LEAST, KEY_MOST = 16, 64  # bytes: fewer can be guessed, blake2b takes no more
 
 MEMBERSHIP = 1  # of `supports`
 
--- a/tests/tier/fleet.py
+++ b/tests/tier/fleet.py
@@ -17,10 +17,9 @@
 
 from driftstair.rehearsal.sockets import free_port
 from driftstair.rehearsal.tier.checks import Bounds, Finding, Span, Story, check, disagreement
-from driftstair.rehearsal.tier.histories import Held, Process, processes
+from driftstair.rehearsal.tier.histories import Held, read_folder
 from driftstair.rehearsal.tier.links import Fault, Links
 from driftstair.rehearsal.tier.relay import Relay
-from driftstair.tier import history
 
 ROOT = Path(__file__).parents[2]
 PATIENCE = 60.0  # s: only a test that has failed waits so long
@@ -162,10 +161,7 @@
         lasting = [
             Span(number, begin, now + 1, what == "down") for (what, number), begin in self._lasting.items()
         ]
-        found: list[Process] = []
-        for path in sorted(self.histories.glob("*.jsonl")):
-            found += processes(history.read(path))
-        return Story(found, self.troubles + lasting, now)
+        return Story(read_folder(self.histories), self.troubles + lasting, now)
 
     def findings(self, bounds: Bounds) -> list[Finding]:
         return check(self.story(), bounds)
--- a/tests/tier/test_tier_rehearsals.py
+++ b/tests/tier/test_tier_rehearsals.py
@@ -41,6 +41,18 @@
     assert all(spells[-1].get("alive") == 6 for spells in found.values())
 
 
+def test_a_run_that_a_person_ends_is_judged_as_far_as_it_went(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its report once said that every node had judged as it should, with no history looked at."""
+    monkeypatch.setattr(Suspicion, "end", lambda self: NEVER)
+    seconds: list[float] = []
+    rehearsal, log, _ = virtual.play(
+        load("tier-crashes", LIGHT), seconds.append, lambda: bool(seconds) and seconds[-1] > 16
+    )
+    found = build.build(rehearsal, log, "virtual")
+    assert found["ended"] == "cut off"
+    assert found["tier"]["findings"] and found["tier"]["members"]["n1"]
+
+
 def test_a_tier_that_does_not_refute_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Membership, "_answer_claim", lambda self, now, claim: None)
     found = report("tier-pauses")
