Budgets of the fleet: rights lent between nodes in the tier's datagrams

Need: budgets are per node today, and a count of nodes that is configured divides them whether those live or not.

[tier.budgets.NAME] gives the fleet a rate; a route's retry or copy budget, or its rate of admission, spends on it by fleet = "NAME". Each node is home to an equal part and lends it, but for a floor, for 3 s at a time. Membership carries the datagrams (one more kind, which older nodes pass over), so what comes is from a living process, once.

Without [tier.budgets] nothing of it is imported.

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -111,8 +111,10 @@
     operations = operate(config, system)
     if operations is not None:
         config = operations.config
-    node, front = assemble(config, system, limits, None if operations is None else operations.roster)
     tier = None if service is None else service.tier(config, system)
+    if limits is not None and tier is not None:
+        limits.fleet = tier.tokens
+    node, front = assemble(config, system, limits, None if operations is None else operations.roster)
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier)
     try:
--- a/driftstair/limits/budgets.py
+++ b/driftstair/limits/budgets.py
@@ -2,9 +2,25 @@
 
 from __future__ import annotations
 
+from typing import Any, Protocol
+
 SECOND = 1_000_000_000
 
 
+class Tokens(Protocol):
+    """What a route spends on: a bucket of its own, or a budget of the fleet."""
+
+    def earn(self, now: int, tokens: float) -> None: ...
+
+    def has(self, now: int, tokens: float = 1.0) -> bool: ...
+
+    def take(self, now: int, tokens: float = 1.0) -> bool: ...
+
+    def until(self, now: int, tokens: float = 1.0) -> int: ...
+
+    def carry_over(self, other: Any, now: int) -> None: ...
+
+
 class Bucket:
     """Holds `burst` at most, is full at first, and earns `per_s` each second and whatever `earn` adds."""
 
--- a/driftstair/limits/limited.py
+++ b/driftstair/limits/limited.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
 
-from driftstair.limits.budgets import Bucket
-from driftstair.limits.narrow import Rules, State
+from driftstair.limits.budgets import Bucket, Tokens
+from driftstair.limits.narrow import Rules, State, no_fleet
 from lichenspring import interface as api
 from lichenspring.interface import Result
 
@@ -35,22 +35,26 @@
 
 
 class Limited:
-    def __init__(self, module: api.Module, settings: api.Settings, rules: Sequence[Rules]) -> None:
+    def __init__(
+        self, module: api.Module, settings: api.Settings, rules: Sequence[Rules],
+        fleet: Callable[[str], Tokens] = no_fleet,
+    ) -> None:  # fmt: skip
         self._module = module
         self._settings = settings
         self._entries: dict[int, _Entry] = {}
         self._wanted: list[tuple[int, int]] = []  # second copies: when, of which request
         self._states: list[State] = []
         self._rules = list(rules)
+        self._fleet = fleet
 
     def start(self, now: int) -> list[api.Action]:
-        self._states = [State(rules, now) for rules in self._rules]
+        self._states = [State(rules, now, self._fleet) for rules in self._rules]
         return self._module.start(now)
 
     def replace(self, now: int, rules: Sequence[Rules]) -> None:
         """Another file: for new requests, all at once. Those that are open keep what they came with."""
         old = {state.rules.name: state for state in self._states}
-        self._states = [State(one, now) for one in rules]
+        self._states = [State(one, now, self._fleet) for one in rules]
         moved: dict[int, State] = {}
         for state in self._states:
             before = old.get(state.rules.name)
@@ -101,9 +105,11 @@
             self._want_copy(now, request.id, entry, actions)
         return actions
 
-    def _bucket(self, now: int, state: State, tenant: int) -> Bucket:
+    def _bucket(self, now: int, state: State, tenant: int) -> Tokens:
+        if state.rate is not None:
+            return state.rate
         rate = state.rules.rate
-        assert rate is not None
+        assert rate is not None and rate.per_s is not None
         who = tenant if rate.by == "tenant" else 0
         bucket = state.rates.get(who)
         if bucket is None:
--- a/driftstair/limits/narrow.py
+++ b/driftstair/limits/narrow.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from driftstair.limits.budgets import Bucket
+from driftstair.limits.budgets import Bucket, Tokens
 from driftstair.limits.latency import Latencies
 from driftstair.service import schema
 from lichenspring import interface as api
@@ -57,30 +58,43 @@
     )  # fmt: skip
 
 
+def no_fleet(name: str) -> Tokens:
+    """Of a node that shares no budget with others."""
+    raise KeyError(name)
+
+
+def _tokens(budget: schema.Budget | None, now: int, fleet: Callable[[str], Tokens]) -> Tokens | None:
+    if budget is None:
+        return None
+    return fleet(budget.fleet) if budget.fleet else Bucket(budget.floor, budget.burst, now)
+
+
 class State:
-    """What is counted of one route; it outlives a reload under the route's name."""
+    """What is counted of one route; it outlives a reload under the route's name. `fleet`: a budget of the
+    fleet, by its name."""
 
-    __slots__ = ("copies", "in_flight", "latencies", "rates", "retries", "rules")
+    __slots__ = ("copies", "in_flight", "latencies", "rate", "rates", "retries", "rules")
 
-    def __init__(self, rules: Rules, now: int) -> None:
+    def __init__(self, rules: Rules, now: int, fleet: Callable[[str], Tokens] = no_fleet) -> None:
         self.rules = rules
         self.in_flight = 0
         self.latencies = Latencies()
         self.rates: dict[int, Bucket] = {}
-        budget = rules.retry_budget
-        self.retries = Bucket(budget.floor, budget.burst, now) if budget else None
-        copies = rules.copy_budget
-        self.copies = Bucket(copies.floor, copies.burst, now) if copies else None
+        self.retries = _tokens(rules.retry_budget, now, fleet)
+        self.copies = _tokens(rules.copy_budget, now, fleet)
+        self.rate = fleet(rules.rate.fleet) if rules.rate is not None and rules.rate.fleet else None
 
     def take_over(self, old: State, now: int) -> None:
         """A reload is no new burst, and forgets neither who is in flight nor how long answers take."""
         self.in_flight = old.in_flight
         self.latencies = old.latencies
         for mine, its in ((self.retries, old.retries), (self.copies, old.copies)):
-            if mine is not None and its is not None:
+            if isinstance(its, Bucket) and mine is not None:
                 mine.carry_over(its, now)
         rate = self.rules.rate
-        if rate is not None and old.rules.rate is not None and rate.by == old.rules.rate.by:
+        if rate is None or rate.per_s is None:
+            return
+        if old.rules.rate is not None and rate.by == old.rules.rate.by:
             for who, bucket in old.rates.items():
                 self.rates[who] = Bucket(rate.per_s, rate.burst, now)
                 self.rates[who].carry_over(bucket, now)
--- a/driftstair/limits/proof.py
+++ b/driftstair/limits/proof.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from itertools import product
 
+from driftstair.limits.fleetwide import problems as fleetwide
 from driftstair.limits.narrow import MAY_HAVE_RUN, rules_of
 from driftstair.limits.routes import Pattern
 from driftstair.service.load import Loaded, Problem
@@ -74,6 +75,7 @@
             yield from self.cold(index, route)
             yield from self.admission(index, route)
         yield from self.sums()
+        yield from fleetwide(self.loaded)
 
     def at(self, index: int, *path: str) -> tuple[str | int, ...]:
         return ("route", index, *path)
@@ -407,15 +409,22 @@
         settings = self.platform.settings
         budget = route.retry.budget
         burst = budget.burst if budget is not None else 0.0
+        together = burst * settings.nodes
+        tier = self.loaded.service.tier
+        if budget is not None and budget.fleet is not None:
+            if tier is None or budget.fleet not in (tier.budgets or {}):
+                return
+            its = (tier.budgets or {})[budget.fleet]
+            burst = together = its.per_s * its.burst / 1e9
         number = route.retry.attempts if route.retry.attempts is not None else self.most
         if number < 2 or not burst:
             return
         window = self.platform.fall_time / 1e9
         allowed = self.platform.multiple * settings.cold_share * self.fleet.box_per_s * window
-        if burst * settings.nodes > allowed:
+        if together > allowed:
             yield self.loaded.problem(
                 self.at(index, "retry", "budget", "burst"),
-                f"{settings.nodes} nodes may send {_count(burst * settings.nodes)} saved-up retries at "
+                f"{settings.nodes} nodes may send {_count(together)} saved-up retries at "
                 f"once; a "
                 f"box that has just started stands {allowed:.1f} requests in {window:g} s", COLD,
                 f"{max(0.0, allowed / settings.nodes):.1f}",
@@ -432,7 +441,9 @@
                     f"connections "
                     f"for clients", instead=str(most),
                 )  # fmt: skip
-        if admit.rate is not None and admit.rate.burst > 10 * max(1.0, admit.rate.per_s):
+        if admit.rate is None or admit.rate.per_s is None:
+            return
+        if admit.rate.burst > 10 * max(1.0, admit.rate.per_s):
             yield self.loaded.problem(
                 self.at(index, "admit", "rate", "burst"),
                 f"{_count(admit.rate.burst)} are more than ten seconds of {_count(admit.rate.per_s)} a "
@@ -450,6 +461,11 @@
             rate = route.admit.rate
             if rate is None:
                 continue
+            if rate.per_s is None:
+                tier = self.loaded.service.tier
+                its = (tier.budgets or {}).get(rate.fleet or "") if tier is not None else None
+                total += its.per_s if its is not None else 0.0
+                continue
             buckets = len(self.platform.tenants) if self.platform and rate.by == "tenant" else 1
             total += rate.per_s * max(1, buckets) * nodes
             if total > fleet:
--- a/driftstair/limits/table.py
+++ b/driftstair/limits/table.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from driftstair.limits.budgets import Tokens
 from driftstair.limits.limited import Limited
-from driftstair.limits.narrow import Rules, rules_of
+from driftstair.limits.narrow import Rules, no_fleet, rules_of
 from driftstair.limits.routes import Asked, Pattern, Routes
 from driftstair.service.schema import Service
 from lichenspring import interface as api
@@ -23,6 +24,7 @@
 
     def __init__(self, service: Service, settings: api.Settings, source: str = "") -> None:
         self.source = source  # file and hash, for the log
+        self.fleet: Callable[[str], Tokens] = no_fleet
         self._tally_every = service.tally.every if service.tally is not None else 0  # ns
         self.routes = Routes(Pattern.of(route.match) for route in service.route)
         self.rules = [
@@ -54,4 +56,4 @@
                 log.info("tally %s", json.dumps({"at_ms": clock() // 1_000_000, **line}))
 
             module = Tally(module, settings, self._tally_every, say)
-        return Limited(module, settings, self.rules)
+        return Limited(module, settings, self.rules, self.fleet)
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -42,11 +42,13 @@
 
 
 class Budget(Table):
-    """Tokens: each first try earns `share` of one, `floor` come each second; at most `burst` are saved."""
+    """Tokens: each first try earns `share` of one, `floor` come each second; at most `burst` are saved. Or
+    those of a budget of the fleet."""
 
     share: Share = 0.1
     floor: NotNegative = 0.0
     burst: NotNegative = 10.0
+    fleet: Name | None = None  # in [tier.budgets]; then none of the others
 
 
 class Retry(Table):
@@ -67,9 +69,12 @@
 
 
 class Rate(Table):
-    per_s: Positive
+    """Of this node, by `per_s`; or the fleet's, by the name of its budget."""
+
+    per_s: Positive | None = None
     burst: Annotated[float, Field(strict=True, ge=1, allow_inf_nan=False)] = 10.0
     by: Literal["route", "tenant"] = "route"  # one bucket for the route, or one for each tenant on it
+    fleet: Name | None = None  # in [tier.budgets]; then none of the others
 
 
 class Admit(Table):
@@ -113,6 +118,13 @@
     survives: Literal["process", "machine"] = "process"  # what a commit that was written does
 
 
+class FleetBudget(Table):
+    """Tokens of all nodes together, whoever hears whom: at most per_s x (t + burst) of them in any time t."""
+
+    per_s: Positive
+    burst: Annotated[Duration, Field(ge=100_000_000, le=600_000_000_000)] = 5_000_000_000
+
+
 class Tier(Table):
     """What the nodes tell each other, where the platform lets them."""
 
@@ -120,6 +132,7 @@
     period: Annotated[Duration, Field(ge=50_000_000, le=60_000_000_000)] = 1_000_000_000  # of probes
     folder: Annotated[str, Field(min_length=1)] | None = None  # outlives the process: the last list
     history: Annotated[str, Field(min_length=1)] | None = None  # a folder: what each process came to hold
+    budgets: Annotated[dict[Name, FleetBudget], Field(min_length=1, max_length=32)] | None = None
 
 
 class Service(Table):
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+from math import ceil
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from driftstair.files import FileProblem
+from driftstair.limits.fleetwide import spent_by
 from driftstair.limits.proof import Platform, prove
 from driftstair.limits.table import Table
 from driftstair.service.load import Loaded, Problem, ServiceError, parse, read
@@ -16,6 +18,7 @@
     from driftstair.ledger.keeper import Keeper
     from driftstair.net.system import System
     from driftstair.tier.service import Tier
+    from driftstair.tier.shared.budget import Spec
 
 log = logging.getLogger(__name__)
 
@@ -39,23 +42,59 @@
     return Table(loaded.service, config.settings, f"{loaded.file} ({loaded.hash})"), found
 
 
+def specs_of(loaded: Loaded) -> tuple[Spec, ...]:
+    """The fleet's budgets that a file names."""
+    tier = loaded.service.tier
+    if tier is None or not tier.budgets:
+        return ()
+    from driftstair.tier.shared.budget import Spec
+
+    return tuple(Spec(name, one.per_s, one.burst) for name, one in tier.budgets.items())
+
+
 class ServiceFile:
     """A file, or a text in its place."""
 
     def __init__(self, file: str, text: str | None = None) -> None:
         self.file = file
         self._text = text
+        self._in_tier: Tier | None = None  # once the process has begun
+        self._begun = False
 
     def load(self) -> Loaded:
         return read(self.file) if self._text is None else parse(self._text, self.file)
 
     def table(self, config: Config, clients_most: int) -> Table:
         """As the file is now; raises ServiceError."""
-        table, warnings = checked(self.load(), config, clients_most)
+        loaded = self.load()
+        table, warnings = checked(loaded, config, clients_most)
+        if self._begun:
+            self._follow(loaded, config)
         for one in warnings:
             log.warning("%s", one)
         return table
 
+    def _follow(self, loaded: Loaded, config: Config) -> None:
+        """A process that runs takes the fleet's budgets of another file; raises ServiceError."""
+        shares = self._in_tier is not None and self._in_tier.sharing is not None
+        for path, name in spent_by(loaded):
+            if not shares:
+                why = f"{name}: this process began without a budget of the fleet; it has to be started anew"
+                raise ServiceError([loaded.problem(path, why)])
+        if shares and self._in_tier is not None and specs_of(loaded):
+            self._enough(loaded, self._in_tier.nodes())
+            self._in_tier.respec(specs_of(loaded))
+
+    def _enough(self, loaded: Loaded, count: int) -> None:
+        """Raises ServiceError for a budget of which a node alone never gets one token together."""
+        for spec in specs_of(loaded):
+            saved = spec.per_s / count * spec.burst / 1e9
+            if saved < 1:
+                least = ceil(count / spec.per_s * 10) / 10
+                why = f"one of {count} nodes alone saves up {saved:.2g} tokens at most, and never has one"
+                path = ("tier", "budgets", spec.name, "burst")
+                raise ServiceError([loaded.problem(path, why, instead=f'"{least:g}s"')])
+
     def keeper(self, config: Config, system: System) -> tuple[Keeper, float] | None:
         """The ledger that the file asks for, opened, and the s between two commits. Raises ServiceError for
         one that can't be kept."""
@@ -87,6 +126,11 @@
     def tier(self, config: Config, system: System) -> Tier | None:
         """This node's part in the tier that the file asks for, not yet started. Raises ServiceError."""
         loaded = self.load()
+        self._begun = True
+        self._in_tier = self._tier(loaded, config, system)
+        return self._in_tier
+
+    def _tier(self, loaded: Loaded, config: Config, system: System) -> Tier | None:
         wanted = loaded.service.tier
         if wanted is None:
             return None
@@ -102,6 +146,7 @@
             peers = told.read(config)
         except told.ToldError as problem:
             raise ServiceError([loaded.problem(("tier",), str(problem), instead="no such table")]) from None
+        self._enough(loaded, len(peers.peers))
         try:
             key = read_key(wanted.key)
         except FileProblem as problem:
@@ -114,4 +159,4 @@
             history = None if wanted.history is None else History(wanted.history, config.name)
         except HistoryError as problem:
             raise ServiceError([loaded.problem(("tier", "history"), str(problem))]) from None
-        return Tier(config, peers, wanted.period, key, history, folder, system)
+        return Tier(config, peers, wanted.period, key, history, folder, system, specs_of(loaded))
--- a/driftstair/tier/history.py
+++ b/driftstair/tier/history.py
@@ -25,6 +25,15 @@
     "stood-still": {"late_ns": int},
     "superseded": {"by_life": int},
     "moved": {"number": int, "nodes": int},
+    "budget": {
+        "budget": str, "per_s": float, "burst_ns": int, "nodes": int, "shares": int, "floor": int,
+        "lent_ns": int, "drift": float, "held": int,
+    },  # fmt: skip
+    "right": {
+        "budget": str, "what": str, "other": int, "lender_life": int, "loan": int, "shares": int,
+        "until_ns": int,
+    },  # fmt: skip
+    "spend": {"budget": str, "amount": float},
 }
 """By event: its fields. `state`: alive, suspect, dead or left; `told`: whether others hear of it, or the node
 holds it so for itself alone, since it hears nobody."""
--- a/driftstair/tier/membership/core.py
+++ b/driftstair/tier/membership/core.py
@@ -139,6 +139,9 @@
                 self._start(now, kept)
             case api.Leave():
                 self._leave(now)
+            case api.Carry(to, items):
+                if to in self.members:
+                    self._send(Kind.SHARED, to, items=items)
             case api.Peers(count, own, moved):
                 self._readdress(now, count, own, moved)
         if self._started and not self.superseded:
@@ -436,6 +439,8 @@
                 self._probing.no_answer(message.seq)
             case Kind.PING_REQ:
                 self._run_errand(now, message)
+            case Kind.SHARED:
+                self._actions.append(api.Carried(number, message.mine.life, message.items))
             case Kind.NEWS:
                 pass
 
@@ -575,11 +580,16 @@
                 self._send(Kind.NEWS, number)
         self._next_spread = now + self._spread if self._news else NEVER
 
-    def _send(self, kind: Kind, to: int, seq: int = 0, about: int = api.NOBODY) -> None:
+    def _send(
+        self, kind: Kind, to: int, seq: int = 0, about: int = api.NOBODY, items: bytes = b""
+    ) -> None:
         """With what is most urgent for whom it goes to: what is held of itself, what of the node that it is
         about, the news, and then claims in turn."""
         claims: list[Claim] = []
         room = self._room
+        if items:
+            self._emit(Message(kind, self.mine, to, self._order, items=items))
+            return
         for number in (to, about):
             claim = self.members[number].claim if number in self.members else None
             if claim is not None:
@@ -589,7 +599,9 @@
         claims += news
         if kind is not Kind.NEWS:
             claims += self._in_turn(room, {claim.number for claim in claims})
-        message = Message(kind, self.mine, to, self._order, seq, about, tuple(claims))
+        self._emit(Message(kind, self.mine, to, self._order, seq, about, tuple(claims)))
+
+    def _emit(self, message: Message) -> None:
         self._order += 1
         self.counts["out"] += 1
         self._actions.append(Send(message))
--- a/driftstair/tier/membership/events.py
+++ b/driftstair/tier/membership/events.py
@@ -20,6 +20,7 @@
     PING_REQ = 3  # wants the node `about` to be probed, and its answer passed on
     NACK = 4  # the node `about` has not answered the sender so far
     NEWS = 5  # wants nothing
+    SHARED = 6  # carries `items` of what is built on membership
 
 
 class Message(NamedTuple):
@@ -33,6 +34,7 @@
     seq: int = 0
     about: int = NOBODY
     news: tuple[Claim, ...] = ()
+    items: bytes = b""
 
 
 # Events.
@@ -72,7 +74,15 @@
     moved: frozenset[int]
 
 
-Event = Start | Wake | Heard | Leave | Peers
+@dataclass(slots=True, frozen=True)
+class Carry:
+    """Something of what is built on membership, for another node."""
+
+    to: int
+    items: bytes
+
+
+Event = Start | Wake | Heard | Leave | Peers | Carry
 
 
 # Actions.
@@ -107,7 +117,16 @@
     late: int
 
 
-Action = Send | Changed | Superseded | StoodStill
+@dataclass(slots=True, frozen=True)
+class Carried:
+    """What another node's `Carry` brought, once, from a life that no newer one is known of."""
+
+    sender: int
+    life: int
+    items: bytes
+
+
+Action = Send | Changed | Superseded | StoodStill | Carried
 
 
 @dataclass(slots=True, frozen=True)
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -8,9 +8,10 @@
 import asyncio
 import logging
 from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from driftstair.net.system import Datagrams, System
 from driftstair.settings import Config
@@ -22,6 +23,11 @@
 from driftstair.tier.membership.members import Claim, State, Traits
 from driftstair.tier.wire import Codec, Unreadable
 
+if TYPE_CHECKING:
+    from driftstair.limits.budgets import Tokens
+    from driftstair.tier.shared.budget import Spec
+    from driftstair.tier.sharing import Sharing
+
 log = logging.getLogger(__name__)
 
 EPOCH = 1_704_067_200  # s of Unix time: 2024-01-01 00:00 UTC
@@ -39,11 +45,12 @@
 
 
 class Tier:
-    """One process of the tier. `folder`: where its list of members outlives it."""
+    """One process of the tier. `folder`: where its list of members outlives it; `budgets`: of the fleet;
+    without any nothing of shared state is loaded."""
 
     def __init__(
         self, config: Config, peers: told.Told, period: int, key: bytes, history: History | None,
-        folder: Path | None, system: System,
+        folder: Path | None, system: System, budgets: Sequence[Spec] = (),
     ) -> None:  # fmt: skip
         self._told = peers
         self._system = system
@@ -62,11 +69,20 @@
         self._bytes_in = self._bytes_out = self._datagrams_in = 0
         self._thrown_all: Counter[str] = Counter()
         self._numbers = {address: number for number, address in enumerate(peers.peers)}
+        supports = wire.MEMBERSHIP | (wire.SHARED if budgets else 0)
         self.core = Membership(
             peers.own, len(peers.peers), life_at(system.time_ns()),
-            Traits(peers.zone, wire.VERSION, wire.MEMBERSHIP), period, Random(config.seed ^ 0x7E12),
+            Traits(peers.zone, wire.VERSION, supports), period, Random(config.seed ^ 0x7E12),
             wire.ROOM, wire.size,
         )  # fmt: skip
+        self.sharing: Sharing | None = None
+        if budgets:
+            from driftstair.tier.sharing import Sharing
+
+            self.sharing = Sharing(
+                budgets, Random(config.seed ^ 0x54A2), system.monotonic_ns, self._sharers, self._carry,
+                self._write,
+            )  # fmt: skip
 
     # Its life.
 
@@ -78,8 +94,8 @@
             except KeptError as problem:
                 log.warning("%s tells of no member: it %s", self._kept.name, problem)
             self._keeping = self._loop.call_later(KEPT_EVERY, self._keep_again)
-        self._bind(first=True)
         self._write("start", nodes=len(self._told.peers))
+        self._bind(first=True)
         self._tell(api.Start(claims))
 
     def _bind(self, first: bool = False) -> None:
@@ -90,6 +106,39 @@
             if first:
                 log.warning("peer_listen can't be used yet: %s", problem.strerror)
             self._binding = self._loop.call_later(BIND_AGAIN, self._bind)
+            return
+        if self.sharing is not None:
+            # The machine gives the address to one process alone: whoever has it has the number's rights.
+            self.sharing.open(self._told.own, self.core.mine.life, len(self._told.peers))
+            self._set_timer()
+
+    def respec(self, budgets: Sequence[Spec]) -> None:
+        """The service file has been replaced."""
+        if self.sharing is not None:
+            self.sharing.respec(budgets)
+            self._set_timer()
+
+    def tokens(self, name: str) -> Tokens:
+        """A budget of the fleet, for a route. Raises KeyError in a tier without any."""
+        if self.sharing is None:
+            raise KeyError(name)
+        return self.sharing.tokens(name)
+
+    def nodes(self) -> int:
+        return len(self._told.peers)
+
+    def _sharers(self) -> list[int]:
+        out = []
+        for number in self.core.living():
+            member = self.core.members.get(number)
+            if member is None or member.claim is None or member.unheard:
+                continue
+            if member.claim.traits.supports & wire.SHARED:
+                out.append(number)
+        return out
+
+    def _carry(self, to: int, items: bytes) -> None:
+        self._tell(api.Carry(to, items))
 
     def reload(self, config: Config) -> None:
         """The platform may name other peers."""
@@ -111,10 +160,14 @@
             self._unbind()
             self._bind(first=True)
         self._tell(api.Peers(len(peers.peers), peers.own, moved))
+        if self.sharing is not None and self._socket is not None:
+            self.sharing.open(peers.own, self.core.mine.life, len(peers.peers))
         self._write("moved", number=peers.own, nodes=len(peers.peers))
 
     def leave(self) -> None:
         """The process ends as planned; until `close` others are still answered."""
+        if self.sharing is not None:
+            self.sharing.leave()
         self._tell(api.Leave())
 
     async def close(self) -> None:
@@ -136,6 +189,8 @@
         if self._socket is not None:
             self._socket.close()
             self._socket = None
+        if self.sharing is not None:
+            self.sharing.close()
 
     # The core.
 
@@ -145,6 +200,8 @@
                 case api.Send(message):
                     self._send(message)
                 case api.Changed(claim, why, told_too):
+                    if claim.number == self._told.own and self.sharing is not None:
+                        self.sharing.renamed(claim.life)
                     if claim.number != self._told.own:
                         log.info("node %d is %s: %s", claim.number, claim.state.name.lower(), why)
                     self._write(
@@ -153,7 +210,12 @@
                     )  # fmt: skip
                 case api.StoodStill(late):
                     self._write("stood-still", late_ns=late)
+                case api.Carried(sender, life, items):
+                    if self.sharing is not None:
+                        self.sharing.heard(sender, life, items)
                 case api.Superseded(life):
+                    if self.sharing is not None:
+                        self.sharing.close()  # the other process has this number's rights
                     log.error("another process is node %d; this one is out of the tier", self._told.own)
                     self._write("superseded", by_life=life)
         self._set_timer()
@@ -165,6 +227,8 @@
 
     def _set_timer(self) -> None:
         wanted = self.core.wake_at
+        if self.sharing is not None:
+            wanted = min(wanted, self.sharing.core.wake_at)
         if self._timer is not None:
             if self._timer_at <= wanted:
                 return  # it is early, and sets itself again
@@ -177,6 +241,8 @@
 
     def _wake(self) -> None:
         self._timer = None
+        if self.sharing is not None:
+            self.sharing.wake()
         if self._system.monotonic_ns() < self.core.wake_at:
             self._set_timer()
         else:
@@ -269,6 +335,7 @@
                 "broken": socket.broken if socket else 0, "bound": int(socket is not None),
                 **{f"thrown_{why}": number for why, number in sorted(self._thrown_all.items())},
             },
+            **({} if self.sharing is None else {"shared": self.sharing.report()}),
         }  # fmt: skip
 
 
--- /dev/null
+++ b/driftstair/tier/shared/core.py
@@ -0,0 +1,173 @@
+"""State that the nodes of a tier share, as one machine: events in, actions out, no clock, socket or chance.
+
+Membership carries its datagrams: they come from a living process, once, and in no other life's name.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from driftstair.tier.shared import wire
+from driftstair.tier.shared.budget import TICKS, Budget, Messages, Spec
+from driftstair.tier.shared.rights import Ask, GiveBack, Grant
+from driftstair.tier.shared.wire import Unusable
+
+NEVER = 1 << 62
+
+
+@dataclass(slots=True, frozen=True)
+class Tell:
+    """To a node, in one datagram."""
+
+    to: int
+    items: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Wrote:
+    """For the history."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+Action = Tell | Wrote
+
+
+class Shared:
+    """`others`: the numbers of living nodes that understand this, but for the node's own. Times are monotonic
+    ns. It holds no rights until `open`: whoever has the node's address among its peers has them."""
+
+    def __init__(self, specs: Iterable[Spec], random: Random, others: Callable[[], list[int]]) -> None:
+        self.specs = {spec.name: spec for spec in specs}
+        self.budgets: dict[str, Budget] = {}
+        self.wake_at = NEVER
+        self.thrown: Counter[str] = Counter()
+        self._keys: dict[int, Budget] = {}
+        self._random = random
+        self._others = others
+        self._own = self._life = self._count = -1
+        self._is_open = False
+
+    # Its life.
+
+    def open(self, now: int, own: int, life: int, count: int) -> list[Action]:
+        """This process is that node from now on; one before it may have lent what is not known here."""
+        self._own, self._life, self._count, self._is_open = own, life, count, True
+        self.budgets = {}
+        for spec in self.specs.values():
+            self._add(now, spec)
+        self._keys = {one.key: one for one in self.budgets.values()}
+        self._set_wake(now)
+        return [_described(now, one, count) for one in self.budgets.values()]
+
+    def _add(self, now: int, spec: Spec) -> None:
+        self.budgets[spec.name] = Budget(
+            spec, self._own, self._life, self._count, now, self._random, self._others
+        )
+
+    def close(self) -> None:
+        """Not that node any more: nothing is held."""
+        self.budgets, self._keys, self.wake_at, self._is_open = {}, {}, NEVER, False
+
+    def renamed(self, life: int) -> None:
+        """The same process under a later life: it knows all that it has lent."""
+        self._life = life
+        for one in self.budgets.values():
+            one.rights.life = life
+
+    def respec(self, now: int, specs: Iterable[Spec]) -> list[Action]:
+        """The file has been replaced. A budget that was not there begins as after a start."""
+        before, self.specs = self.specs, {spec.name: spec for spec in specs}
+        if not self._is_open:
+            return []
+        changed = []
+        for name in before.keys() - self.specs.keys():
+            self.budgets.pop(name, None)
+        for name, spec in self.specs.items():
+            known = self.budgets.get(name)
+            if known is None:
+                self._add(now, spec)
+            elif known.spec != spec:
+                known.respec(now, spec, self._count)
+            else:
+                continue
+            changed.append(self.budgets[name])
+        self._keys = {one.key: one for one in self.budgets.values()}
+        self._set_wake(now)
+        return [_described(now, one, self._count) for one in changed]
+
+    def leave(self, now: int) -> list[Action]:
+        return self._told([(one, one.leave(now)) for one in self.budgets.values()])
+
+    # Time and datagrams.
+
+    def wake(self, now: int) -> list[Action]:
+        if now < self.wake_at:
+            return []
+        self._set_wake(now)
+        return self._told([(one, one.tick(now)) for one in self.budgets.values()])
+
+    def _set_wake(self, now: int) -> None:
+        times = [one.spec.terms.lent // TICKS for one in self.budgets.values()]
+        self.wake_at = now + min(times) if times else NEVER
+
+    def heard(self, now: int, sender: int, life: int, items: bytes) -> list[Action]:
+        found, broken = wire.unpacked(items)
+        self.thrown["unreadable"] += broken
+        answers: list[tuple[Budget, Messages]] = []
+        for item in found:
+            try:
+                answers += self._take(now, sender, life, item)
+            except Unusable as problem:
+                self.thrown[str(problem)] += 1
+        return self._told(answers)
+
+    def _take(self, now: int, sender: int, life: int, item: wire.Item) -> list[tuple[Budget, Messages]]:
+        if item[0] not in (wire.ASK, wire.GRANT, wire.BACK):
+            raise Unusable("other_kind")
+        key, message = wire.read_right(item, sender, life, self._own)
+        budget = self._keys.get(key)
+        if budget is None:
+            raise Unusable("other_budget")
+        match message:
+            case Ask():
+                return [(budget, [(sender, grant) for grant in budget.asked(now, message)])]
+            case Grant():
+                budget.granted(now, message)
+            case GiveBack():
+                budget.returned(now, message)
+        return [(budget, [])]
+
+    def _told(self, messages: list[tuple[Budget, Messages]]) -> list[Action]:
+        """What is for one node goes together."""
+        out: list[Action] = []
+        by_node: dict[int, list[wire.Item]] = {}
+        for budget, some in messages:
+            for to, message in some:
+                by_node.setdefault(to, []).append(wire.right(message, budget.key))
+            for note in budget.notes:
+                out.append(Wrote("right", {"budget": budget.spec.name, **_fields(note)}))
+            budget.notes.clear()
+        out += [Tell(to, data) for to, items in by_node.items() for data in wire.packed(items)]
+        return out
+
+
+def _fields(note: Any) -> dict[str, Any]:
+    return {
+        "what": note.what, "other": note.other, "lender_life": note.life, "loan": note.loan,
+        "shares": note.shares, "until_ns": note.until,
+    }  # fmt: skip
+
+
+def _described(now: int, budget: Budget, count: int) -> Wrote:
+    spec = budget.spec
+    return Wrote("budget", {
+        "budget": spec.name, "per_s": spec.per_s, "burst_ns": spec.burst, "nodes": count,
+        "shares": spec.terms.shares, "floor": spec.terms.floor, "lent_ns": spec.terms.lent,
+        "drift": spec.terms.drift, "held": budget.rights.held(now),
+    })  # fmt: skip
--- a/driftstair/tier/shared/purse.py
+++ b/driftstair/tier/shared/purse.py
@@ -30,6 +30,28 @@
         self._tokens -= tokens
         return True
 
+    def refund(self, now: int, tokens: float = 1.0) -> None:
+        """What was taken and not used; no more than there is room for."""
+        self._tokens += tokens
+        self.advance(now)
+
+    def worth(self, now: int, share: float, depth: float) -> None:
+        """From now on a share gives as much, and as many s of it are kept."""
+        self.advance(now)
+        self._share, self._depth = share, depth
+        self._fill(now)
+
+    def until(self, now: int, tokens: float = 1.0) -> int:
+        """ns until so many are there if nothing changes; 0: they are, or what is held never brings them."""
+        self.advance(now)
+        rate = self._held * self._share
+        missing = tokens - self._tokens
+        return int(missing / rate * 1e9) + 1 if missing > 0 and rate > 0 else 0
+
+    def tokens(self, now: int) -> float:
+        self.advance(now)
+        return self._tokens
+
     def advance(self, now: int) -> None:
         """Let time pass, over each moment at which what is held changes."""
         while (ends := self.rights.ends_at()) <= now:
--- a/driftstair/tier/shared/rights.py
+++ b/driftstair/tier/shared/rights.py
@@ -41,6 +41,7 @@
     at: int
     shares: int
     renews: int = 0  # a loan of the lender's to be made longer; 0: a new one
+    ease: int = 0  # what it holds, as hundredths of what it needs
 
 
 class Grant(NamedTuple):
@@ -150,6 +151,10 @@
 
     # A lender's part.
 
+    def out(self) -> dict[int, int]:
+        """Who has which loan, by its number."""
+        return {number: borrower for number, (borrower, _) in self._out.items()}
+
     def lent_to(self) -> dict[int, int]:
         """Shares that are out, by borrower."""
         out: dict[int, int] = {}
--- /dev/null
+++ b/driftstair/tier/shared/wire.py
@@ -0,0 +1,109 @@
+"""What nodes tell each other of shared state: items in a datagram, MessagePack arrays by `msgspec`.
+
+An item that is of no known kind, or out of range, is counted and passed over; the others of its datagram
+count. Room is what `driftstair.tier.wire` leaves.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from driftstair.tier.shared.rights import Ask, GiveBack, Grant
+from driftstair.tier.wire import COUNT_MOST, ITEMS_MOST
+
+NS_MOST = (1 << 63) - 1
+SHARES_MOST = 1 << 24
+EASE_MOST = 255
+ASK, GRANT, BACK = 1, 2, 3
+
+Item = tuple[Any, ...]
+"""A kind, then its fields."""
+
+
+class Unusable(Exception):
+    """An item that is passed over; the text is the count that it goes to."""
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_split = msgspec.msgpack.Decoder[list[msgspec.Raw]](list[msgspec.Raw]).decode
+_fields = msgspec.msgpack.Decoder[list[Any]](list[Any]).decode
+
+
+def packed(items: Iterable[Item]) -> list[bytes]:
+    """As few datagrams' bytes as the order allows. Raises ValueError for an item that none can hold."""
+    out: list[bytes] = []
+    held: list[msgspec.Raw] = []
+    size = 0
+    for item in items:
+        data = _encode(item)
+        if len(data) + 1 > ITEMS_MOST:
+            raise ValueError(f"{len(data)} bytes for one item")
+        if held and (size + len(data) + 1 > ITEMS_MOST or len(held) >= 15):
+            out.append(_encode(held))
+            held, size = [], 0
+        held.append(msgspec.Raw(data))
+        size += len(data)
+    if held:
+        out.append(_encode(held))
+    return out
+
+
+def unpacked(data: bytes) -> tuple[list[Item], int]:
+    """Items, and how many could not be read."""
+    try:
+        parts = _split(data)
+    except (msgspec.DecodeError, RecursionError):
+        return [], 1
+    out, broken = [], 0
+    for part in parts:
+        try:
+            fields = _fields(part)
+        except (msgspec.DecodeError, RecursionError):
+            broken += 1
+            continue
+        if fields and type(fields[0]) is int:
+            out.append(tuple(fields))
+        else:
+            broken += 1
+    return out, broken
+
+
+def whole(value: Any, most: int, least: int = 0) -> int:
+    """Raises Unusable."""
+    if type(value) is not int or not least <= value <= most:
+        raise Unusable("out_of_range")
+    return value
+
+
+def right(message: Ask | Grant | GiveBack, budget: int) -> Item:
+    """What both ends know by the datagram they leave out: who sends it, and who is to have it."""
+    if isinstance(message, Ask):
+        return ASK, budget, message.at, message.shares, message.renews, message.ease
+    if isinstance(message, Grant):
+        return GRANT, budget, message.loan, message.asked_at, message.life, message.shares
+    return BACK, budget, message.loan, message.lender_life
+
+
+def read_right(item: Item, sender: int, life: int, own: int) -> tuple[int, Ask | Grant | GiveBack]:
+    """The budget's key, and what is said of it; `life`: the sender's. Raises Unusable."""
+    kind, *fields = item
+    if len(fields) < {ASK: 5, GRANT: 5, BACK: 3}[kind]:
+        raise Unusable("too_few_fields")
+    budget = whole(fields[0], COUNT_MOST)
+    if kind == ASK:
+        at, shares, renews, ease = fields[1:5]
+        return budget, Ask(
+            sender, life, whole(at, NS_MOST, -NS_MOST), whole(shares, SHARES_MOST, 1),
+            whole(renews, COUNT_MOST), whole(ease, EASE_MOST),
+        )  # fmt: skip
+    if kind == GRANT:
+        loan, at, its_life, shares = fields[1:5]
+        return budget, Grant(
+            sender, life, whole(loan, COUNT_MOST), own, whole(its_life, COUNT_MOST),
+            whole(at, NS_MOST, -NS_MOST), whole(shares, SHARES_MOST),
+        )  # fmt: skip
+    loan, lender_life = fields[1:3]
+    return budget, GiveBack(own, whole(lender_life, COUNT_MOST), whole(loan, COUNT_MOST), sender)
--- /dev/null
+++ b/driftstair/tier/sharing.py
@@ -0,0 +1,126 @@
+"""Shared state in the daemon: between its core, the tier's datagrams, and routes that spend on budgets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+from driftstair.tier.shared.budget import Spec
+from driftstair.tier.shared.core import Action, Shared, Tell
+
+
+class FleetTokens:
+    """A budget of the fleet for a route, asked as a bucket of its own would be. Each check reads the clock
+    itself, since the time that an event came with may be long past."""
+
+    def __init__(
+        self, shared: Shared, name: str, clock: Callable[[], int], spent: Callable[[str], None]
+    ) -> None:
+        self._shared = shared
+        self._name = name
+        self._clock = clock
+        self._spent = spent
+        self._kept = 0.0  # tokens taken by `has`, which `take` is about to confirm
+
+    def has(self, now: int, tokens: float = 1.0) -> bool:
+        """Takes them out at once: between a check and what is done by it no right may end unseen."""
+        budget = self._shared.budgets.get(self._name)
+        if budget is None:
+            self._kept = 0.0
+            return False
+        at = self._clock()
+        if self._kept:
+            budget.unspent(at, self._kept)
+            self._kept = 0.0
+        if not budget.spend(at, tokens):
+            return False
+        self._kept = tokens
+        return True
+
+    def take(self, now: int, tokens: float = 1.0) -> bool:
+        if self._kept != tokens and not self.has(now, tokens):
+            return False
+        self._kept = 0.0
+        budget = self._shared.budgets.get(self._name)
+        if budget is not None:
+            budget.spent(tokens)
+        self._spent(self._name)
+        return True
+
+    def earn(self, now: int, tokens: float) -> None:
+        """It is told by the fleet's rate, not by what a route carries."""
+
+    def until(self, now: int, tokens: float = 1.0) -> int:
+        budget = self._shared.budgets.get(self._name)
+        return 0 if budget is None else budget.purse.until(self._clock(), tokens)
+
+    def carry_over(self, other: object, now: int) -> None:
+        """What is saved up is the budget's."""
+
+
+class Sharing:
+    """`carry(to, items)`; `write(event, **fields)`; `others`: living nodes that understand this."""
+
+    def __init__(
+        self, specs: Iterable[Spec], random: Random, clock: Callable[[], int],
+        others: Callable[[], list[int]], carry: Callable[[int, bytes], None], write: Callable[..., None],
+    ) -> None:  # fmt: skip
+        self.core = Shared(specs, random, others)
+        self._clock = clock
+        self._carry = carry
+        self._write = write
+        self._tokens: dict[str, FleetTokens] = {}
+
+    def tokens(self, name: str) -> FleetTokens:
+        if name not in self._tokens:
+            self._tokens[name] = FleetTokens(self.core, name, self._clock, self._spent)
+        return self._tokens[name]
+
+    def _spent(self, name: str) -> None:
+        self._write("spend", budget=name, amount=1.0)
+
+    def open(self, own: int, life: int, count: int) -> None:
+        self._do(self.core.open(self._clock(), own, life, count))
+
+    def close(self) -> None:
+        self.core.close()
+
+    def renamed(self, life: int) -> None:
+        self.core.renamed(life)
+
+    def respec(self, specs: Iterable[Spec]) -> None:
+        self._do(self.core.respec(self._clock(), specs))
+
+    def leave(self) -> None:
+        self._do(self.core.leave(self._clock()))
+
+    def wake(self) -> None:
+        self._do(self.core.wake(self._clock()))
+
+    def heard(self, sender: int, life: int, items: bytes) -> None:
+        self._do(self.core.heard(self._clock(), sender, life, items))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Tell):
+                self._carry(action.to, action.items)
+            else:
+                self._write(action.event, **action.fields)
+
+    def report(self) -> dict[str, Any]:
+        """As JSON. Rates are tokens a second."""
+        now = self._clock()
+        budgets = {}
+        for name, one in self.core.budgets.items():
+            held, lent = one.rights.held(now), sum(one.rights.lent_to().values())
+            budgets[name] = {
+                "per_s": one.spec.per_s, "held_per_s": round(held * one.share, 6),
+                "home_per_s": round(one.spec.terms.shares * one.share, 6),
+                "lent_per_s": round(lent * one.share, 6),
+                "borrowed_per_s": round(sum(loan.shares for _, loan in one.rights.loans()) * one.share, 6),
+                "wanted_per_s": round(one.demand.per_s, 6), "saved": round(one.purse.tokens(now), 3),
+                **one.counts,
+            }  # fmt: skip
+        thrown = {f"thrown_{why}": number for why, number in sorted(self.core.thrown.items()) if number}
+        return {"budgets": budgets, "counts": thrown}
--- a/driftstair/tier/wire.py
+++ b/driftstair/tier/wire.py
@@ -24,7 +24,7 @@
 COUNT_MOST = (1 << 32) - 1
 KEY_LEAST, KEY_MOST = 16, 64  # bytes: fewer can be guessed, blake2b takes no more
 
-MEMBERSHIP = 1  # of `supports`
+MEMBERSHIP, SHARED = 1, 2  # of `supports`
 
 
 class _Claim(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -48,6 +48,12 @@
     news: list[_Claim]
 
 
+class _Whole(_Body, array_like=True, frozen=True, gc=False):
+    """With what later parts add; a message without it is shorter."""
+
+    items: bytes = b""
+
+
 def _head() -> int:
     """Bytes of a datagram with no claims but the sender's own, at the most."""
     mine = _Claim(NUMBER_MOST, COUNT_MOST, NUMBER_MOST, State.LEFT, NUMBER_MOST, 255, 255, NUMBER_MOST)
@@ -57,6 +63,8 @@
 
 ROOM = DATAGRAM_MOST - _head() - 2
 """Bytes for claims in a datagram; an array of more than 15 has a longer head."""
+ITEMS_MOST = ROOM - 2
+"""Bytes of `items`, in a datagram without claims."""
 
 
 def _wide(value: int) -> int:
@@ -83,18 +91,17 @@
     def __init__(self, key: bytes) -> None:
         self._key = key
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder[_Body](_Body).decode
+        self._decode = msgspec.msgpack.Decoder[_Whole](_Whole).decode
 
     def _seal(self, version: bytes, body: bytes) -> bytes:
         return blake2b(version + body, digest_size=SEAL, key=self._key).digest()
 
     def encode(self, message: Message) -> bytes:
-        body = self._encode(
-            _Body(
-                message.kind, _bare(message.mine), message.to, message.order, message.seq, message.about,
-                [_bare(claim) for claim in message.news],
-            )  # fmt: skip
-        )
+        fields = (
+            message.kind, _bare(message.mine), message.to, message.order, message.seq, message.about,
+            [_bare(claim) for claim in message.news],
+        )  # fmt: skip
+        body = self._encode(_Whole(*fields, items=message.items) if message.items else _Body(*fields))
         version = bytes((VERSION,))
         data = version + self._seal(version, body) + body
         if len(data) > DATAGRAM_MOST:
@@ -127,7 +134,7 @@
             raise Unreadable("out_of_range")
         return Message(
             kind, _claim(found.mine), found.to, found.order, found.seq, found.about,
-            tuple(_claim(one) for one in found.news),
+            tuple(_claim(one) for one in found.news), found.items,
         )  # fmt: skip
 
 
--- a/tests/tier/fleet.py
+++ b/tests/tier/fleet.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from rig import Discovery, configuration
+from rig import Discovery, Server, configuration
 
 from driftstair.rehearsal.sockets import free_port
 from driftstair.rehearsal.tier.checks import Bounds, Finding, Span, Story, check, disagreement
@@ -41,6 +41,7 @@
         self.lines: dict[int, list[str]] = {}
         self.ready: dict[int, tuple[str, int]] = {}
         self.code = dict.fromkeys(range(count), code)  # the program, in the place of `-m driftstair`
+        self.servers: list[Server] = []  # that all nodes know from their start on
         self._ports = [free_port() for _ in range(count)]
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._readers: list[asyncio.Task[None]] = []
@@ -73,7 +74,7 @@
     # What befalls nodes and links.
 
     def document(self, number: int) -> dict[str, Any]:
-        document = configuration(discovery=self.discovery.address, Peers=True)
+        document = configuration(*self.servers, discovery=self.discovery.address, Peers=True)
         document["settings"] |= {"SelfIndex": number, "PeersTotal": self.count, "MyZone": 0}
         document["name"] = f"n{number}"
         document["seed"] = f"{number + 1:016x}"
--- a/tests/tier/test_tier_in_service.py
+++ b/tests/tier/test_tier_in_service.py
@@ -36,6 +36,7 @@
         rows = msgspec.msgpack.decode(super().encode(message)[1 + wire.SEAL:])
         if message.kind is Kind.NEWS:
             rows[0] = 9
+        rows += [b""] * (8 - len(rows))
         body = msgspec.msgpack.encode([*rows, {"of": "a later version"}])
         head = bytes((wire.VERSION,))
         return head + self._seal(head, body) + body
@@ -217,6 +218,16 @@
         ('[tier]\nkey = "{empty}"\n', "holds a key of 0 bytes"),
         ('[tier]\nkey = "{key}"\nfolder = "{none}"\n', "is no folder"),
         ('[tier]\nkey = "{key}"\nhistory = "{none}"\n', "No such file"),
+        ('[tier]\nkey = "{key}"\n[tier.budgets]\n', "tier.budgets"),
+        ('[tier]\nkey = "{key}"\n[tier.budgets.b]\nper_s = 0.0\n', "tier.budgets.b.per_s"),
+        ('[tier]\nkey = "{key}"\n[tier.budgets.b]\nper_s = -1.0\n', "tier.budgets.b.per_s"),
+        ('[tier]\nkey = "{key}"\n[tier.budgets.b]\nper_s = 0.25\nburst = "4s"\n', '"8s" would do'),
+        ('[tier]\nkey = "{key}"\n[tier.budgets.tries]\nper_s = 9.0\n[[route]]\nname = "a"\n'
+         'retry = { budget = { fleet = "tires" } }\n', '"tries" would do'),
+        ('[tier]\nkey = "{key}"\n[tier.budgets.b]\nper_s = 9.0\n[[route]]\nname = "a"\n'
+         'admit = { rate = { fleet = "b", per_s = 1.0 } }\n', "per_s: says nothing beside fleet"),
+        ('[tier]\nkey = "{key}"\n[[route]]\nname = "a"\nadmit = { rate = { fleet = "b" } }\n',
+         "a table [tier.budgets.b] would do"),
     ],
 )  # fmt: skip
 def test_a_bad_table_is_one_line_and_status_2(table: str, why: str, tmp_path: Path) -> None:
@@ -228,7 +239,7 @@
     done = started(tmp_path, table, told())
     assert done.returncode == 2
     (line,) = done.stderr.splitlines()
-    assert why in line and "service.toml" in line and "tier" in line
+    assert why in line and "service.toml" in line and ("tier" in line or "fleet" in line)
 
 
 @pytest.mark.parametrize(
@@ -273,6 +284,26 @@
     assert started(tmp_path, f'[tier]\nkey = "{tmp_path / "key"}"\n', told(), code).returncode == 3
 
 
+def test_a_tier_without_budgets_loads_nothing_of_shared_state(tmp_path: Path) -> None:
+    code = (
+        "import sys, driftstair.daemon as daemon\n"
+        "from driftstair.__main__ import main\n"
+        "serve = daemon.serve\n"
+        "def ready():\n"
+        "    bad = [n for n in sys.modules if n.startswith('driftstair.tier.shar')]\n"
+        "    import os; os._exit(3 if bad else 0)\n"
+        "async def wrapped(*args, **more):\n"
+        "    return await serve(*args, **(more | {'ready': ready}))\n"
+        "daemon.serve = wrapped\n"
+        "sys.exit(main())\n"
+    )
+    (tmp_path / "key").write_text(KEY)
+    (tmp_path / "key").chmod(0o600)
+    table = f'[tier]\nkey = "{tmp_path / "key"}"\n'
+    assert started(tmp_path, table, told(), code).returncode == 0
+    assert started(tmp_path, table + "[tier.budgets.b]\nper_s = 9.0\n", told(), code).returncode == 3
+
+
 @pytest.mark.parametrize("number", [errno.EAGAIN, errno.ENOBUFS, errno.ECONNREFUSED, errno.ENETUNREACH])
 def test_a_datagram_that_can_t_be_sent_is_counted(number: int) -> None:
     class Full:
