--- a/driftstair/tier/command.py
+++ b/driftstair/tier/command.py
@@ -91,10 +91,22 @@
             "" if trip is None else f"{trip * 1e3:.1f}", _why(one),
         )  # fmt: skip
     console.print(table)
+    if budgets := found.get("shared", {}).get("budgets"):
+        _print_budgets(budgets, console)
     counts = ", ".join(f"{name} {number}" for name, number in found["counts"].items() if number)
     console.print(counts, style="dim", highlight=False)
 
 
+def _print_budgets(budgets: dict[str, Any], console: Console) -> None:
+    table = Table(box=None, pad_edge=False, header_style="dim")
+    for column in ("budget", "per s", "held", "own", "lent", "borrowed", "wanted", "saved", "denied"):
+        table.add_column(column, justify="left" if column == "budget" else "right")
+    for name, one in budgets.items():
+        rates = ("per_s", "held_per_s", "home_per_s", "lent_per_s", "borrowed_per_s", "wanted_per_s", "saved")
+        table.add_row(name, *(f"{one[key]:.2f}" for key in rates), str(one["denied"]))
+    console.print(table)
+
+
 def _why(one: dict[str, Any]) -> str:
     if one["unheard"]:
         return "nobody answers this node"
--- a/tests/tier/test_budget_checks.py
+++ b/tests/tier/test_budget_checks.py
@@ -11,7 +11,7 @@
 from driftstair.tier.shared.budget import TERMS, Spec
 from driftstair.tier.shared.core import Shared
 from driftstair.tier.shared.rights import Grant
-from driftstair.tier.sharing import FleetTokens
+from driftstair.tier.sharing import FleetTokens, Sharing
 
 SECOND = 1_000_000_000
 SPEC = Spec("b", 10.0, 2 * SECOND)
@@ -121,3 +121,16 @@
     assert mine.has(0)
     core.close()
     assert not mine.has(0) and not mine.take(0) and mine.until(0) == 0 and spent == []
+
+
+def test_the_report_says_what_is_held_lent_and_wanted() -> None:
+    clock, written = Clock(), list[str]()
+    sharing = Sharing(
+        (SPEC,), Random(0), clock, lambda: [1], lambda to, items: None, lambda event, **_: written.append(event)
+    )
+    sharing.open(0, 1, 2)
+    clock.now = 10 * SECOND
+    assert sharing.tokens("b").take(0) and written == ["budget", "spend"]
+    (budget,) = sharing.report()["budgets"].values()
+    assert (budget["held_per_s"], budget["home_per_s"], budget["lent_per_s"]) == (5.0, 5.0, 0.0)
+    assert budget["saved"] == pytest.approx(9.0, abs=0.5) and budget["spent"] == 1
