--- a/tests/tier/test_budget_checks.py
+++ b/tests/tier/test_budget_checks.py
@@ -125,9 +125,10 @@
 
 def test_the_report_says_what_is_held_lent_and_wanted() -> None:
     clock, written = Clock(), list[str]()
-    sharing = Sharing(
-        (SPEC,), Random(0), clock, lambda: [1], lambda to, items: None, lambda event, **_: written.append(event)
-    )
+    def write(event: str, **_: Any) -> None:
+        written.append(event)
+
+    sharing = Sharing((SPEC,), Random(0), clock, lambda: [1], lambda to, items: None, write)
     sharing.open(0, 1, 2)
     clock.now = 10 * SECOND
     assert sharing.tokens("b").take(0) and written == ["budget", "spend"]
