--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -103,8 +103,12 @@
         self.workload = Workload(load.classes(of), random_for(self.seed, "work"))
         self.place = ground.place("clients")
         self.front = FrontLayer(
-            self.place, self.node_names, random.uniform(*of.front.notice_s), random_for(self.seed, "front")
-        )
+            self.place, self.node_names, random.uniform(*of.front.notice_s), random_for(self.seed, "front"),
+            dict.fromkeys(
+                self.node_names[: round(of.front.busy_part * len(self.node_names))],
+                round(of.front.busy_times),
+            ),
+        )  # fmt: skip
         kinds = list(self.workload.kinds.values())
         self.load = Load(of.load.rate, kinds, [one.share for one in load.classes(of)])
         tenants = load.tenants(of)
--- a/driftstair/rehearsal/ground.py
+++ b/driftstair/rehearsal/ground.py
@@ -7,7 +7,7 @@
 
 from driftstair.rehearsal.platform import Peers
 from driftstair.rehearsal.stands.place import Place
-from driftstair.rehearsal.tier.histories import Process
+from driftstair.rehearsal.tier.histories import Event
 from driftstair.rehearsal.tier.links import Links
 
 
@@ -62,8 +62,8 @@
     def peers(self, name: str) -> Peers:
         """Only after `join`."""
 
-    def histories(self) -> list[Process]:
-        """What the nodes of a tier have written down, with times as the director's."""
+    def histories(self) -> list[list[Event]]:
+        """What the nodes of a tier have written down, each node's, with times as the director's."""
 
     def stuck(self) -> str:
         """What waits for something that can never happen, or nothing."""
--- a/driftstair/rehearsal/load.py
+++ b/driftstair/rehearsal/load.py
@@ -137,7 +137,9 @@
     """The type of the table at a path, to tell its keys."""
     tables: dict[tuple[int | str, ...], type[BaseModel]] = {
         (): Scenario, ("load",): model.Load, ("class",): model.Class, ("tenant",): model.Tenant,
-        ("nodes",): model.Nodes, ("nodes", "tier"): model.Tier, ("boxes",): model.Boxes,
+        ("nodes",): model.Nodes, ("nodes", "tier"): model.Tier,
+        ("nodes", "tier", "admitted"): model.FleetBudget, ("nodes", "tier", "retries"): model.FleetBudget,
+        ("boxes",): model.Boxes,
         ("boxes", "kind"): model.Kind,
         ("boxes", "jam"): model.Jam, ("boxes", "reports"): model.Reports, ("list",): model.BoxList,
         ("front",): model.FrontLayer, ("clients",): model.Clients, ("network",): model.Net,
@@ -182,6 +184,12 @@
             if name not in class_names:
                 refuse(f"phase[{index}].shares.{name}", f"no such class{_nearest(name, class_names)}")
         before = phase.at_s
+    for name, budget in found.nodes.budgets().items():
+        key, least = f"nodes.tier.{name}", found.nodes.count / budget.per_s
+        if found.nodes.service is not None:
+            refuse(key, "stands in nodes.service, where there is one")
+        if budget.burst_s < least:
+            refuse(f"{key}.burst_s", f"a node alone never has one token to spend; {least:g} would do")
     for index, trouble in enumerate(found.troubles):
         _check_trouble(found, trouble, f"trouble[{index}]", class_names, refuse)
 
--- a/driftstair/rehearsal/report/tier.py
+++ b/driftstair/rehearsal/report/tier.py
@@ -24,13 +24,20 @@
         "findings": [
             {
                 "rule": one.rule, "at": at(one.at), "node": names[one.node] if one.node >= 0 else "",
-                "member": names[one.member], "evidence": one.evidence,
+                "member": names[one.member] if one.member >= 0 else "", "evidence": one.evidence,
             }
             for one in of.findings[:FINDINGS_MOST]
         ],
         "datagrams": of.links.carried,
         "lost": of.links.lost,
         "stood_still": sum(len(one.stood_still) for one in of.processes),
+        "budgets": {
+            name: {
+                "per_s": one.terms.per_s, "spent": one.spent, "over": round(one.over, 3),
+                "allowed": one.allowed(),
+            }
+            for name, one in of.spending.items()
+        },
         "members": {name: _spells(of.processes, number, at) for number, name in enumerate(names)},
     }  # fmt: skip
 
@@ -63,6 +70,9 @@
     found = of["findings"]
     if not found:
         text.append("; every node judged as it should", style="green")
+    for name, one in of["budgets"].items():
+        text.append(f"\nbudget {name}: {one['spent']:.0f} spent at {one['per_s']:g}/s, in the worst window ")
+        text.append(f"{one['over']:.1f} more than that, {one['allowed']:.1f} allowed")
     for one in found[:FINDINGS_SHOWN]:
         text.append(f"\n{one['at']:.3f} s  {one['rule']}: {one['node']} of {one['member']}\n", style="red")
         text.append(f"    {one['evidence']}")
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -80,6 +80,13 @@
     share: Positive
 
 
+class FleetBudget(_Table):
+    """Tokens of all nodes together."""
+
+    per_s: Positive
+    burst_s: Annotated[Number, Field(ge=0.1, le=600)] = 5.0  # of them that may be saved up
+
+
 class Tier(_Table):
     """The nodes are told of one another, and judge one another by datagrams; the last three bound what their
     histories may show."""
@@ -88,6 +95,8 @@
     wrongly_s: NotNegative = 0.0  # that a node which runs and is reached may be held dead
     settle_s: Positive = 10.0  # after a trouble's end, in which what it caused may still show
     death_s: Positive = 10.0  # after its end, until all hold a node dead
+    admitted: FleetBudget | None = None  # requests that the fleet lets in
+    retries: FleetBudget | None = None  # its further attempts
 
 
 class Nodes(_Table):
@@ -101,6 +110,13 @@
     service: str | None = None  # a service file that all nodes use, by its path
     tier: Tier | None = None  # left out: no node knows of another
 
+    def budgets(self) -> dict[str, FleetBudget]:
+        """What the nodes share, by name."""
+        if self.tier is None:
+            return {}
+        given = {"admitted": self.tier.admitted, "retries": self.tier.retries}
+        return {name: one for name, one in given.items() if one is not None}
+
 
 class Kind(_Table):
     name: Name
@@ -161,7 +177,7 @@
 
 class FrontLayer(_Table):
     notice_s: Range = (1.9, 3.7)  # it sends on to a dead node for so long
-    busy_part: Share = 0.0  # of the nodes, that see `busy_times` as much as the others
+    busy_part: Share = 0.0  # of the nodes, the first ones, that see `busy_times` as much as the others
     busy_times: Positive = 3.0
 
 
--- a/driftstair/rehearsal/sockets.py
+++ b/driftstair/rehearsal/sockets.py
@@ -29,9 +29,10 @@
 from driftstair.rehearsal.platform import Peers
 from driftstair.rehearsal.report.build import LogLine
 from driftstair.rehearsal.scenario import Scenario
-from driftstair.rehearsal.tier.histories import Process, read_folder
+from driftstair.rehearsal.tier.histories import Event, read_events
 from driftstair.rehearsal.tier.links import Links
 from driftstair.rehearsal.tier.relay import Relay
+from driftstair.rehearsal.tier.service import budgets
 from driftstair.rehearsal.tier.stage import KEY
 
 HOST = "127.0.0.1"
@@ -319,7 +320,10 @@
 
 
 class SocketGround:
-    def __init__(self, folder: Path, service: str | None = None, tier: model.Tier | None = None) -> None:
+    def __init__(
+        self, folder: Path, service: str | None = None, tier: model.Tier | None = None, budgets: str = ""
+    ) -> None:
+        self._budgets = budgets
         self.folder = folder
         self._tier = tier
         self._relay: Relay | None = None
@@ -359,7 +363,7 @@
         key.chmod(0o600)
         base = "version = 1\n" if self.service is None else Path(self.service).read_text(encoding="utf-8")
         period = f"{self._tier.period_ms:g}ms"
-        table = f'[tier]\nkey = "{key}"\nperiod = "{period}"\nhistory = "{histories}"\n'
+        table = f'[tier]\nkey = "{key}"\nperiod = "{period}"\nhistory = "{histories}"\n{self._budgets}'
         service.write_text(f"{base}\n{table}", encoding="utf-8")
         self.service = str(service)
         self._peer_ports = [free_port() for _ in self.nodes]
@@ -370,8 +374,8 @@
         number = [node.name for node in self.nodes].index(name)
         return Peers(f"{HOST}:{self._peer_ports[number]}", self._relay.peers(number))
 
-    def histories(self) -> list[Process]:
-        return read_folder(self.folder / "histories", self._origin)
+    def histories(self) -> list[list[Event]]:
+        return read_events(self.folder / "histories", self._origin)
 
     def stuck(self) -> str:
         return ""  # a process that waits for ever looks like one that waits
@@ -397,7 +401,7 @@
 async def _play(
     scenario: Scenario, tick: Callable[[float], None], interrupted: Callable[[], bool], folder: Path
 ) -> tuple[Rehearsal, list[LogLine]]:
-    ground = SocketGround(folder, scenario.nodes.service, scenario.nodes.tier)
+    ground = SocketGround(folder, scenario.nodes.service, scenario.nodes.tier, budgets(scenario.nodes))
     rehearsal = Rehearsal(scenario, cast(Any, ground), tick)
     ground.rehearsal = rehearsal
     failures: list[BaseException] = []
--- a/driftstair/rehearsal/stands/front.py
+++ b/driftstair/rehearsal/stands/front.py
@@ -1,4 +1,5 @@
-"""The plain layer before the nodes: it deals out requests evenly among the nodes that it holds to be there.
+"""The plain layer before the nodes: it deals out requests among the nodes that it holds to be there, evenly
+but for those that `times` names.
 
 It takes in a node once `GET /up` has answered 200, and notices only after some seconds that one has died.
 """
@@ -19,10 +20,16 @@
 
 
 class FrontLayer:
-    def __init__(self, place: Place, nodes: list[str], notice: float, random: Random) -> None:
+    def __init__(
+        self, place: Place, nodes: list[str], notice: float, random: Random,
+        times: dict[str, int] | None = None,
+    ) -> None:  # fmt: skip
         self.addresses: dict[str, tuple[str, int]] = {}
         self._place = place
-        self._nodes = nodes
+        # Those that see more than the others have so many turns.
+        self._nodes = nodes if not times else [one for one in nodes for _ in range(times.get(one, 1))]
+        if times:
+            random.shuffle(self._nodes)
         self._notice = notice  # s
         self._random = random
         self._there: dict[str, bool] = dict.fromkeys(nodes, False)
--- a/driftstair/rehearsal/tier/budgets.py
+++ b/driftstair/rehearsal/tier/budgets.py
@@ -13,6 +13,8 @@
 from driftstair.rehearsal.tier.checks import SECOND, Finding
 
 Event = dict[str, Any]
+Move = tuple[int, int, int, int]
+"""When; by how much what a home has lent changes, and what others hold of it; what it says that it holds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,19 +90,23 @@
 
 
 def twice_held(events: list[Event]) -> list[Finding]:
-    """A share has one holder: of a home, others never hold more than it has lent."""
+    """A share has one holder: of a home, others never hold more than it has lent, and what a process of it
+    begins with is not with others."""
     out = []
     for name, terms in terms_of(events).items():
         lent = _spans(events, name, ("lent", "extended"), "returned")
         borrowed = _spans(events, name, ("took", "renewed"), "gave")
-        by_home: dict[int, list[tuple[int, int, int]]] = defaultdict(list)  # at, change of lent, of borrowed
+        by_home: dict[int, list[Move]] = defaultdict(list)
         for home, spans, is_lent in [
             *((home, spans, True) for (home, *_), spans in lent.items()),
             *((home, spans, False) for (home, *_), spans in borrowed.items()),
         ]:
             for begin, end, shares in spans:
                 for at, change in ((begin, shares), (end, -shares)):
-                    by_home[home].append((at, change if is_lent else 0, 0 if is_lent else change))
+                    by_home[home].append((at, change if is_lent else 0, 0 if is_lent else change, 0))
+        for one in events:
+            if one["event"] == "budget" and one["budget"] == name:
+                by_home[one["node"]].append((one["t_ns"], 0, 0, one["own"]))
         for home, moves in sorted(by_home.items()):
             finding = _held_more(name, home, terms, moves)
             if finding is not None:
@@ -108,12 +114,17 @@
     return out
 
 
-def _held_more(name: str, home: int, terms: Terms, moves: list[tuple[int, int, int]]) -> Finding | None:
+def _held_more(name: str, home: int, terms: Terms, moves: list[Move]) -> Finding | None:
     # At one moment a lender's loan begins before and ends after the borrower's.
     moves.sort(key=lambda one: (one[0], (0 if one[1] > 0 else 1 if one[2] < 0 else 2 if one[2] > 0 else 3)))
     lent = held = 0
-    for at, of_lender, of_borrower in moves:
+    for at, of_lender, of_borrower, own in moves:
         lent, held = lent + of_lender, held + of_borrower
+        if held + own > terms.shares:
+            return Finding(
+                "a share of a budget has two holders", at, home, -1,
+                f"{name}: others hold {held} of {terms.shares} shares of node {home}, and it {own}",
+            )  # fmt: skip
         if held > lent or lent > terms.shares:
             return Finding(
                 "a share of a budget has two holders", at, home, -1,
--- a/driftstair/rehearsal/tier/histories.py
+++ b/driftstair/rehearsal/tier/histories.py
@@ -8,6 +8,7 @@
 
 from driftstair.tier import history
 
+Event = dict[str, Any]
 Rank = tuple[int, int, int]
 STATES = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}
 FOREVER = 1 << 62
@@ -65,11 +66,10 @@
         return {one.member: one for one in self.held}
 
 
-def processes(events: list[dict[str, Any]], origin: int = 0) -> list[Process]:
-    """Of one node's history; times from `origin` (ns) on. What precedes a first start is left out."""
+def processes(events: list[Event]) -> list[Process]:
+    """Of one node's history. What precedes a first start is left out."""
     out: list[Process] = []
     for event in events:
-        event = event | {"t_ns": event["t_ns"] - origin}
         if event["event"] == "start":
             if out and out[-1].ended == FOREVER:
                 out[-1].ended = event["t_ns"]  # it was killed, some time before
@@ -91,7 +91,13 @@
 
 def read_folder(folder: Path, origin: int = 0) -> list[Process]:
     """Of all nodes whose histories are there; times from `origin` (ns) on. Raises HistoryError."""
-    found: list[Process] = []
-    for path in sorted(folder.glob("*.jsonl")):
-        found += processes(history.read(path), origin)
-    return found
+    return [one for events in read_events(folder, origin) for one in processes(events)]
+
+
+def read_events(folder: Path, origin: int = 0) -> list[list[Event]]:
+    """The same as they were written, each node's."""
+    times = ("t_ns", "until_ns")
+    return [
+        [event | {key: event[key] - origin for key in times if key in event} for event in history.read(path)]
+        for path in sorted(folder.glob("*.jsonl"))
+    ]
--- a/driftstair/rehearsal/tier/inside.py
+++ b/driftstair/rehearsal/tier/inside.py
@@ -7,8 +7,8 @@
 
 from driftstair.net.system import System
 from driftstair.rehearsal.tier.stage import KEY
-from driftstair.service.load import Loaded, parse
-from driftstair.service.use import ServiceFile
+from driftstair.service.load import Loaded
+from driftstair.service.use import ServiceFile, specs_of
 from driftstair.settings import Config
 from driftstair.tier import told
 from driftstair.tier.history import History
@@ -30,19 +30,21 @@
 
 class TierFile(ServiceFile):
     """What all nodes read: a service file if there is one, and a tier. `history(name)`: where a node's
-    goes."""
+    goes; `budgets`: tables of the fleet's."""
 
     def __init__(
-        self, base: ServiceFile | None, period: int, history: Callable[[str], list[dict[str, Any]]]
-    ) -> None:
+        self, base: ServiceFile | None, period: int, history: Callable[[str], list[dict[str, Any]]],
+        budgets: str = "",
+    ) -> None:  # fmt: skip
         super().__init__("the tier's" if base is None else base.file)
+        self._text = f'version = 1\n[tier]\nkey = "in memory"\n{budgets}' if budgets else "version = 1\n"
         self._base = base
         self._period = period
         self._recorded = history
 
     def load(self) -> Loaded:
-        return parse("version = 1\n", self.file) if self._base is None else self._base.load()
+        return super().load() if self._base is None else self._base.load()
 
-    def tier(self, config: Config, system: System) -> Tier:
+    def _tier(self, loaded: Loaded, config: Config, system: System) -> Tier:
         history = Recorded(self._recorded(config.name))
-        return Tier(config, told.read(config), self._period, KEY, history, None, system)
+        return Tier(config, told.read(config), self._period, KEY, history, None, system, specs_of(loaded))
--- a/driftstair/rehearsal/tier/stage.py
+++ b/driftstair/rehearsal/tier/stage.py
@@ -8,8 +8,9 @@
 
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal import wire
+from driftstair.rehearsal.tier import budgets
 from driftstair.rehearsal.tier.checks import Bounds, Finding, Span, Story, check
-from driftstair.rehearsal.tier.histories import Process
+from driftstair.rehearsal.tier.histories import Event, Process, processes
 from driftstair.rehearsal.tier.links import Fault, Links
 
 AS_GOOD_AS_CUT = 0.5  # of the datagrams on a link that are lost
@@ -36,6 +37,7 @@
         self.names = names
         self.findings: list[Finding] = []
         self.processes: list[Process] = []
+        self.spending: dict[str, budgets.Spending] = {}
         self._bounds = Bounds(of.wrongly_s, of.settle_s, of.death_s)
         self._numbers = {name: number for number, name in enumerate(names)}
         self._spans: list[Span] = []
@@ -85,13 +87,16 @@
         }
         return {one: others for one, others in found.items() if others}
 
-    def finish(self, now: int, processes: list[Process]) -> None:
+    def finish(self, now: int, histories: list[list[Event]]) -> None:
         """Judge what was written down until now."""
+        events = [event for one in histories for event in one]
         lasting = [Span(self._numbers[name], begin, now + 1, down=True) for name, begin in self._down.items()]
         for cut in self._cuts:
             lasting += [Span(node, cut.begin, now + 1, apart=others) for node, others in cut.apart.items()]
-        self.processes = processes
-        self.findings = check(Story(processes, self._spans + lasting, now), self._bounds)
+        self.processes = [process for one in histories for process in processes(one)]
+        self.findings = check(Story(self.processes, self._spans + lasting, now), self._bounds)
+        self.findings += budgets.check(events)
+        self.spending = budgets.spending(events)
 
 
 def _severs(fault: Fault) -> bool:
--- a/driftstair/rehearsal/virtual.py
+++ b/driftstair/rehearsal/virtual.py
@@ -22,8 +22,9 @@
 from driftstair.rehearsal.sim.scheduler import Deadlock, Runaway, Scheduler
 from driftstair.rehearsal.sim.stream import Endpoint
 from driftstair.rehearsal.sim.system import SimulatedSystem
-from driftstair.rehearsal.tier.histories import Process, processes
+from driftstair.rehearsal.tier.histories import Event
 from driftstair.rehearsal.tier.links import Links
+from driftstair.rehearsal.tier.service import budgets
 from driftstair.service.use import ServiceFile
 from driftstair.settings import Config
 
@@ -176,6 +177,7 @@
         if scenario.nodes.service is not None:
             self.service = ServiceFile(scenario.nodes.service)
         self._tier = scenario.nodes.tier
+        self._budgets = budgets(scenario.nodes)
         self._written: dict[str, list[dict[str, Any]]] = {}  # by node: its history
         self._loops: list[ProcessLoop] = []
 
@@ -208,14 +210,16 @@
         numbers = {node.machine: number for number, node in enumerate(self._nodes)}
         self.network.fate = lambda source, target, data: links.pass_on(numbers[source], numbers[target], data)
         period = int(self._tier.period_ms * 1e6)
-        self.service = TierFile(self.service, period, lambda name: self._written.setdefault(name, []))
+        self.service = TierFile(
+            self.service, period, lambda name: self._written.setdefault(name, []), self._budgets
+        )
 
     def peers(self, name: str) -> Peers:
         addresses = {node.name: f"{node.machine.host}:{PEER_PORT}" for node in self._nodes}
         return Peers(addresses[name], list(addresses.values()))
 
-    def histories(self) -> list[Process]:
-        return [one for events in self._written.values() for one in processes(events)]
+    def histories(self) -> list[list[Event]]:
+        return list(self._written.values())
 
     def stuck(self) -> str:
         """A node that runs, and for which nothing can ever happen again."""
--- a/driftstair/tier/history.py
+++ b/driftstair/tier/history.py
@@ -27,7 +27,7 @@
     "moved": {"number": int, "nodes": int},
     "budget": {
         "budget": str, "per_s": float, "burst_ns": int, "nodes": int, "shares": int, "floor": int,
-        "lent_ns": int, "drift": float, "held": int,
+        "lent_ns": int, "drift": float, "own": int,
     },  # fmt: skip
     "right": {
         "budget": str, "what": str, "other": int, "lender_life": int, "loan": int, "shares": int,
--- a/driftstair/tier/shared/budget.py
+++ b/driftstair/tier/shared/budget.py
@@ -119,8 +119,9 @@
     # A borrower's part.
 
     def need(self) -> int:
-        """Shares that it wants to hold."""
-        return min(self._most, ceil(self.demand.per_s * ROOM / self.share)) if self.demand.per_s > 0 else 0
+        """Shares that it wants to hold: with some room, unless it has much saved up."""
+        room = 1.0 if self.purse.fullness() > 0.5 else ROOM
+        return min(self._most, ceil(self.demand.per_s * room / self.share)) if self.demand.per_s > 0 else 0
 
     def tick(self, now: int) -> Messages:
         """To be called `TICKS` times in the time of a loan."""
@@ -199,7 +200,7 @@
         if taken:
             self.counts["granted"] += 1
             self._wide = min(WIDE_MOST, self._wide + 1)
-            until = grant.asked_at + self.spec.terms.lent
+            until = dict(self.rights.loans())[key].until
             self.notes.append(Note("renewed" if known else "took", *key, grant.shares, until))
 
     def leave(self, now: int) -> Messages:
@@ -219,7 +220,7 @@
         spare = 0 if self._leaving else terms.shares - lent - min(terms.shares, max(terms.floor, self.need()))
         grants: list[Grant | None] = []
         if ask.renews:
-            if spare >= 0 and not self._leaving and ask.renews not in self._recalled:
+            if not self._leaving and not self._wants_back(ask, -spare):
                 grants.append(self.rights.lend(now, ask, 0))
         else:
             piece = -(-(terms.shares - terms.floor) // PIECES)
@@ -241,6 +242,13 @@
         self.notes += [Note(what, borrower, life, grant.loan, grant.shares, until) for grant in made]
         return made or [Grant(self.rights.own, life, ask.renews, borrower, ask.life, ask.at, 0)]
 
+    def _wants_back(self, ask: Ask, missing: int) -> bool:
+        """Loans that are not made longer, until they are enough for what the lender needs itself."""
+        self._recalled &= self.rights.out().keys()
+        if ask.renews not in self._recalled and missing > sum(map(self.rights.lent_by, self._recalled)):
+            self._recalled.add(ask.renews)
+        return ask.renews in self._recalled
+
     def _may_have(self, now: int, ask: Ask) -> bool:
         """Not while one that has far less waits for a piece."""
         self._unmet = {one: kept for one, kept in self._unmet.items() if kept[0] > now}
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -169,5 +169,5 @@
     return Wrote("budget", {
         "budget": spec.name, "per_s": spec.per_s, "burst_ns": spec.burst, "nodes": count,
         "shares": spec.terms.shares, "floor": spec.terms.floor, "lent_ns": spec.terms.lent,
-        "drift": spec.terms.drift, "held": budget.rights.held(now),
+        "drift": spec.terms.drift, "own": budget.rights.of_own(now),
     })  # fmt: skip
--- a/driftstair/tier/shared/purse.py
+++ b/driftstair/tier/shared/purse.py
@@ -48,6 +48,11 @@
         missing = tokens - self._tokens
         return int(missing / rate * 1e9) + 1 if missing > 0 and rate > 0 else 0
 
+    def fullness(self) -> float:
+        """Which part of what it can save up it had when time was last let pass."""
+        most = self._held * self._share * self._depth
+        return self._tokens / most if most > 0 else 0.0
+
     def tokens(self, now: int) -> float:
         self.advance(now)
         return self._tokens
--- a/driftstair/tier/shared/rights.py
+++ b/driftstair/tier/shared/rights.py
@@ -89,9 +89,12 @@
 
     def held(self, now: int) -> int:
         """Shares that this node may spend on, now."""
+        return self.of_own(now) + sum(loan.shares for loan in self._in.values())
+
+    def of_own(self, now: int) -> int:
+        """Those that it is home to and has not lent."""
         self._forget(now)
-        home = self.terms.floor if now < self._whole_at else self.terms.shares
-        return home - self._lent() + sum(loan.shares for loan in self._in.values())
+        return (self.terms.floor if now < self._whole_at else self.terms.shares) - self._lent()
 
     def spare(self, now: int) -> int:
         """Shares that it could lend."""
@@ -155,6 +158,10 @@
         """Who has which loan, by its number."""
         return {number: borrower for number, (borrower, _) in self._out.items()}
 
+    def lent_by(self, loan: int) -> int:
+        """Shares of a loan that is out."""
+        return self._out[loan][1].shares
+
     def lent_to(self) -> dict[int, int]:
         """Shares that are out, by borrower."""
         out: dict[int, int] = {}
--- a/tests/tier/test_budget_checks.py
+++ b/tests/tier/test_budget_checks.py
@@ -21,6 +21,7 @@
     return {
         "t_ns": 0, "node": node, "life": 1, "event": "budget", "budget": "b", "per_s": per_s,
         "burst_ns": 2 * SECOND, "nodes": 2, "shares": 32, "floor": 1, "lent_ns": 3 * SECOND, "drift": 0.01,
+        "own": 32,
     }  # fmt: skip
 
 
@@ -56,6 +57,10 @@
     assert check([told(0), *fast]) and check([told(0), told(1, 20.0), *fast]) == []
 
 
+def begins(own: int) -> dict[str, Any]:
+    return told(0) | {"t_ns": 2 * SECOND, "own": own}
+
+
 LENT = [told(0), right(0, "lent", 1, 1.0, 4.1), right(1, "took", 0, 1.01, 4.0)]
 
 
@@ -68,6 +73,7 @@
         ([right(1, "renewed", 0, 3.01, 6.0)], True),  # the lender knows nothing of it
         ([right(0, "returned", 1, 2.0, 2.0)], True),  # it was not given back
         ([right(1, "took", 0, 2.0, 5.0, loan=2)], True),
+        ([begins(1)], False), ([begins(32)], True),  # a process that does not know of the loan
         ([right(0, "lent", 2, 2.0, 5.0, loan=2, shares=25)], True),  # more than there is
     ],
 )
--- a/tests/tier/test_tier_rehearsals.py
+++ b/tests/tier/test_tier_rehearsals.py
@@ -11,13 +11,18 @@
 from driftstair.rehearsal.report import build, html
 from driftstair.tier.membership.core import NEVER, Membership
 from driftstair.tier.membership.suspicion import Suspicion
+from driftstair.tier.shared.rights import Rights, Terms
 
 SCENARIOS = [name for name in shipped() if name.startswith("tier-")]
+SHARED = [name for name in shipped() if name.startswith("shared-")]
 LIGHT = {"load": {"rate": 15.0, "keys": 30}, "boxes": {"count": 4}}
 
 
-def report(name: str) -> dict[str, Any]:
-    rehearsal, log, _ = virtual.play(load(name, LIGHT))
+plain, taken = Rights.__init__, Rights.take
+
+
+def report(name: str, changes: dict[str, Any] = LIGHT) -> dict[str, Any]:
+    rehearsal, log, _ = virtual.play(load(name, changes))
     return build.build(rehearsal, log, "virtual")
 
 
@@ -30,6 +35,41 @@
     assert "nodes, as the others hold them" in html.page(found)
 
 
+@pytest.mark.parametrize("name", SHARED)
+def test_a_shipped_scenario_of_shared_budgets_has_no_finding_and_uses_the_budget(name: str) -> None:
+    found = report(name, {})
+    assert found["tier"]["findings"] == []
+    assert found["verdict"]["rules_kept"] and not found["verdict"]["crashes"], found["breaks"]
+    budget = found["tier"]["budgets"]["admitted"]
+    assert budget["over"] <= budget["allowed"]
+    assert budget["spent"] > 0.6 * budget["per_s"] * 60
+
+
+def test_a_node_with_twelve_times_the_demand_is_let_in_for_more_than_its_part() -> None:
+    rehearsal, _, _ = virtual.play(load("shared-halves", {}))
+    spent = [sum(one["event"] == "spend" for one in events) for events in rehearsal.ground.histories()]
+    assert spent[0] > 2 * sum(spent) / len(spent), spent
+
+
+@pytest.mark.parametrize(
+    ("name", "where", "attribute", "defect"),
+    [
+        ("shared-stalled-holder", Terms, "waited", lambda self: self.lent // 8),
+        ("shared-mass-kill", Rights, "__init__", lambda self, own, life, terms, started: plain(
+            self, own, life, terms, started - 10 * terms.lent)),
+        ("shared-late", Rights, "take", lambda self, now, grant: taken(
+            self, now, grant._replace(asked_at=now))),
+    ],
+    ids=["unwaited", "minted", "from-arrival"],
+)  # fmt: skip
+def test_a_planted_defect_of_the_rights_is_found(
+    name: str, where: type, attribute: str, defect: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(where, attribute, defect)
+    rules = {one["rule"] for one in report(name, {})["tier"]["findings"]}
+    assert rules & {"a share of a budget has two holders", "a budget of the fleet is overspent"}
+
+
 def test_the_same_run_gives_the_same_report_to_the_byte() -> None:
     assert build.text_of(report("tier-pauses")) == build.text_of(report("tier-pauses"))
 
@@ -72,6 +112,9 @@
         ({"trouble": [{"kind": "links", "at_s": 1}]}, "nodes send each other nothing without a table"),
         ({"nodes": {"tier": {"perod_ms": 3}}}, "nodes.tier.perod_ms: no such key"),
         ({"nodes": {"tier": {"period_ms": 1}}}, "nodes.tier.period_ms"),
+        ({"nodes": {"tier": {"admitted": {"per_s": -1}}}}, "nodes.tier.admitted.per_s"),
+        ({"nodes": {"tier": {"retries": {"per_s": 0.5, "burst_s": 1}}}}, "burst_s: a node alone never has"),
+        ({"nodes": {"service": "x", "tier": {"retries": {"per_s": 9}}}}, "stands in nodes.service"),
         ({"nodes": {"tier": {}}, "trouble": [{"kind": "links", "at_s": 1, "senders": ["n9"]}]},
          "trouble[0].senders: no such node: 'n9'"),
         ({"nodes": {"tier": {}}, "trouble": [{"kind": "links", "at_s": 1, "receivers": 9}]},
