Judgements on servers are shared, as evidence that each node weighs for itself

Need: a bad server is found out by 200 nodes one after the other, at two failures each.

A node holds a server back, shown to the module as draining, if several find it bad, from more than one zone, and most of those who tried it; not what it uses with success itself, no more than a fifth, and on no word of one that finds a third of its servers bad.

Seen in rehearsals of eight nodes: one failing server of eight is held back by all and in use again within 8 s of its recovery; two nodes that say of every server that it fails get no sound one held back (both planted defects of that are found).

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -113,7 +113,7 @@
         config = operations.config
     tier = None if service is None else service.tier(config, system)
     if limits is not None and tier is not None:
-        limits.fleet = tier.tokens
+        limits.fleet, limits.around = tier.tokens, tier.around
     node, front = assemble(config, system, limits, None if operations is None else operations.roster)
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier)
--- a/driftstair/limits/table.py
+++ b/driftstair/limits/table.py
@@ -17,6 +17,10 @@
 log = logging.getLogger(__name__)
 
 
+def _as_it_is(module: api.Module) -> api.Module:
+    return module
+
+
 class Table:
     """`find` tells a request's rules; `limited` puts them round a decision module."""
 
@@ -25,6 +29,7 @@
     def __init__(self, service: Service, settings: api.Settings, source: str = "") -> None:
         self.source = source  # file and hash, for the log
         self.fleet: Callable[[str], Tokens] = no_fleet
+        self.around: Callable[[api.Module], api.Module] = _as_it_is
         self._tally_every = service.tally.every if service.tally is not None else 0  # ns
         self.routes = Routes(Pattern.of(route.match) for route in service.route)
         self.rules = [
@@ -49,6 +54,7 @@
 
     def limited(self, module: api.Module, settings: api.Settings, clock: Callable[[], int]) -> Limited:
         """`clock`: Unix time in ns, which lines of the log from several nodes are put together by."""
+        module = self.around(module)
         if self._tally_every:
             from driftstair.tally.tally import Tally
 
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -143,7 +143,9 @@
         self.nodes = {name: ground.node(name, self._node_ended) for name in self.node_names}
         self.tier: TierStage | None = None
         if of.nodes.tier is not None:
-            self.tier = TierStage(of.nodes.tier, self.node_names, seed_for(self.seed, "links"))
+            self.tier = TierStage(
+                of.nodes.tier, self.node_names, seed_for(self.seed, "links"), load.box_names(of.boxes.count)
+            )  # fmt: skip
             ground.join(self.tier.links)
 
     def _kinds_in_turn(self, random: Random) -> list[model.Kind]:
--- a/driftstair/rehearsal/load.py
+++ b/driftstair/rehearsal/load.py
@@ -184,6 +184,10 @@
             if name not in class_names:
                 refuse(f"phase[{index}].shares.{name}", f"no such class{_nearest(name, class_names)}")
         before = phase.at_s
+    if found.nodes.tier is not None and found.nodes.tier.liars:
+        _check_nodes(found, found.nodes.tier.liars, "nodes.tier.liars", refuse)
+        if not found.nodes.tier.judge:
+            refuse("nodes.tier.liars", "nobody listens without judge = true")
     for name, budget in found.nodes.budgets().items():
         key, least = f"nodes.tier.{name}", found.nodes.count / budget.per_s
         if found.nodes.service is not None:
--- a/driftstair/rehearsal/report/tier.py
+++ b/driftstair/rehearsal/report/tier.py
@@ -9,7 +9,7 @@
 from rich.console import RenderableType
 from rich.text import Text
 
-from driftstair.rehearsal.tier.histories import Process
+from driftstair.rehearsal.tier.histories import FOREVER, Process
 from driftstair.rehearsal.tier.stage import TierStage
 
 FINDINGS_MOST = 200  # told one by one
@@ -38,6 +38,14 @@
             }
             for name, one in of.spending.items()
         },
+        "held_back": [
+            {
+                "node": names[one.node], "server": one.server, "at": at(one.begin),
+                "until": at(one.end) if one.end < FOREVER else None,
+                "reporters": [names[number] for number in one.reporters],
+            }
+            for one in of.held_back[:FINDINGS_MOST]
+        ],
         "members": {name: _spells(of.processes, number, at) for number, name in enumerate(names)},
     }  # fmt: skip
 
@@ -78,4 +86,7 @@
         text.append(f"    {one['evidence']}")
     if len(found) > FINDINGS_SHOWN:
         text.append(f"\nand {len(found) - FINDINGS_SHOWN} more")
+    if of["held_back"]:
+        servers = sorted({one["server"] for one in of["held_back"]})
+        text.append(f"\nheld back on others' word: {', '.join(servers)}, {len(of['held_back'])} times")
     return text
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -95,6 +95,8 @@
     wrongly_s: NotNegative = 0.0  # that a node which runs and is reached may be held dead
     settle_s: Positive = 10.0  # after a trouble's end, in which what it caused may still show
     death_s: Positive = 10.0  # after its end, until all hold a node dead
+    judge: Flag = False  # servers by what all nodes have seen of them
+    liars: tuple[str, ...] = ()  # nodes that tell the others that every server fails
     admitted: FleetBudget | None = None  # requests that the fleet lets in
     retries: FleetBudget | None = None  # its further attempts
 
--- a/driftstair/rehearsal/sockets.py
+++ b/driftstair/rehearsal/sockets.py
@@ -41,6 +41,8 @@
 ENDS_WITHIN = 3.0  # s for processes at the end of a run
 LOOK = 0.05  # s
 
+LIAR = "driftstair.rehearsal.tier.liar"
+
 
 class Veil(asyncio.Protocol):
     """Between a stand-in's connection and its socket: while the machine is cut off nothing is read, and what
@@ -221,6 +223,7 @@
         self._write(document)
         self.running = True
         self._life += 1
+        self._program = LIAR if self.name in self._ground.liars else "driftstair"
         self._ground.do(self._run(self._life))
 
     async def _run(self, life: int) -> None:
@@ -232,7 +235,7 @@
         service = self._ground.service
         options = ["--service", service] if service else []
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "driftstair", *options, env=environment, stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", self._program, *options, env=environment, stderr=asyncio.subprocess.PIPE,
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, cwd=self._ground.root,
         )  # fmt: skip
         if life != self._life or not self.running:
@@ -324,6 +327,7 @@
         self, folder: Path, service: str | None = None, tier: model.Tier | None = None, budgets: str = ""
     ) -> None:
         self._budgets = budgets
+        self.liars = () if tier is None else tier.liars
         self.folder = folder
         self._tier = tier
         self._relay: Relay | None = None
@@ -363,7 +367,8 @@
         key.chmod(0o600)
         base = "version = 1\n" if self.service is None else Path(self.service).read_text(encoding="utf-8")
         period = f"{self._tier.period_ms:g}ms"
-        table = f'[tier]\nkey = "{key}"\nperiod = "{period}"\nhistory = "{histories}"\n{self._budgets}'
+        table = f'[tier]\nkey = "{key}"\nperiod = "{period}"\nhistory = "{histories}"\n'
+        table += f"judge = {str(self._tier.judge).lower()}\n{self._budgets}"
         service.write_text(f"{base}\n{table}", encoding="utf-8")
         self.service = str(service)
         self._peer_ports = [free_port() for _ in self.nodes]
--- a/driftstair/rehearsal/tier/inside.py
+++ b/driftstair/rehearsal/tier/inside.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from driftstair.net.system import System
+from driftstair.rehearsal.tier.liar import lie
 from driftstair.rehearsal.tier.stage import KEY
 from driftstair.service.load import Loaded
 from driftstair.service.use import ServiceFile, specs_of
@@ -34,8 +35,10 @@
 
     def __init__(
         self, base: ServiceFile | None, period: int, history: Callable[[str], list[dict[str, Any]]],
-        budgets: str = "",
+        budgets: str = "", judges: bool = False, liars: tuple[str, ...] = (),
     ) -> None:  # fmt: skip
+        self._judges = judges
+        self._liars = liars
         super().__init__("the tier's" if base is None else base.file)
         self._text = f'version = 1\n[tier]\nkey = "in memory"\n{budgets}' if budgets else "version = 1\n"
         self._base = base
@@ -47,4 +50,10 @@
 
     def _tier(self, loaded: Loaded, config: Config, system: System) -> Tier:
         history = Recorded(self._recorded(config.name))
-        return Tier(config, told.read(config), self._period, KEY, history, None, system, specs_of(loaded))
+        tier = Tier(
+            config, told.read(config), self._period, KEY, history, None, system, specs_of(loaded),
+            self._judges,
+        )  # fmt: skip
+        if config.name in self._liars and tier.sharing is not None:
+            lie(tier.sharing)
+        return tier
--- /dev/null
+++ b/driftstair/rehearsal/tier/liar.py
@@ -0,0 +1,45 @@
+"""A node that finds every server failing, whatever they answer, and says so to the others.
+
+    python -m driftstair.rehearsal.tier.liar [options of the daemon]
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from driftstair.tier.shared.evidence import Judge, Sight
+from driftstair.tier.sharing import Sharing
+
+
+def lie(sharing: Sharing) -> None:
+    """From now on; only what it tells is wrong, not what it does."""
+    speak = sharing.core.speak
+
+    def lying(
+        now: int, zone: int, sound: Callable[[], bool], zones: Callable[[], dict[int, int]]
+    ) -> Judge:
+        judge = speak(now, zone, sound, zones)
+        judge.sight = _Liar(now)
+        return judge
+
+    sharing.core.speak = lying  # type: ignore[method-assign]
+
+
+class _Liar(Sight):
+    def note(self, now: int, server: int, ok: bool, reached: bool, took: int) -> None:
+        super().note(now, server, False, reached, 0)
+
+
+def main() -> int:
+    from driftstair.__main__ import main as daemon
+
+    note = Sight.note
+    Sight.note = (  # type: ignore[method-assign]
+        lambda self, now, server, ok, reached, took: note(self, now, server, False, reached, 0)
+    )
+    return daemon()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/driftstair/rehearsal/tier/stage.py
+++ b/driftstair/rehearsal/tier/stage.py
@@ -8,7 +8,7 @@
 
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal import wire
-from driftstair.rehearsal.tier import budgets
+from driftstair.rehearsal.tier import budgets, judgements
 from driftstair.rehearsal.tier.checks import Bounds, Finding, Span, Story, check
 from driftstair.rehearsal.tier.histories import Event, Process, processes
 from driftstair.rehearsal.tier.links import Fault, Links
@@ -30,13 +30,16 @@
 
 
 class TierStage:
-    """`names` of the nodes, by number."""
+    """`names` of the nodes, by number; of the boxes at the start."""
 
-    def __init__(self, of: model.Tier, names: list[str], seed: int) -> None:
+    def __init__(self, of: model.Tier, names: list[str], seed: int, boxes: list[str]) -> None:
         self.links = Links(seed)
         self.names = names
         self.findings: list[Finding] = []
         self.processes: list[Process] = []
+        self.boxes = boxes
+        self.blamed: dict[str, list[tuple[int, int]]] = {}  # by box: when it had trouble
+        self.held_back: list[judgements.Judged] = []
         self.spending: dict[str, budgets.Spending] = {}
         self._bounds = Bounds(of.wrongly_s, of.settle_s, of.death_s)
         self._numbers = {name: number for number, name in enumerate(names)}
@@ -52,6 +55,11 @@
             begin = self._down.pop(seen.node)
             self._spans.append(Span(self._numbers[seen.node], begin, seen.at, down=True))
 
+    def blame(self, boxes: list[str], begin: int, end: int) -> None:
+        """These have trouble themselves for so long."""
+        for name in boxes:
+            self.blamed.setdefault(name, []).append((begin, end))
+
     def chosen(self, which: model.Chosen, random: Random) -> list[int]:
         if which is None:
             return list(range(len(self.names)))
@@ -97,6 +105,8 @@
         self.findings = check(Story(self.processes, self._spans + lasting, now), self._bounds)
         self.findings += budgets.check(events)
         self.spending = budgets.spending(events)
+        self.held_back = judgements.held_back(events, self.boxes)
+        self.findings += judgements.check(self.held_back, self.blamed, self._bounds.settle)
 
 
 def _severs(fault: Fault) -> bool:
--- a/driftstair/rehearsal/troubles.py
+++ b/driftstair/rehearsal/troubles.py
@@ -43,6 +43,13 @@
         self._stage.say(f"phase {phase.name}")
 
     def _choose_boxes(self, trouble: model._AtBoxes, index: int) -> list[Box]:
+        chosen = self._boxes_of(trouble, index)
+        if self._stage.tier is not None:
+            now = self._stage.now()
+            self._stage.tier.blame([box.name for box in chosen], now, now + int(trouble.for_s * 1e9))
+        return chosen
+
+    def _boxes_of(self, trouble: model._AtBoxes, index: int) -> list[Box]:
         running = [
             box for box in self._stage.boxes.values()
             if box.running and trouble.of_kind in (None, box.kind.name)
--- a/driftstair/rehearsal/virtual.py
+++ b/driftstair/rehearsal/virtual.py
@@ -211,8 +211,9 @@
         self.network.fate = lambda source, target, data: links.pass_on(numbers[source], numbers[target], data)
         period = int(self._tier.period_ms * 1e6)
         self.service = TierFile(
-            self.service, period, lambda name: self._written.setdefault(name, []), self._budgets
-        )
+            self.service, period, lambda name: self._written.setdefault(name, []), self._budgets,
+            self._tier.judge, self._tier.liars,
+        )  # fmt: skip
 
     def peers(self, name: str) -> Peers:
         addresses = {node.name: f"{node.machine.host}:{PEER_PORT}" for node in self._nodes}
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -132,6 +132,7 @@
     period: Annotated[Duration, Field(ge=50_000_000, le=60_000_000_000)] = 1_000_000_000  # of probes
     folder: Annotated[str, Field(min_length=1)] | None = None  # outlives the process: the last list
     history: Annotated[str, Field(min_length=1)] | None = None  # a folder: what each process came to hold
+    judge: Annotated[bool, Field(strict=True)] = False  # servers by what all nodes have seen of them
     budgets: Annotated[dict[Name, FleetBudget], Field(min_length=1, max_length=32)] | None = None
 
 
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -159,4 +159,6 @@
             history = None if wanted.history is None else History(wanted.history, config.name)
         except HistoryError as problem:
             raise ServiceError([loaded.problem(("tier", "history"), str(problem))]) from None
-        return Tier(config, peers, wanted.period, key, history, folder, system, specs_of(loaded))
+        return Tier(
+            config, peers, wanted.period, key, history, folder, system, specs_of(loaded), wanted.judge
+        )
--- a/driftstair/tier/history.py
+++ b/driftstair/tier/history.py
@@ -34,6 +34,7 @@
         "until_ns": int,
     },  # fmt: skip
     "spend": {"budget": str, "amount": float},
+    "judge": {"server": int, "verdict": str, "reporters": list},
 }
 """By event: its fields. `state`: alive, suspect, dead or left; `told`: whether others hear of it, or the node
 holds it so for itself alone, since it hears nobody."""
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -27,6 +27,7 @@
     from driftstair.limits.budgets import Tokens
     from driftstair.tier.shared.budget import Spec
     from driftstair.tier.sharing import Sharing
+    from lichenspring.interface import Module
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +35,7 @@
 LIVES_PER_S = 16
 BIND_AGAIN = 0.5  # s: the process before this one may hold the address yet
 SAID_EVERY = 60.0  # s between two lines on datagrams that were thrown away
+DOUBTFUL = 4  # of the local health score: by then the fault is likely here
 KEPT_EVERY = 5.0  # s between two writes of the list
 FORMAT = "driftstair.tier/1"
 
@@ -46,11 +48,11 @@
 
 class Tier:
     """One process of the tier. `folder`: where its list of members outlives it; `budgets`: of the fleet;
-    without any nothing of shared state is loaded."""
+    `judges`: whether judgements on servers are shared. Without either nothing of shared state is loaded."""
 
     def __init__(
         self, config: Config, peers: told.Told, period: int, key: bytes, history: History | None,
-        folder: Path | None, system: System, budgets: Sequence[Spec] = (),
+        folder: Path | None, system: System, budgets: Sequence[Spec] = (), judges: bool = False,
     ) -> None:  # fmt: skip
         self._told = peers
         self._system = system
@@ -69,19 +71,19 @@
         self._bytes_in = self._bytes_out = self._datagrams_in = 0
         self._thrown_all: Counter[str] = Counter()
         self._numbers = {address: number for number, address in enumerate(peers.peers)}
-        supports = wire.MEMBERSHIP | (wire.SHARED if budgets else 0)
+        supports = wire.MEMBERSHIP | (wire.SHARED if budgets or judges else 0)
         self.core = Membership(
             peers.own, len(peers.peers), life_at(system.time_ns()),
             Traits(peers.zone, wire.VERSION, supports), period, Random(config.seed ^ 0x7E12),
             wire.ROOM, wire.size,
         )  # fmt: skip
         self.sharing: Sharing | None = None
-        if budgets:
-            from driftstair.tier.sharing import Sharing
+        if budgets or judges:
+            from driftstair.tier.sharing import Sharing, Speaks
 
             self.sharing = Sharing(
                 budgets, Random(config.seed ^ 0x54A2), system.monotonic_ns, self._sharers, self._carry,
-                self._write,
+                self._write, Speaks(peers.zone, self._sound, self._zones) if judges else None,
             )  # fmt: skip
 
     # Its life.
@@ -137,6 +139,22 @@
                 out.append(number)
         return out
 
+    def _sound(self) -> bool:
+        """Whether this node's word on servers is worth anything."""
+        return not self.core.alone() and self.core.health.score < DOUBTFUL
+
+    def _zones(self) -> dict[int, int]:
+        """Of those that live, this node among them, by number."""
+        out = {self._told.own: self._told.zone}
+        for number in self.core.living():
+            member = self.core.members.get(number)
+            if member is not None and member.claim is not None and not member.unheard:
+                out[number] = member.claim.traits.zone
+        return out
+
+    def around(self, module: Module) -> Module:
+        return module if self.sharing is None else self.sharing.around(module)
+
     def _carry(self, to: int, items: bytes) -> None:
         self._tell(api.Carry(to, items))
 
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -13,6 +13,9 @@
 
 from driftstair.tier.shared import wire
 from driftstair.tier.shared.budget import TICKS, Budget, Messages, Spec
+from driftstair.tier.shared.evidence import Judge
+from driftstair.tier.shared.facts import Facts
+from driftstair.tier.shared.gossip import ROUND, Gossip, Tells
 from driftstair.tier.shared.rights import Ask, GiveBack, Grant
 from driftstair.tier.shared.wire import Unusable
 
@@ -50,6 +53,9 @@
         self._keys: dict[int, Budget] = {}
         self._random = random
         self._others = others
+        self.judge: Judge | None = None
+        self._budget_at = self._gossip_at = NEVER
+        self._gossip: Gossip | None = None
         self._own = self._life = self._count = -1
         self._is_open = False
 
@@ -65,6 +71,19 @@
         self._set_wake(now)
         return [_described(now, one, count) for one in self.budgets.values()]
 
+    def speak(
+        self, now: int, zone: int, sound: Callable[[], bool], zones: Callable[[], dict[int, int]]
+    ) -> Judge:
+        """Tell others what is seen of servers, from `open` on, and judge by what all have seen."""
+        facts = Facts(self._own, self._life, self._random)
+        self._gossip = Gossip(facts, self._random, self._others, self.thrown)
+        before, self.judge = self.judge, Judge(facts, now, zone, sound, zones)
+        if before is not None:
+            self.judge.sight, self.judge.ready = before.sight, before.ready
+        self._gossip_at = now
+        self._set_wake(now)
+        return self.judge
+
     def _add(self, now: int, spec: Spec) -> None:
         self.budgets[spec.name] = Budget(
             spec, self._own, self._life, self._count, now, self._random, self._others
@@ -72,11 +91,14 @@
 
     def close(self) -> None:
         """Not that node any more: nothing is held."""
-        self.budgets, self._keys, self.wake_at, self._is_open = {}, {}, NEVER, False
+        self.budgets, self._keys, self._is_open, self._gossip = {}, {}, False, None
+        self._budget_at = self._gossip_at = self.wake_at = NEVER
 
     def renamed(self, life: int) -> None:
         """The same process under a later life: it knows all that it has lent."""
         self._life = life
+        if self._gossip is not None:
+            self._gossip.facts.life = life
         for one in self.budgets.values():
             one.rights.life = life
 
@@ -107,25 +129,46 @@
     # Time and datagrams.
 
     def wake(self, now: int) -> list[Action]:
-        if now < self.wake_at:
-            return []
+        out: list[Action] = []
+        if now >= self._budget_at:
+            self._budget_at = NEVER
+            out += self._told([(one, one.tick(now)) for one in self.budgets.values()])
+        if now >= self._gossip_at and self._gossip is not None:
+            self._gossip_at = now + ROUND
+            out += self._judged(now)
+            out += _sent(self._gossip.tick(now))
         self._set_wake(now)
-        return self._told([(one, one.tick(now)) for one in self.budgets.values()])
+        return out
 
     def _set_wake(self, now: int) -> None:
         times = [one.spec.terms.lent // TICKS for one in self.budgets.values()]
-        self.wake_at = now + min(times) if times else NEVER
+        if times and self._budget_at == NEVER:
+            self._budget_at = now + min(times)
+        self.wake_at = min(self._budget_at, self._gossip_at)
+
+    def _judged(self, now: int) -> list[Action]:
+        if self.judge is None:
+            return []
+        left_out, back = self.judge.tick(now)
+        return [
+            Wrote("judge", {"server": one.server, "verdict": verdict, "reporters": list(one.reporters)})
+            for verdict, some in (("out", left_out), ("back", back)) for one in some
+        ]  # fmt: skip
 
     def heard(self, now: int, sender: int, life: int, items: bytes) -> list[Action]:
         found, broken = wire.unpacked(items)
         self.thrown["unreadable"] += broken
         answers: list[tuple[Budget, Messages]] = []
+        tells: Tells = []
         for item in found:
             try:
-                answers += self._take(now, sender, life, item)
+                if item[0] in (wire.FACT, wire.DIGEST, wire.DIGEST_BACK) and self._gossip is not None:
+                    tells += self._gossip.take(now, sender, item)
+                else:
+                    answers += self._take(now, sender, life, item)
             except Unusable as problem:
                 self.thrown[str(problem)] += 1
-        return self._told(answers)
+        return self._told(answers) + _sent(tells)
 
     def _take(self, now: int, sender: int, life: int, item: wire.Item) -> list[tuple[Budget, Messages]]:
         if item[0] not in (wire.ASK, wire.GRANT, wire.BACK):
@@ -157,6 +200,13 @@
         return out
 
 
+def _sent(tells: Tells) -> list[Action]:
+    by_node: dict[int, list[wire.Item]] = {}
+    for to, item in tells:
+        by_node.setdefault(to, []).append(item)
+    return [Tell(to, data) for to, items in by_node.items() for data in wire.packed(items)]
+
+
 def _fields(note: Any) -> dict[str, Any]:
     return {
         "what": note.what, "other": note.other, "lender_life": note.life, "loan": note.loan,
--- /dev/null
+++ b/driftstair/tier/shared/evidence.py
@@ -0,0 +1,191 @@
+"""What a node has seen of servers itself, and what it makes of what all have seen.
+
+Evidence goes round, not verdicts: tries, failures and how long answers took, by server and reporter, ageing.
+Each node decides for itself, and so that one node's own trouble is no server's fault:
+
+- a server is bad for all if several reporters find it so, from more than one zone where there are more, and
+  most of those who tried it, who had a while to speak; what one alone finds stays its own;
+- a reporter that finds much of what it tries bad is at fault itself, and counts for nothing;
+- a node that is cut off, or doubts itself, tells nothing;
+- what this node has lately tried with success it goes on using, whatever others say;
+- no more than a part of the servers is left out on others' word, the worst first; and as evidence lives for
+  seconds, a server that nobody tries any more is back within that time.
+
+A server is only ever held back by this: which servers there are is for the list alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import ceil, log2
+from typing import NamedTuple
+
+from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, Fact, Facts
+
+SPAN = 2_500_000_000  # ns: what was seen counts for one to two of these
+SURE = 2  # tries, fewer say nothing; a node leaves a server out itself after two that failed
+BAD = 0.5  # of the tries that fail
+REPORTERS = 3  # that it takes, or all but one of a small tier
+MOST = 0.6  # of those who tried it
+OUT_MOST = 0.2  # of the servers that are ready, left out on others' word
+OWN_FAULT = 1 / 3  # of the servers that a reporter tried: more of them bad is its own fault
+COUNT_MOST = 255
+HEARING = 1_500_000_000  # ns: for those who find nothing wrong with a server to say so
+LATER = KINDS[EVIDENCE].lives // 2  # evidence that goes on is told anew
+
+
+@dataclass(slots=True)
+class Seen:
+    """Of one server, in a span."""
+
+    tries: int = 0
+    failed: int = 0
+    unreached: int = 0  # of these, that no connection came about for
+    took: int = 0  # ns, of the answers together
+
+    def bad(self) -> bool:
+        return self.tries >= SURE and self.failed >= BAD * self.tries
+
+    def value(self) -> tuple[int, int, int, int]:
+        answers = self.tries - self.failed
+        slow = int(4 * log2(1 + self.took / answers / 1e6)) if answers else 0
+        least = COUNT_MOST
+        return min(self.tries, least), min(self.failed, least), min(self.unreached, least), min(slow, least)
+
+
+class Verdict(NamedTuple):
+    server: int
+    reporters: tuple[int, ...]
+    share: float  # of those who tried it that find it bad
+
+
+class Sight:
+    """What this node has seen, in two spans, of which the older one fades out whole."""
+
+    def __init__(self, now: int) -> None:
+        self._spans: list[dict[int, Seen]] = [{}, {}]
+        self._began = now
+        self.answered = 0  # requests, since the last `load`
+        self.in_flight = 0
+        self._load_at = now
+
+    def note(self, now: int, server: int, ok: bool, reached: bool, took: int) -> None:
+        self._turn(now)
+        seen = self._spans[0].setdefault(server, Seen())
+        seen.tries += 1
+        seen.failed += not ok
+        seen.unreached += not reached
+        seen.took += took if ok else 0
+        self.answered += ok
+
+    def _turn(self, now: int) -> None:
+        if now - self._began >= SPAN:
+            old = self._spans[0] if now - self._began < 2 * SPAN else {}
+            self._spans, self._began = [{}, old], now
+
+    def all(self, now: int) -> dict[int, Seen]:
+        self._turn(now)
+        out: dict[int, Seen] = {}
+        for span in self._spans:
+            for server, one in span.items():
+                seen = out.setdefault(server, Seen())
+                seen.tries += one.tries
+                seen.failed += one.failed
+                seen.unreached += one.unreached
+                seen.took += one.took
+        return out
+
+    def per_s(self, now: int) -> int:
+        passed = max(1, now - self._load_at)
+        rate = int(self.answered * 1e9 / passed)
+        self.answered, self._load_at = 0, now
+        return rate
+
+
+class Judge:
+    """`sound`: whether this node may speak of servers at all; `ready`: the servers that its own list names
+    ready, by their keys; `zones`: by node, of those that live."""
+
+    def __init__(
+        self, facts: Facts, now: int, zone: int, sound: Callable[[], bool],
+        zones: Callable[[], dict[int, int]],
+    ) -> None:  # fmt: skip
+        self.sight = Sight(now)
+        self.out: dict[int, Verdict] = {}
+        self.ready: set[int] = set()
+        self._disputed: dict[int, int] = {}  # since when there has been evidence on a server
+        self._facts = facts
+        self._zone = zone
+        self._sound = sound
+        self._zones = zones
+
+    def tick(self, now: int) -> tuple[list[Verdict], list[Verdict]]:
+        """Those that are left out from now on, and those that are back."""
+        zones = self._zones()
+        seen = self.sight.all(now)
+        if self._sound():
+            self._tell(now, seen, len(zones))
+        wanted = {one.server: one for one in self._worst(now, seen, zones)}
+        new = [one for server, one in wanted.items() if server not in self.out]
+        back = [one for server, one in self.out.items() if server not in wanted]
+        self.out = wanted
+        return new, back
+
+    def _tell(self, now: int, seen: dict[int, Seen], nodes: int) -> None:
+        disputed = self._facts.subjects(now, EVIDENCE)
+        for server, one in seen.items():
+            if one.failed or server in disputed:
+                self._publish(now, EVIDENCE, server, one.value(), nodes)
+        bad = sum(one.bad() for one in seen.values())
+        tried = sum(one.tries >= SURE for one in seen.values())
+        own = self._facts.published(LOAD, 0)
+        if seen or own is not None:
+            rate = self.sight.per_s(now)
+            load = (self._zone, min(rate, 0xFFFF), min(self.sight.in_flight, 0xFFFF), tried, bad)
+            self._publish(now, LOAD, 0, load, nodes)
+
+    def _publish(self, now: int, kind: int, subject: int, value: tuple[int, ...], nodes: int) -> None:
+        known = self._facts.published(kind, subject)
+        if known is None or now - known.born > LATER or _differs(known.value, value):
+            self._facts.publish(now, kind, subject, value, nodes)
+
+    def _worst(self, now: int, seen: dict[int, Seen], zones: dict[int, int]) -> list[Verdict]:
+        loads = self._facts.read(now, LOAD)
+        at_fault = {one.owner for one in loads if one.value[4] > max(1, OWN_FAULT * one.value[3])}
+        found = []
+        disputed = self._facts.subjects(now, EVIDENCE)
+        self._disputed = {server: self._disputed.get(server, now) for server in disputed}
+        for server, facts in disputed.items():
+            if server not in self.ready or now - self._disputed[server] < HEARING:
+                continue
+            verdict = judged(server, facts, zones, at_fault)
+            own = seen.get(server)
+            if verdict is not None and not (own is not None and own.tries >= SURE and not own.bad()):
+                found.append(verdict)
+        room = int(OUT_MOST * len(self.ready))
+        # One that is out stays before one that is not: else two of the same kind take turns.
+        found.sort(key=lambda one: (one.server not in self.out, -one.share, -len(one.reporters), one.server))
+        return found[:room]
+
+
+def _differs(before: tuple[int, ...], after: tuple[int, ...]) -> bool:
+    """By enough to be told: half as much again, or between nothing and something."""
+    return any(
+        (one == 0) != (other == 0) or abs(one - other) > max(2, one // 2)
+        for one, other in zip(before, after, strict=True)
+    )
+
+
+def judged(server: int, facts: Iterable[Fact], zones: dict[int, int], at_fault: set[int]) -> Verdict | None:
+    """A verdict if the server is bad for all."""
+    tried = [
+        one for one in facts if one.owner in zones and one.owner not in at_fault and one.value[0] >= SURE
+    ]
+    bad = [one.owner for one in tried if one.value[1] >= BAD * one.value[0]]
+    wanted = max(2, min(REPORTERS, len(zones) - 1))
+    if len(bad) < max(wanted, ceil(MOST * len(tried))):
+        return None
+    if len(set(zones.values())) > 1 and len({zones[owner] for owner in bad}) < 2:
+        return None
+    return Verdict(server, tuple(sorted(bad)), len(bad) / len(tried))
--- a/driftstair/tier/shared/wire.py
+++ b/driftstair/tier/shared/wire.py
@@ -17,7 +17,9 @@
 NS_MOST = (1 << 63) - 1
 SHARES_MOST = 1 << 24
 EASE_MOST = 255
+NODE_MOST = 0xFFFE
 ASK, GRANT, BACK = 1, 2, 3
+FACT, DIGEST, DIGEST_BACK = 10, 11, 12
 
 Item = tuple[Any, ...]
 """A kind, then its fields."""
--- a/driftstair/tier/sharing.py
+++ b/driftstair/tier/sharing.py
@@ -4,10 +4,20 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 from driftstair.tier.shared.budget import Spec
 from driftstair.tier.shared.core import Action, Shared, Tell
+from driftstair.tier.watching import Watching
+from lichenspring.interface import Module
+
+
+class Speaks(NamedTuple):
+    """Of a node that shares judgements: its zone, whether it may speak, the zones of those that live."""
+
+    zone: int
+    sound: Callable[[], bool]
+    zones: Callable[[], dict[int, int]]
 
 
 class FleetTokens:
@@ -60,16 +70,19 @@
 
 
 class Sharing:
-    """`carry(to, items)`; `write(event, **fields)`; `others`: living nodes that understand this."""
+    """`carry(to, items)`; `write(event, **fields)`; `others`: living nodes that understand this; `speaks`:
+    where judgements on servers are shared."""
 
     def __init__(
         self, specs: Iterable[Spec], random: Random, clock: Callable[[], int],
         others: Callable[[], list[int]], carry: Callable[[int, bytes], None], write: Callable[..., None],
+        speaks: Speaks | None = None,
     ) -> None:  # fmt: skip
         self.core = Shared(specs, random, others)
         self._clock = clock
         self._carry = carry
         self._write = write
+        self._speaks = speaks
         self._tokens: dict[str, FleetTokens] = {}
 
     def tokens(self, name: str) -> FleetTokens:
@@ -82,6 +95,12 @@
 
     def open(self, own: int, life: int, count: int) -> None:
         self._do(self.core.open(self._clock(), own, life, count))
+        if self._speaks is not None:
+            self.core.speak(self._clock(), *self._speaks)
+
+    def around(self, module: Module) -> Module:
+        """The decision module, watched and told on where judgements are shared."""
+        return module if self._speaks is None else Watching(module, lambda: self.core.judge)
 
     def close(self) -> None:
         self.core.close()
--- /dev/null
+++ b/tests/tier/test_evidence.py
@@ -0,0 +1,231 @@
+"""Judgements on servers: what several find counts, what one finds, or one at fault, does not."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from driftstair.tier.shared.evidence import HEARING, OUT_MOST, Judge, judged
+from driftstair.tier.shared.facts import EVIDENCE, LOAD, MS, Fact, Facts
+from driftstair.tier.watching import Watching, key
+from lichenspring import interface as api
+from lichenspring.interface import ListKind, Result, ServerState
+
+SECOND = 1000 * MS
+ZONES = {0: 0, 1: 0, 2: 1, 3: 1, 4: 2, 5: 2}
+
+
+def told(owner: int, tries: int, failed: int, server: int = 7) -> Fact:
+    return Fact(owner, 1, 1, EVIDENCE, server, 0, (tries, failed, 0, 0))
+
+
+@pytest.mark.parametrize(
+    ("rows", "bad"),
+    [
+        ([(1, 9, 9), (2, 9, 9), (3, 9, 9)], True),
+        ([(1, 9, 9), (2, 9, 9)], False),  # too few
+        ([(2, 9, 9), (3, 9, 9)], False),
+        ([(0, 9, 9), (1, 9, 9)], False),  # of one zone
+        ([(1, 9, 9), (2, 9, 9), (3, 9, 9), (4, 9, 0), (5, 9, 0), (0, 9, 0)], False),  # half find it sound
+        ([(1, 9, 9), (2, 9, 9), (3, 9, 9), (4, 9, 9), (5, 9, 0), (0, 9, 0)], True),
+        ([(1, 1, 1), (2, 1, 1), (3, 1, 1)], False),  # one try says nothing
+        ([(1, 9, 3), (2, 9, 4), (3, 9, 4)], False),
+        ([(1, 9, 9), (2, 9, 9), (8, 9, 9)], False),  # one that does not live
+    ],
+)
+def test_a_server_is_bad_for_all_by_several_from_more_than_one_zone(
+    rows: list[tuple[int, int, int]], bad: bool
+) -> None:
+    assert (judged(7, [told(*one) for one in rows], ZONES, set()) is not None) == bad
+
+
+def test_what_nodes_of_one_zone_find_counts_where_there_is_no_other() -> None:
+    rows = [told(number, 5, 5) for number in (1, 2, 3)]
+    assert judged(7, rows, dict.fromkeys(range(4), 0), set()) is not None
+    assert judged(7, rows, dict.fromkeys(range(4), 0), {2}) is None
+
+
+class Node:
+    """A judge with its facts; nobody else runs."""
+
+    def __init__(self, ready: int = 10, sound: bool = True) -> None:
+        self.facts = Facts(0, 1, Random(0))
+        self.judge = Judge(self.facts, 0, 0, lambda: sound, lambda: ZONES)
+        self.judge.ready = set(range(ready))
+        self.version = 0
+
+    def hears(self, now: int, owner: int, server: int, tries: int, failed: int) -> None:
+        self.version += 1
+        value = (tries, failed, 0, 0)
+        self.facts.take(now, Fact(owner, 1, self.version, EVIDENCE, server, now, value), 6)
+
+    def hears_load(self, now: int, owner: int, tried: int, bad: int) -> None:
+        self.version += 1
+        self.facts.take(now, Fact(owner, 1, self.version, LOAD, 0, now, (0, 9, 9, tried, bad)), 6)
+
+    def after_hearing(self, now: int = SECOND) -> set[int]:
+        self.judge.tick(now)
+        self.judge.tick(now + HEARING)
+        return set(self.judge.out)
+
+
+def test_those_who_find_nothing_wrong_have_a_while_to_say_so() -> None:
+    node = Node()
+    for owner in (1, 2, 3, 4):
+        node.hears(SECOND, owner, 3, 9, 9)
+    assert node.judge.tick(SECOND) == ([], [])
+    (verdict,), back = node.judge.tick(SECOND + HEARING)
+    assert (verdict.server, verdict.reporters, back) == (3, (1, 2, 3, 4), [])
+    later = SECOND + 6 * SECOND
+    new, (gone,) = node.judge.tick(later)
+    assert new == [] and gone.server == 3 and node.judge.out == {}
+
+
+def test_what_this_node_uses_with_success_it_goes_on_using() -> None:
+    node = Node()
+    for owner in (1, 2, 3, 4):
+        node.hears(SECOND, owner, 3, 9, 9)
+    for _ in range(5):
+        node.judge.sight.note(SECOND, 3, True, True, 5 * MS)
+    assert node.after_hearing() == set()
+
+
+def test_a_reporter_that_finds_everything_bad_counts_for_nothing() -> None:
+    node = Node()
+    for server in range(10):
+        for owner in (1, 2, 4):
+            node.hears(SECOND, owner, server, 9, 9)
+    assert len(node.after_hearing()) == int(OUT_MOST * 10)
+    for owner in (1, 2):
+        node.hears_load(SECOND + HEARING, owner, 10, 10)
+    node.judge.tick(SECOND + HEARING)
+    assert node.judge.out == {}
+
+
+def test_no_more_than_a_part_is_left_out_and_the_worst_first() -> None:
+    node = Node(ready=10)
+    for server, reporters in ((1, (1, 2, 3)), (2, (1, 2, 3, 4, 5)), (3, (1, 2, 3, 4))):
+        for owner in reporters:
+            node.hears(SECOND, owner, server, 9, 9)
+    assert node.after_hearing() == {2, 3}
+    node.hears(SECOND + HEARING, 4, 1, 9, 9)  # as bad as another now: that one stays
+    node.judge.tick(SECOND + HEARING)
+    assert set(node.judge.out) == {2, 3}
+
+
+def test_a_server_that_the_own_list_does_not_name_is_none() -> None:
+    node = Node(ready=3)
+    for owner in (1, 2, 3, 4):
+        node.hears(SECOND, owner, 9, 9, 9)
+    assert node.after_hearing() == set()
+
+
+def test_a_node_in_doubt_tells_nothing() -> None:
+    for sound in (True, False):
+        node = Node(sound=sound)
+        for _ in range(5):
+            node.judge.sight.note(SECOND, 3, False, False, 0)
+        node.judge.tick(SECOND)
+        assert bool(node.facts.published(EVIDENCE, 3)) == sound == bool(node.facts.published(LOAD, 0))
+
+
+def test_what_was_seen_ages() -> None:
+    node = Node()
+    for _ in range(5):
+        node.judge.sight.note(SECOND, 3, False, False, 0)
+    assert node.judge.sight.all(2 * SECOND)[3].bad()
+    assert node.judge.sight.all(SECOND + 6 * SECOND) == {}
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(st.tuples(st.integers(0, 5), *(st.integers(0, 9) for _ in range(3))), max_size=60),
+    st.sets(st.integers(0, 5), max_size=2),
+)
+def test_two_nodes_can_get_no_server_out_that_others_find_sound(
+    rows: list[tuple[int, int, int, int]], liars: set[int]
+) -> None:
+    """Whatever two say, as long as the four others have tried it and found it sound."""
+    node = Node()
+    for owner, server, tries, failed in rows:
+        if owner in liars and owner:
+            node.hears(SECOND, owner, server, tries, min(tries, failed))
+    for owner in set(ZONES) - liars - {0}:
+        for server in range(10):
+            node.hears(SECOND, owner, server, 9, 0)
+    assert node.after_hearing() == set()
+
+
+# Round the module.
+
+
+class Spy:
+    def __init__(self) -> None:
+        self.seen: list[api.Event] = []
+        self.actions: list[api.Action] = []
+
+    def start(self, now: int) -> list[api.Action]:
+        return []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.seen.append(event)
+        return list(self.actions)
+
+
+def server(number: int, state: ServerState = ServerState.READY) -> api.Server:
+    return api.Server(number.to_bytes(4, "big") + b"rest", 0, 0, state, 1.0, 0)
+
+
+def test_a_server_that_is_held_back_is_shown_as_draining_until_it_is_not() -> None:
+    node, spy = Node(), Spy()
+    watching = Watching(spy, lambda: node.judge)
+    watching.handle(0, api.ServerList(ListKind.FULL, tuple(server(number) for number in range(10))))
+    assert node.judge.ready == set(range(10)) and key(server(3).id) == 3
+    for owner in (1, 2, 3, 4):
+        node.hears(SECOND, owner, 3, 9, 9)
+    node.after_hearing()
+    watching.handle(SECOND, api.Timer(1))
+    last = spy.seen[-1]
+    assert isinstance(last, api.ServerList) and last.kind is ListKind.CACHED
+    assert [one.state for one in last.servers].index(ServerState.DRAINING) == 3
+    watching.handle(SECOND, api.ServerList(ListKind.DELTA, (server(3),)))
+    assert spy.seen[-1].servers[0].state is ServerState.DRAINING  # type: ignore[union-attr]
+    before = len(spy.seen)
+    watching.handle(SECOND, api.Timer(1))
+    assert len(spy.seen) == before + 1  # nothing new is told twice
+    node.judge.tick(9 * SECOND)
+    watching.handle(9 * SECOND, api.Timer(1))
+    assert all(one.state is ServerState.READY for one in spy.seen[-1].servers)  # type: ignore[union-attr]
+
+
+def test_outcomes_are_evidence_but_for_what_is_no_fault_of_the_server() -> None:
+    node, spy = Node(), Spy()
+    watching = Watching(spy, lambda: node.judge)
+    for result in Result:
+        watching.handle(0, api.Outcome(1, False, result, MS, server(3).id, 0, ()))
+    seen = node.judge.sight.all(0)[3]
+    assert (seen.tries, seen.failed, seen.unreached) == (5, 4, 1)
+
+
+def test_requests_in_flight_are_counted_however_they_end() -> None:
+    node, spy = Node(), Spy()
+    watching = Watching(spy, lambda: node.judge)
+    for number in range(1, 5):
+        watching.handle(0, api.Request(number, 0, 0, 0, False, SECOND))
+    assert node.judge.sight.in_flight == 4
+    watching.handle(0, api.Outcome(1, True, Result.OK, MS, server(3).id, 0, ()))
+    watching.handle(0, api.ClientGone(2))
+    spy.actions = [api.Refuse(3, 0)]
+    watching.handle(0, api.Timer(1))
+    assert node.judge.sight.in_flight == 1
+
+
+def test_without_rights_to_the_number_all_passes_as_it_is() -> None:
+    spy = Spy()
+    watching = Watching(spy, lambda: None)
+    for event in (api.Timer(1), api.ServerList(ListKind.FULL, (server(1),))):
+        watching.handle(0, event)
+        assert spy.seen[-1] == event
--- a/tests/tier/test_tier_rehearsals.py
+++ b/tests/tier/test_tier_rehearsals.py
@@ -11,10 +11,12 @@
 from driftstair.rehearsal.report import build, html
 from driftstair.tier.membership.core import NEVER, Membership
 from driftstair.tier.membership.suspicion import Suspicion
+from driftstair.tier.shared import evidence
 from driftstair.tier.shared.rights import Rights, Terms
 
 SCENARIOS = [name for name in shipped() if name.startswith("tier-")]
-SHARED = [name for name in shipped() if name.startswith("shared-")]
+JUDGED = ["shared-bad-eighth", "shared-liar"]
+SHARED = [name for name in shipped() if name.startswith("shared-") and name not in JUDGED]
 LIGHT = {"load": {"rate": 15.0, "keys": 30}, "boxes": {"count": 4}}
 
 
@@ -45,6 +47,37 @@
     assert budget["spent"] > 0.6 * budget["per_s"] * 60
 
 
+def test_a_server_that_fails_is_held_back_by_all_and_in_use_again_once_it_is_sound() -> None:
+    found = report("shared-bad-eighth", {})
+    held = found["tier"]["held_back"]
+    assert found["tier"]["findings"] == [] and found["verdict"]["rules_kept"], found["breaks"]
+    assert {one["node"] for one in held} == {f"n{number}" for number in range(8)}
+    assert {one["server"] for one in held} == {"s-03"}
+    assert all(15 < one["at"] < one["until"] < 35 + 8 for one in held)
+
+
+def test_two_nodes_that_find_every_server_failing_get_no_sound_one_held_back() -> None:
+    found = report("shared-liar", {})
+    assert found["tier"]["findings"] == []
+    assert found["verdict"]["rules_kept"], found["breaks"]
+    assert {one["server"] for one in found["tier"]["held_back"]} == {"s-03"}
+
+
+@pytest.mark.parametrize("defect", ["one reporter is enough", "who finds all bad is believed"])
+def test_a_planted_defect_of_judging_is_found(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    if defect == "one reporter is enough":
+        monkeypatch.setattr(evidence, "judged", lambda server, facts, zones, at_fault: next(
+            (evidence.Verdict(server, (one.owner,), 1.0) for one in facts if one.value[1] >= 2), None
+        ))  # fmt: skip
+        found = report("shared-liar", {})
+    else:
+        monkeypatch.setattr(evidence, "OWN_FAULT", 9.0)
+        monkeypatch.setattr(evidence, "MOST", 0.0)
+        monkeypatch.setattr(evidence, "REPORTERS", 2)
+        found = report("shared-liar", {})
+    assert {one["rule"] for one in found["tier"]["findings"]} == {"a sound server is held back"}
+
+
 def test_a_node_with_twelve_times_the_demand_is_let_in_for_more_than_its_part() -> None:
     rehearsal, _, _ = virtual.play(load("shared-halves", {}))
     spent = [sum(one["event"] == "spend" for one in events) for events in rehearsal.ground.histories()]
@@ -113,6 +146,8 @@
         ({"nodes": {"tier": {"perod_ms": 3}}}, "nodes.tier.perod_ms: no such key"),
         ({"nodes": {"tier": {"period_ms": 1}}}, "nodes.tier.period_ms"),
         ({"nodes": {"tier": {"admitted": {"per_s": -1}}}}, "nodes.tier.admitted.per_s"),
+        ({"nodes": {"tier": {"judge": True, "liars": ["n9"]}}}, "nodes.tier.liars: no such node: 'n9'"),
+        ({"nodes": {"tier": {"liars": ["n1"]}}}, "nobody listens without judge = true"),
         ({"nodes": {"tier": {"retries": {"per_s": 0.5, "burst_s": 1}}}}, "burst_s: a node alone never has"),
         ({"nodes": {"service": "x", "tier": {"retries": {"per_s": 9}}}}, "stands in nodes.service"),
         ({"nodes": {"tier": {}}, "trouble": [{"kind": "links", "at_s": 1, "senders": ["n9"]}]},
