Evidence counts failures in a row; judgements on several processes, and what tier state says

Seen on processes: a server with hundreds of good answers behind it that fails from now on was held back by nobody. Its past outweighed two failures, and after these the module tries it once in seconds, too seldom to be judged. Two failures since the last success say now that a server is bad, for 6 s after the last.

driftstair tier state: budgets, load by zone with how many were heard of, servers held back.

--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -130,7 +130,7 @@
         if call.order is Order.TIER:
             if self.tier is None:
                 return 404, {"error": "this node is in no tier"}
-            return 200, self.tier.report()
+            return 200, self.tier.report(self.roster.hosts)
         if call.order is Order.NODE_OUT:
             await self._order(lambda orders: setattr(orders, "drained", orders.drained or now))
         elif call.order is Order.NODE_IN:
--- a/driftstair/rehearsal/tier/judgements.py
+++ b/driftstair/rehearsal/tier/judgements.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from driftstair.net.node import digest
 from driftstair.rehearsal.tier.checks import SECOND, Finding
-from driftstair.tier.watching import key
+from driftstair.tier.watching import digest, key
 
 FOREVER = 1 << 62
 
--- a/driftstair/tier/command.py
+++ b/driftstair/tier/command.py
@@ -52,7 +52,7 @@
     return found
 
 
-def show(address: str, as_json: bool) -> int:
+def show(address: str, as_json: bool, part: str = "members") -> int:
     try:
         host, port = parse_address(address)
     except ListError:
@@ -63,9 +63,17 @@
     except AskError as problem:
         print(f"driftstair: {address}: {problem}", file=sys.stderr)
         return NO_TIER if isinstance(problem, NoTier) else NO_ANSWER
+    if part == "state":
+        found = found.get("shared") or {}
+        if not found:
+            why = "this node shares nothing; [tier.budgets] or judge = true in its service file would do"
+            print(f"driftstair: {address}: {why}", file=sys.stderr)
+            return NO_TIER
     if as_json:
         json.dump(found, sys.stdout, indent=1, sort_keys=True)
         print()
+    elif part == "state":
+        _print_state(found, Console())
     else:
         _print(found, Console())
     return SHOWN
@@ -91,8 +99,6 @@
             "" if trip is None else f"{trip * 1e3:.1f}", _why(one),
         )  # fmt: skip
     console.print(table)
-    if budgets := found.get("shared", {}).get("budgets"):
-        _print_budgets(budgets, console)
     counts = ", ".join(f"{name} {number}" for name, number in found["counts"].items() if number)
     console.print(counts, style="dim", highlight=False)
 
@@ -107,6 +113,27 @@
     console.print(table)
 
 
+def _print_state(found: dict[str, Any], console: Console) -> None:
+    if found["budgets"]:
+        _print_budgets(found["budgets"], console)
+    if "state" in found:
+        table = Table(box=None, pad_edge=False, header_style="dim")
+        for column in ("zone", "nodes", "heard of", "answers/s", "in flight", "s old", "finding all bad"):
+            table.add_column(column, justify="right")
+        for zone, one in found["state"].items():
+            table.add_row(
+                zone, str(one["nodes"]), str(one["heard"]), str(one["per_s"]), str(one["in_flight"]),
+                f"{one['oldest_s']:.1f}", ", ".join(map(str, one["finding_all_bad"])),
+            )  # fmt: skip
+        console.print(table)
+        for one in found["held_back"]:
+            by = ", ".join(map(str, one["reporters"]))
+            console.print(f"{one['server']} is held back: found bad by {by}", highlight=False)
+    if found["counts"]:
+        counts = ", ".join(f"{name} {number}" for name, number in found["counts"].items())
+        console.print(counts, style="dim", highlight=False)
+
+
 def _why(one: dict[str, Any]) -> str:
     if one["unheard"]:
         return "nobody answers this node"
--- a/driftstair/tier/options.py
+++ b/driftstair/tier/options.py
@@ -16,10 +16,14 @@
     show = verbs.add_parser("show", help="members, states, round trips, suspicions", epilog=EPILOG)
     show.add_argument("address", metavar="HOST:PORT", help="where operators call the node")
     show.add_argument("--json", action="store_true")
-    show.set_defaults(run=_run)
+    show.set_defaults(run=_run, part="members")
+    state = verbs.add_parser("state", help="budgets, load by zone, servers held back", epilog=EPILOG)
+    state.add_argument("address", metavar="HOST:PORT", help="where operators call the node")
+    state.add_argument("--json", action="store_true")
+    state.set_defaults(run=_run, part="state")
 
 
 def _run(found: argparse.Namespace) -> int:
     from driftstair.tier import command
 
-    return command.show(found.address, found.json)
+    return command.show(found.address, found.json, found.part)
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -325,8 +325,8 @@
 
     # For those who ask.
 
-    def report(self) -> dict[str, Any]:
-        """As JSON: `driftstair.tier/1`. Times in s."""
+    def report(self, servers: Iterable[str] = ()) -> dict[str, Any]:
+        """As JSON: `driftstair.tier/1`. Times in s. `servers`: names of those that the list tells of."""
         core, socket = self.core, self._socket
         mine = core.mine
         return {
@@ -353,7 +353,7 @@
                 "broken": socket.broken if socket else 0, "bound": int(socket is not None),
                 **{f"thrown_{why}": number for why, number in sorted(self._thrown_all.items())},
             },
-            **({} if self.sharing is None else {"shared": self.sharing.report()}),
+            **({} if self.sharing is None else {"shared": self.sharing.report(servers)}),
         }  # fmt: skip
 
 
--- a/driftstair/tier/shared/evidence.py
+++ b/driftstair/tier/shared/evidence.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from math import ceil, log2
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, Fact, Facts
 
@@ -31,6 +31,7 @@
 OUT_MOST = 0.2  # of the servers that are ready, left out on others' word
 OWN_FAULT = 1 / 3  # of the servers that a reporter tried: more of them bad is its own fault
 COUNT_MOST = 255
+RUN_LIVES = 6_000_000_000  # ns that failures in a row count after the last
 HEARING = 1_500_000_000  # ns: for those who find nothing wrong with a server to say so
 LATER = KINDS[EVIDENCE].lives // 2  # evidence that goes on is told anew
 
@@ -43,15 +44,36 @@
     failed: int = 0
     unreached: int = 0  # of these, that no connection came about for
     took: int = 0  # ns, of the answers together
+    run: int = 0  # tries that failed since the last that did not
 
-    def bad(self) -> bool:
-        return self.tries >= SURE and self.failed >= BAD * self.tries
-
-    def value(self) -> tuple[int, int, int, int]:
+    def value(self) -> Value:
         answers = self.tries - self.failed
         slow = int(4 * log2(1 + self.took / answers / 1e6)) if answers else 0
-        least = COUNT_MOST
-        return min(self.tries, least), min(self.failed, least), min(self.unreached, least), min(slow, least)
+        most = COUNT_MOST
+        return (
+            min(self.tries, most), min(self.failed, most), min(self.unreached, most), min(slow, most),
+            min(self.run, most),
+        )  # fmt: skip
+
+    def bad(self) -> bool:
+        return is_bad(self.value())
+
+    def tried(self) -> bool:
+        return is_tried(self.value())
+
+
+Value = tuple[int, ...]
+"""Of evidence: tries, failed, unreached, how long answers took (4 log2 of ms), failed since a success."""
+
+
+def is_tried(value: Value) -> bool:
+    return value[0] >= SURE or value[4] >= SURE
+
+
+def is_bad(value: Value) -> bool:
+    """By the last tries, or by most of them: a server that failed just now has a good past, and one that is
+    tried once in a while by then has none."""
+    return value[4] >= SURE or (value[0] >= SURE and value[1] >= BAD * value[0])
 
 
 class Verdict(NamedTuple):
@@ -65,6 +87,7 @@
 
     def __init__(self, now: int) -> None:
         self._spans: list[dict[int, Seen]] = [{}, {}]
+        self._runs: dict[int, tuple[int, int]] = {}  # failures in a row, and when the last was
         self._began = now
         self.answered = 0  # requests, since the last `load`
         self.in_flight = 0
@@ -78,6 +101,10 @@
         seen.unreached += not reached
         seen.took += took if ok else 0
         self.answered += ok
+        if ok:
+            self._runs.pop(server, None)
+        else:
+            self._runs[server] = self._runs.get(server, (0, 0))[0] + 1, now
 
     def _turn(self, now: int) -> None:
         if now - self._began >= SPAN:
@@ -94,6 +121,9 @@
                 seen.failed += one.failed
                 seen.unreached += one.unreached
                 seen.took += one.took
+        self._runs = {server: one for server, one in self._runs.items() if now - one[1] < RUN_LIVES}
+        for server, (count, _) in self._runs.items():
+            out.setdefault(server, Seen()).run = count
         return out
 
     def per_s(self, now: int) -> int:
@@ -132,13 +162,27 @@
         self.out = wanted
         return new, back
 
+    def state(self, now: int) -> dict[str, Any]:
+        """What is known of the load, by zone: of how many of those that live, and how old at worst, in s."""
+        zones = self._zones()
+        out: dict[str, Any] = {}
+        for zone in sorted(set(zones.values())):
+            rows = [one for one in self._facts.read(now, LOAD) if zones.get(one.owner) == zone]
+            out[str(zone)] = {
+                "nodes": sum(one == zone for one in zones.values()), "heard": len(rows),
+                "per_s": sum(one.value[1] for one in rows), "in_flight": sum(one.value[2] for one in rows),
+                "oldest_s": round(max((now - one.born for one in rows), default=0) / 1e9, 3),
+                "finding_all_bad": sorted(one.owner for one in rows if at_fault(one)),
+            }  # fmt: skip
+        return out
+
     def _tell(self, now: int, seen: dict[int, Seen], nodes: int) -> None:
         disputed = self._facts.subjects(now, EVIDENCE)
         for server, one in seen.items():
-            if one.failed or server in disputed:
+            if one.failed or one.run or server in disputed:
                 self._publish(now, EVIDENCE, server, one.value(), nodes)
         bad = sum(one.bad() for one in seen.values())
-        tried = sum(one.tries >= SURE for one in seen.values())
+        tried = sum(one.tried() for one in seen.values())
         own = self._facts.published(LOAD, 0)
         if seen or own is not None:
             rate = self.sight.per_s(now)
@@ -151,17 +195,16 @@
             self._facts.publish(now, kind, subject, value, nodes)
 
     def _worst(self, now: int, seen: dict[int, Seen], zones: dict[int, int]) -> list[Verdict]:
-        loads = self._facts.read(now, LOAD)
-        at_fault = {one.owner for one in loads if one.value[4] > max(1, OWN_FAULT * one.value[3])}
+        faulty = {one.owner for one in self._facts.read(now, LOAD) if at_fault(one)}
         found = []
         disputed = self._facts.subjects(now, EVIDENCE)
         self._disputed = {server: self._disputed.get(server, now) for server in disputed}
         for server, facts in disputed.items():
             if server not in self.ready or now - self._disputed[server] < HEARING:
                 continue
-            verdict = judged(server, facts, zones, at_fault)
+            verdict = judged(server, facts, zones, faulty)
             own = seen.get(server)
-            if verdict is not None and not (own is not None and own.tries >= SURE and not own.bad()):
+            if verdict is not None and not (own is not None and own.tried() and not own.bad()):
                 found.append(verdict)
         room = int(OUT_MOST * len(self.ready))
         # One that is out stays before one that is not: else two of the same kind take turns.
@@ -169,6 +212,11 @@
         return found[:room]
 
 
+def at_fault(load: Fact) -> bool:
+    """Whether its owner finds so much bad that the fault is its own."""
+    return load.value[4] > max(1, OWN_FAULT * load.value[3])
+
+
 def _differs(before: tuple[int, ...], after: tuple[int, ...]) -> bool:
     """By enough to be told: half as much again, or between nothing and something."""
     return any(
@@ -177,12 +225,10 @@
     )
 
 
-def judged(server: int, facts: Iterable[Fact], zones: dict[int, int], at_fault: set[int]) -> Verdict | None:
-    """A verdict if the server is bad for all."""
-    tried = [
-        one for one in facts if one.owner in zones and one.owner not in at_fault and one.value[0] >= SURE
-    ]
-    bad = [one.owner for one in tried if one.value[1] >= BAD * one.value[0]]
+def judged(server: int, facts: Iterable[Fact], zones: dict[int, int], faulty: set[int]) -> Verdict | None:
+    """A verdict if the server is bad for all. `faulty`: reporters that count for nothing."""
+    tried = [one for one in facts if one.owner in zones and one.owner not in faulty and is_tried(one.value)]
+    bad = [one.owner for one in tried if is_bad(one.value)]
     wanted = max(2, min(REPORTERS, len(zones) - 1))
     if len(bad) < max(wanted, ceil(MOST * len(tried))):
         return None
--- a/driftstair/tier/shared/facts.py
+++ b/driftstair/tier/shared/facts.py
@@ -31,7 +31,7 @@
 
 
 EVIDENCE, LOAD = 1, 2
-KINDS = {EVIDENCE: Kind(5_000 * MS, 1, 4), LOAD: Kind(5_000 * MS, 2, 5)}
+KINDS = {EVIDENCE: Kind(5_000 * MS, 1, 5), LOAD: Kind(5_000 * MS, 2, 5)}
 
 Place = tuple[int, int, int]  # owner, kind, subject
 
--- a/driftstair/tier/sharing.py
+++ b/driftstair/tier/sharing.py
@@ -8,7 +8,8 @@
 
 from driftstair.tier.shared.budget import Spec
 from driftstair.tier.shared.core import Action, Shared, Tell
-from driftstair.tier.watching import Watching
+from driftstair.tier.shared.evidence import Judge
+from driftstair.tier.watching import Watching, digest, key
 from lichenspring.interface import Module
 
 
@@ -127,8 +128,8 @@
             else:
                 self._write(action.event, **action.fields)
 
-    def report(self) -> dict[str, Any]:
-        """As JSON. Rates are tokens a second."""
+    def report(self, servers: Iterable[str] = ()) -> dict[str, Any]:
+        """As JSON. Rates are tokens a second. `servers`: names of those that the list tells of."""
         now = self._clock()
         budgets = {}
         for name, one in self.core.budgets.items():
@@ -142,4 +143,17 @@
                 **one.counts,
             }  # fmt: skip
         thrown = {f"thrown_{why}": number for why, number in sorted(self.core.thrown.items()) if number}
-        return {"budgets": budgets, "counts": thrown}
+        judge = self.core.judge
+        judged = {} if judge is None else {"state": judge.state(now), "held_back": _named(judge, servers)}
+        return {"budgets": budgets, "counts": thrown, **judged}
+
+
+def _named(judge: Judge, servers: Iterable[str]) -> list[dict[str, Any]]:
+    names = {key(digest(one)): one for one in servers}
+    return [
+        {
+            "server": names.get(one.server, f"{one.server:08x}"), "reporters": list(one.reporters),
+            "share": round(one.share, 3),
+        }
+        for one in judge.out.values()
+    ]  # fmt: skip
--- a/tests/tier/fleet.py
+++ b/tests/tier/fleet.py
@@ -38,6 +38,7 @@
         self.count = count
         self.links = Links(seed=7)
         self.troubles: list[Span] = []
+        self.desk = ""  # where operators call node 0, if they do
         self.lines: dict[int, list[str]] = {}
         self.ready: dict[int, tuple[str, int]] = {}
         self.code = dict.fromkeys(range(count), code)  # the program, in the place of `-m driftstair`
--- a/tests/tier/test_budgets_processes.py
+++ b/tests/tier/test_budgets_processes.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 from fleet import Fleet
-from rig import Client, Server, request, run_for, status
+from rig import Server, run_for
+from traffic import Traffic
 
 from driftstair.rehearsal.tier.budgets import check, spending
 from driftstair.tier import history
@@ -24,7 +24,6 @@
 name = "all"
 admit = {{ rate = {{ fleet = "admitted" }} }}
 """
-PAUSE = 0.002  # s between two requests of one client: far more than any part of the budget
 
 
 def events(fleet: Fleet) -> list[dict[str, Any]]:
@@ -42,37 +41,6 @@
     return sum(one["event"] == "spend" and (not nodes or one["node"] in nodes) for one in events(fleet))
 
 
-class Traffic:
-    """Clients that ask some nodes as fast as they are answered, until it is closed. A node that is not there
-    is tried again."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-        self.answered: dict[int, list[int]] = {}
-
-    def on(self, *nodes: int) -> None:
-        for node in nodes:
-            self._tasks[node] = asyncio.create_task(self._ask(node))
-
-    async def off(self, *nodes: int) -> None:
-        gone = [self._tasks.pop(node) for node in nodes or tuple(self._tasks)]
-        for task in gone:
-            task.cancel()
-        await asyncio.gather(*gone, return_exceptions=True)
-
-    async def _ask(self, node: int) -> None:
-        answers = self.answered.setdefault(node, [])
-        while True:
-            try:
-                client = Client(*await asyncio.open_connection(*self._fleet.ready[node]))
-                while True:
-                    answers.append(status(await client.ask(request())))
-                    await asyncio.sleep(PAUSE)
-            except (OSError, KeyError, EOFError):
-                await asyncio.sleep(0.05)
-
-
 Act = Callable[[Fleet, Traffic], Awaitable[None]]
 
 
--- a/tests/tier/test_evidence.py
+++ b/tests/tier/test_evidence.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from driftstair.tier.shared.evidence import HEARING, OUT_MOST, Judge, judged
+from driftstair.tier.shared.evidence import HEARING, OUT_MOST, RUN_LIVES, Judge, judged
 from driftstair.tier.shared.facts import EVIDENCE, LOAD, MS, Fact, Facts
 from driftstair.tier.watching import Watching, key
 from lichenspring import interface as api
@@ -19,7 +19,7 @@
 
 
 def told(owner: int, tries: int, failed: int, server: int = 7) -> Fact:
-    return Fact(owner, 1, 1, EVIDENCE, server, 0, (tries, failed, 0, 0))
+    return Fact(owner, 1, 1, EVIDENCE, server, 0, (tries, failed, 0, 0, 0))
 
 
 @pytest.mark.parametrize(
@@ -59,7 +59,7 @@
 
     def hears(self, now: int, owner: int, server: int, tries: int, failed: int) -> None:
         self.version += 1
-        value = (tries, failed, 0, 0)
+        value = (tries, failed, 0, 0, 0)
         self.facts.take(now, Fact(owner, 1, self.version, EVIDENCE, server, now, value), 6)
 
     def hears_load(self, now: int, owner: int, tried: int, bad: int) -> None:
@@ -132,12 +132,22 @@
         assert bool(node.facts.published(EVIDENCE, 3)) == sound == bool(node.facts.published(LOAD, 0))
 
 
+def test_a_server_that_failed_just_now_is_bad_whatever_its_past_and_sound_by_one_success() -> None:
+    sight = Node().judge.sight
+    for number in range(202):
+        sight.note(SECOND, 3, number < 200, True, 0)
+    assert sight.all(SECOND)[3].bad()
+    assert not sight.all(SECOND + RUN_LIVES).get(3)
+    sight.note(SECOND, 3, True, True, 0)
+    assert not sight.all(SECOND)[3].bad()
+
+
 def test_what_was_seen_ages() -> None:
     node = Node()
     for _ in range(5):
         node.judge.sight.note(SECOND, 3, False, False, 0)
     assert node.judge.sight.all(2 * SECOND)[3].bad()
-    assert node.judge.sight.all(SECOND + 6 * SECOND) == {}
+    assert node.judge.sight.all(SECOND + RUN_LIVES) == {}
 
 
 @settings(max_examples=200, deadline=None)
--- a/tests/tier/test_facts.py
+++ b/tests/tier/test_facts.py
@@ -16,12 +16,12 @@
 
 SECOND = 1000 * MS
 LIVES = KINDS[EVIDENCE].lives
-VALUE = (4, 2, 0, 7)
+VALUE = (4, 2, 0, 7, 1)
 
 # One writer: a version has one value.
 FACTS = st.builds(
     lambda owner, life, version, subject, age: Fact(
-        owner, life, version, EVIDENCE, subject, SECOND - age * MS, (version, life, subject, owner)
+        owner, life, version, EVIDENCE, subject, SECOND - age * MS, (version, life, subject, owner, 0)
     ),
     st.integers(1, 3), st.integers(1, 2), st.integers(1, 4), st.integers(0, 2), st.integers(0, 900),
 )  # fmt: skip
@@ -189,7 +189,7 @@
         ((wire.FACT, 1, 1, 1, EVIDENCE, 7, 10**6, *VALUE), "out_of_range"),
         ((wire.FACT, 1, 1, 0, EVIDENCE, 7, 0, *VALUE), "out_of_range"),
         ((wire.FACT, 1 << 20, 1, 1, EVIDENCE, 7, 0, *VALUE), "out_of_range"),
-        ((wire.FACT, 1, 1, 1, EVIDENCE, 7, 0, 1, 2, 3, 1 << 40), "out_of_range"),
+        ((wire.FACT, 1, 1, 1, EVIDENCE, 7, 0, 1, 2, 3, 4, 1 << 40), "out_of_range"),
         ((wire.DIGEST, 1), "no_digest"), ((wire.DIGEST, *range(100)), "no_digest"),
         ((wire.DIGEST, 1, "x"), "out_of_range"),
     ],
--- /dev/null
+++ b/tests/tier/test_judgements_processes.py
@@ -0,0 +1,116 @@
+"""Judgements on servers on several processes of the program, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+from fleet import ROOT, Fleet
+from rig import Server, answer, run_for, says, serves
+from traffic import Traffic
+
+from driftstair.rehearsal.tier.judgements import Judged, held_back
+from driftstair.tier import history
+
+SERVERS = [f"s{number}" for number in range(6)]
+BAD = "s4"
+LIAR = "from driftstair.rehearsal.tier.liar import main; import sys; sys.exit(main())"
+
+Act = Callable[[Fleet, Traffic, dict[str, Server]], Awaitable[None]]
+
+
+def judged(fleet: Fleet) -> list[Judged]:
+    events = [one for path in sorted(fleet.histories.glob("*.jsonl")) for one in history.read(path)]
+    return held_back(events, SERVERS)
+
+
+def holding(fleet: Fleet, *nodes: int) -> Callable[[], bool]:
+    """Whether all of these hold the bad server back now."""
+    def so() -> bool:
+        now = {one.node for one in judged(fleet) if one.server == BAD and one.end >= 1 << 62}
+        return set(nodes) <= now
+
+    return so
+
+
+def played(folder: Path, count: int, act: Act, liars: tuple[int, ...] = ()) -> None:
+    async def test() -> None:
+        async with AsyncExitStack() as stack, Fleet(folder, count, "judge = true\n") as fleet:
+            servers = {name: await stack.enter_async_context(Server(name)) for name in SERVERS}
+            fleet.servers = list(servers.values())
+            fleet.code |= dict.fromkeys(liars, LIAR)
+            await fleet.start(*range(1, count))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                fleet.desk = f"127.0.0.1:{probe.getsockname()[1]}"
+            await fleet.start(0, env={"BALANCER_OPS": fleet.desk})
+            await fleet.joined()
+            traffic = Traffic(fleet)
+            traffic.on(*range(count))
+            try:
+                await act(fleet, traffic, servers)
+            finally:
+                await traffic.off()
+            assert {one.server for one in judged(fleet)} <= {BAD}
+
+    run_for(test(), 180.0)
+
+
+def state(fleet: Fleet) -> dict[str, Any]:
+    done = subprocess.run(
+        [sys.executable, "-m", "driftstair", "tier", "state", fleet.desk, "--json"], cwd=ROOT,
+        capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    found: dict[str, Any] = json.loads(done.stdout)
+    return found
+
+
+def test_a_failing_server_is_held_back_by_all_that_run_and_back_once_it_is_sound(tmp_path: Path) -> None:
+    async def act(fleet: Fleet, traffic: Traffic, servers: dict[str, Server]) -> None:
+        servers[BAD].script = says(answer(500))
+        await fleet.until(holding(fleet, 0, 1, 2, 3, 4))
+        found = await asyncio.to_thread(state, fleet)
+        assert [one["server"] for one in found["held_back"]] == [BAD]
+        assert found["state"]["0"]["nodes"] == 5
+        fleet.stop(2)
+        await fleet.kill(3)
+        await fleet.start(3)
+        await fleet.until(holding(fleet, 3))  # it has not seen much of it itself
+        servers[BAD].script = serves
+        fleet.go_on(2)
+        await fleet.until(lambda: all(one.end < 1 << 62 for one in judged(fleet)))
+
+    played(tmp_path, 5, act)
+
+
+def test_two_that_say_that_every_server_fails_are_not_believed(tmp_path: Path) -> None:
+    async def act(fleet: Fleet, traffic: Traffic, servers: dict[str, Server]) -> None:
+        servers[BAD].script = says(answer(500))
+        await fleet.until(holding(fleet, 0, 2, 3, 5, 6))
+        found = await asyncio.to_thread(state, fleet)
+        assert found["state"]["0"]["finding_all_bad"] == [1, 4]
+
+    played(tmp_path, 7, act, liars=(1, 4))
+
+
+def test_halves_judge_each_for_itself_and_what_one_knew_the_other_learns(tmp_path: Path) -> None:
+    async def act(fleet: Fleet, traffic: Traffic, servers: dict[str, Server]) -> None:
+        one, other = (0, 1, 2), (3, 4, 5, 6)
+        pairs = [pair for pair in fleet.all_pairs() if (pair[0] in one) != (pair[1] in one)]
+        heal = fleet.cut(*pairs, blame=tuple(range(7)))
+        await fleet.held(other, "dead", by=one)
+        servers[BAD].script = says(answer(500))
+        await fleet.until(holding(fleet, *range(7)))
+        heal()
+        await fleet.joined()
+        servers[BAD].script = serves
+        await fleet.until(lambda: all(one.end < 1 << 62 for one in judged(fleet)))
+
+    played(tmp_path, 7, act)
