Leases with fencing tokens: the core, every order of a small council, a modelled tier

Need: one owner at a time for the fleet's work. A council of the first seven numbers, a member silent after its start for as long as a lease can last, promises refused while a lease runs; an owner's time counts from its sending. Not in the daemon yet.

Found by random orders before it landed: a renewal under way whose answers came after the lease had lapsed gave the same token a second time; what comes after a lapse is now another lease.

--- /dev/null
+++ b/driftstair/tier/ownership/acceptor.py
@@ -0,0 +1,105 @@
+"""A member of the council: for each task it keeps the greatest token it heard of and the lease that runs.
+
+While a lease runs here nobody else's is taken, and a promise to another is not given either: so an owner's
+renewals meet no rival, and two owners at once would need two majorities with no member in common. A process
+that starts does not know what the one before it has accepted, and keeps silent for as long as a lease can
+last; then nothing of that matters. So nothing has to be on a disk for there to be one owner (PaxosLease,
+Trencseni and others, 2012; the refusal of promises while a lease runs is ours).
+
+That tokens rise across restarts is another matter. What a member forgot it makes up by a floor: the first
+token of its own life, as lives rise by the clock, and what other members tell it while it is silent. Where a
+majority restarts unheard and clocks disagree as well, a token may fall; what bears the effect refuses that.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from driftstair.tier.ownership.messages import (
+    NUMBERS,
+    Accepted,
+    Prepare,
+    Promise,
+    Propose,
+    Refused,
+    Release,
+    Terms,
+    first_token,
+)
+
+TASKS_MOST = 4096
+
+
+@dataclass(slots=True)
+class Running:
+    owner: int
+    life: int
+    token: int
+    until: int  # ns, by this member's clock
+
+
+class Acceptor:
+    """`life` of its process; `started` in ns."""
+
+    def __init__(self, terms: Terms, life: int, started: int) -> None:
+        self.floor = first_token(life, NUMBERS - 1)
+        self.running: dict[int, Running] = {}  # by task
+        self.known: dict[int, int] = {}  # by task: the greatest token promised or accepted
+        self.heirs: dict[int, int] = {}
+        self._terms = terms
+        self._silent_until = started + terms.waited()
+
+    def silent(self, now: int) -> bool:
+        return now < self._silent_until
+
+    def lease(self, now: int, task: int) -> Running | None:
+        """That runs now."""
+        one = self.running.get(task)
+        if one is not None and one.until <= now:
+            del self.running[task]
+            return None
+        return one
+
+    def prepare(self, now: int, sender: int, life: int, asked: Prepare) -> Promise | Refused | None:
+        """None: it says nothing."""
+        if self.silent(now) or self._full(asked.task):
+            return None
+        if (refusal := self._refusal(now, sender, life, asked.task, asked.token)) is not None:
+            return refusal
+        self.known[asked.task] = asked.token
+        return Promise(asked.task, asked.token)
+
+    def propose(self, now: int, sender: int, life: int, asked: Propose) -> Accepted | Refused | None:
+        if self.silent(now) or self._full(asked.task):
+            return None
+        if (refusal := self._refusal(now, sender, life, asked.task, asked.token)) is not None:
+            return refusal
+        self.known[asked.task] = asked.token
+        self.heirs.pop(asked.task, None)
+        self.running[asked.task] = Running(sender, life, asked.token, now + self._terms.waited())
+        return Accepted(asked.task, asked.token, asked.seq)
+
+    def _refusal(self, now: int, sender: int, life: int, task: int, token: int) -> Refused | None:
+        known = max(self.floor, self.known.get(task, 0))
+        lease = self.lease(now, task)
+        if lease is not None and (lease.owner, lease.life) != (sender, life):
+            return Refused(task, token, known, lease.owner, lease.until - now)
+        return Refused(task, token, known) if token < known else None
+
+    def release(self, now: int, sender: int, life: int, told: Release) -> None:
+        """One that comes after the next grant, or from another, changes nothing."""
+        lease = self.lease(now, told.task)
+        if lease is not None and (lease.owner, lease.life, lease.token) == (sender, life, told.token):
+            del self.running[told.task]
+            if told.heir >= 0:
+                self.heirs[told.task] = told.heir
+
+    def greatest(self) -> int:
+        """Of all tokens that it knows: what a member that starts is told."""
+        return max(self.floor, *self.known.values(), 0)
+
+    def learn(self, token: int) -> None:
+        self.floor = max(self.floor, token)
+
+    def _full(self, task: int) -> bool:
+        return task not in self.known and len(self.known) >= TASKS_MOST
--- /dev/null
+++ b/driftstair/tier/ownership/leases.py
@@ -0,0 +1,220 @@
+"""All tasks of one process: its part in the council, and the leases that it wants or holds. Times are ns.
+
+Who should have a task is told by rendezvous hashing over the living: the first in rank asks at once, a few
+others wait longer by rank, so that rivals are rare and a crash moves only what its node held. Whoever has a
+lease keeps it while it lives; rank decides no more than who asks first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+from random import Random
+from typing import NamedTuple
+
+from driftstair.tier.ownership.acceptor import Acceptor
+from driftstair.tier.ownership.messages import (
+    Accepted,
+    Letters,
+    Message,
+    Prepare,
+    Promise,
+    Propose,
+    Refused,
+    Release,
+    Terms,
+)
+from driftstair.tier.ownership.proposer import Proposer
+
+COUNCIL_MOST = 7
+TERMS = Terms()
+STAGGER = 700_000_000  # ns that each further rank waits before it asks
+RANKS_MOST = 4
+NEVER = 1 << 62
+
+
+class Owns(NamedTuple):
+    """This process has a lease from now on, or (`token` 0) has it no more."""
+
+    task: str
+    token: int
+    was: int
+
+
+@dataclass(slots=True)
+class Task:
+    name: str
+    key: int
+    proposer: Proposer
+    since: int  # ns: since when nobody is known to have it
+    rank: int = 0
+    had: int = 0  # token of the lease that was told of
+
+
+def key_of(name: str) -> int:
+    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
+def council_of(count: int) -> tuple[int, ...]:
+    """The first numbers: the same whatever number beyond them joins or goes."""
+    return tuple(range(min(count, COUNCIL_MOST)))
+
+
+def ranked(key: int, numbers: Iterable[int]) -> list[int]:
+    """Who should have a task, the first first (Thaler and Ravishankar, 1998)."""
+    return sorted(
+        numbers, key=lambda number: blake2b(f"{key}/{number}".encode(), digest_size=8).digest(), reverse=True
+    )
+
+
+class Leases:
+    """`living`: numbers that this node holds alive, its own among them."""
+
+    def __init__(
+        self, tasks: Iterable[str], own: int, life: int, count: int, now: int, random: Random,
+        living: Callable[[], list[int]], terms: Terms = TERMS,
+    ) -> None:  # fmt: skip
+        self.council = council_of(count)
+        self.acceptor = Acceptor(terms, life, now) if own in self.council else None
+        self.wake_at = now
+        self._own, self._life = own, life
+        self._terms = terms
+        self._living = living
+        self._leaving = False
+        self._alive: list[int] = []  # those that ranks were told by
+        self.tasks: dict[str, Task] = {}
+        for name in tasks:
+            proposer = Proposer(key_of(name), own, life, self.council, terms, random)
+            # No council that was started with this node says anything any sooner.
+            self.tasks[name] = Task(name, key_of(name), proposer, now + terms.waited())
+        self._keys = {one.key: one for one in self.tasks.values()}
+
+    def token(self, now: int, task: str) -> int:
+        """To act with; 0: not this node's to do."""
+        one = self.tasks.get(task)
+        return 0 if one is None else one.proposer.token(now)
+
+    def tick(self, now: int) -> tuple[Letters, list[Owns]]:
+        letters: Letters = []
+        living = self._living()
+        if living != self._alive:
+            self._alive = living
+            for task in self.tasks.values():
+                order = ranked(task.key, living)[:RANKS_MOST]
+                task.rank = order.index(self._own) if self._own in order else RANKS_MOST
+        alive = set(living)
+        for task in self.tasks.values():
+            proposer = task.proposer
+            owner = self._owner(now, task)
+            if owner in alive:
+                task.since = max(task.since, now)
+            if proposer.token(now):
+                proposer.wanted = not self._leaving
+            else:
+                turn = task.rank < RANKS_MOST and now - task.since >= task.rank * STAGGER
+                proposer.wanted = turn and not self._leaving
+            letters += self._deliver(now, proposer.tick(now))
+        self._set_wake(now)
+        return letters, self._changes(now)
+
+    def _owner(self, now: int, task: Task) -> int:
+        """Of the lease that runs, as far as this node knows; -1: none."""
+        if task.proposer.token(now):
+            return self._own
+        lease = None if self.acceptor is None else self.acceptor.lease(now, task.key)
+        return -1 if lease is None else lease.owner
+
+    def _set_wake(self, now: int) -> None:
+        # Its wishes follow who lives, so it looks every now and then in any case.
+        self.wake_at = min(
+            (max(now + 1_000_000, one.proposer.due(now)) for one in self.tasks.values()), default=NEVER
+        )
+        if self.tasks:
+            self.wake_at = min(self.wake_at, now + STAGGER // 2)
+
+    def _changes(self, now: int) -> list[Owns]:
+        out = []
+        for task in self.tasks.values():
+            token = task.proposer.token(now)
+            if token != task.had:
+                out.append(Owns(task.name, token, task.had))
+                task.had = token
+        return out
+
+    def _deliver(self, now: int, letters: Letters) -> Letters:
+        """What is for this node itself needs no datagram."""
+        out: Letters = []
+        waiting = list(letters)
+        while waiting:
+            to, message = waiting.pop(0)
+            if to == self._own:
+                waiting += self._take(now, self._own, self._life, message)
+            else:
+                out.append((to, message))
+        return out
+
+    def heard(self, now: int, sender: int, life: int, message: Message) -> tuple[Letters, list[Owns]]:
+        letters = self._deliver(now, self._take(now, sender, life, message))
+        if isinstance(message, Release) and message.heir == self._own:
+            asked, changes = self.tick(now)
+            return letters + asked, changes
+        self._set_wake(now)
+        return letters, self._changes(now)
+
+    def _take(self, now: int, sender: int, life: int, message: Message) -> Letters:
+        if isinstance(message, Release) and message.heir == self._own and message.task in self._keys:
+            heir = self._keys[message.task]
+            heir.since = now - RANKS_MOST * STAGGER
+            heir.proposer.free(now)
+        if isinstance(message, Prepare | Propose | Release):
+            return self._decide(now, sender, life, message)
+        task = self._keys.get(message.task)
+        if task is None or sender not in self.council:
+            return []
+        match message:
+            case Promise():
+                return task.proposer.promised(now, sender, message)
+            case Accepted():
+                task.proposer.accepted(now, sender, message)
+            case Refused():
+                task.proposer.refused(now, sender, message)
+        return []
+
+    def _decide(self, now: int, sender: int, life: int, message: Prepare | Propose | Release) -> Letters:
+        if self.acceptor is None:
+            return []
+        answer: Promise | Accepted | Refused | None = None
+        match message:
+            case Prepare():
+                answer = self.acceptor.prepare(now, sender, life, message)
+            case Propose():
+                answer = self.acceptor.propose(now, sender, life, message)
+            case Release():
+                self.acceptor.release(now, sender, life, message)
+        return [] if answer is None else [(sender, answer)]
+
+    def floor(self, task: str, token: int) -> None:
+        """What bears the effect knows a greater token: this node's lease is none, its next is above."""
+        one = self.tasks.get(task)
+        if one is not None:
+            one.proposer.floor(token)
+
+    def release(self, now: int, task: str, heir: int = -1) -> tuple[Letters, list[Owns]]:
+        return self._released(now, self.tasks[task], heir), self._changes(now)
+
+    def _released(self, now: int, task: Task, heir: int) -> Letters:
+        letters = task.proposer.release(now, heir)
+        if letters and heir >= 0 and heir not in self.council:
+            letters = [*letters, (heir, letters[0][1])]
+        return self._deliver(now, letters)
+
+    def leave(self, now: int) -> tuple[Letters, list[Owns]]:
+        """All that it holds, each to the next in rank."""
+        self._leaving = True
+        letters: Letters = []
+        for task in self.tasks.values():
+            heirs = [number for number in ranked(task.key, self._living()) if number != self._own]
+            letters += self._released(now, task, heirs[0] if heirs else -1)
+            task.proposer.wanted = False
+        return letters, self._changes(now)
