One node tries a held-back server for all, under a lease with a fencing token

Need: a server that is left out is probed by every node. The lease's core is in the daemon where judge = true: the council's messages go in the tier's datagrams, and the owner of the task is shown the server as ready by its own tier. It tells what it finds with its token; an older token's word is refused.

--- a/driftstair/rehearsal/tier/stage.py
+++ b/driftstair/rehearsal/tier/stage.py
@@ -8,7 +8,7 @@
 
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal import wire
-from driftstair.rehearsal.tier import budgets, judgements
+from driftstair.rehearsal.tier import budgets, judgements, owners
 from driftstair.rehearsal.tier.checks import Bounds, Finding, Span, Story, check
 from driftstair.rehearsal.tier.histories import Event, Process, processes
 from driftstair.rehearsal.tier.links import Fault, Links
@@ -102,7 +102,8 @@
         for cut in self._cuts:
             lasting += [Span(node, cut.begin, now + 1, apart=others) for node, others in cut.apart.items()]
         self.processes = [process for one in histories for process in processes(one)]
-        self.findings = check(Story(self.processes, self._spans + lasting, now), self._bounds)
+        story = Story(self.processes, self._spans + lasting, now)
+        self.findings = check(story, self._bounds) + owners.check(events, story)
         self.findings += budgets.check(events)
         self.spending = budgets.spending(events)
         self.held_back = judgements.held_back(events, self.boxes)
--- a/driftstair/tier/history.py
+++ b/driftstair/tier/history.py
@@ -35,6 +35,9 @@
     },  # fmt: skip
     "spend": {"budget": str, "amount": float},
     "judge": {"server": int, "verdict": str, "reporters": list},
+    "own": {"task": str, "token": int},
+    "lost": {"task": str, "token": int},
+    "refused": {"task": str, "token": int},
 }
 """By event: its fields. `state`: alive, suspect, dead or left; `told`: whether others hear of it, or the node
 holds it so for itself alone, since it hears nobody."""
--- a/driftstair/tier/ownership/leases.py
+++ b/driftstair/tier/ownership/leases.py
@@ -83,12 +83,31 @@
         self._living = living
         self._leaving = False
         self._alive: list[int] = []  # those that ranks were told by
+        self._random = random
+        # No council that was started with this node says anything any sooner.
+        self._speaks_at = now + terms.waited()
         self.tasks: dict[str, Task] = {}
+        self._keys: dict[int, Task] = {}
         for name in tasks:
-            proposer = Proposer(key_of(name), own, life, self.council, terms, random)
-            # No council that was started with this node says anything any sooner.
-            self.tasks[name] = Task(name, key_of(name), proposer, now + terms.waited())
-        self._keys = {one.key: one for one in self.tasks.values()}
+            self.add(now, name)
+
+    def add(self, now: int, name: str) -> None:
+        """There is this work from now on, as all nodes find for themselves."""
+        if name not in self.tasks:
+            key = key_of(name)
+            proposer = Proposer(key, self._own, self._life, self.council, self._terms, self._random)
+            self.tasks[name] = self._keys[key] = Task(name, key, proposer, max(now, self._speaks_at))
+            self._alive = []
+            self.wake_at = now
+
+    def remove(self, now: int, name: str) -> tuple[Letters, list[Owns]]:
+        """There is no such work any more."""
+        task = self.tasks.get(name)
+        if task is None:
+            return [], []
+        letters, changes = self._released(now, task, -1), self._changes(now)
+        del self.tasks[name], self._keys[task.key]
+        return letters, changes
 
     def token(self, now: int, task: str) -> int:
         """To act with; 0: not this node's to do."""
--- /dev/null
+++ b/driftstair/tier/ownership/wire.py
@@ -0,0 +1,55 @@
+"""Messages of the council as items in a datagram: what both ends know by the datagram is left out."""
+
+from __future__ import annotations
+
+from driftstair.tier.ownership.messages import (
+    Accepted,
+    Message,
+    Prepare,
+    Promise,
+    Propose,
+    Refused,
+    Release,
+)
+from driftstair.tier.shared.wire import NODE_MOST, NS_MOST, Item, Unusable, whole
+from driftstair.tier.wire import COUNT_MOST
+
+TOKEN_MOST = (1 << 64) - 1
+KINDS: dict[int, type[Message]] = {
+    20: Prepare, 21: Promise, 22: Propose, 23: Accepted, 24: Refused, 25: Release,
+}  # fmt: skip
+_NUMBERS = {kind: number for number, kind in KINDS.items()}
+
+
+def item(message: Message) -> Item:
+    """Node numbers go as one more: -1 says nobody."""
+    number = _NUMBERS[type(message)]
+    match message:
+        case Refused(task, token, known, owner, left):
+            return number, task, token, known, owner + 1, left
+        case Release(task, token, heir):
+            return number, task, token, heir + 1
+    return number, *message
+
+
+def read(found: Item) -> Message:
+    """Raises Unusable."""
+    kind, fields = KINDS[found[0]], found[1:]
+    least = {Prepare: 2, Promise: 2, Propose: 3, Accepted: 3, Refused: 5, Release: 3}[kind]
+    if len(fields) < least:
+        raise Unusable("too_few_fields")
+    task, token = whole(fields[0], COUNT_MOST), whole(fields[1], TOKEN_MOST)
+    if kind is Prepare:
+        return Prepare(task, token)
+    if kind is Promise:
+        return Promise(task, token)
+    if kind is Propose:
+        return Propose(task, token, whole(fields[2], COUNT_MOST))
+    if kind is Accepted:
+        return Accepted(task, token, whole(fields[2], COUNT_MOST))
+    if kind is Refused:
+        known, owner, left = fields[2:5]
+        return Refused(
+            task, token, whole(known, TOKEN_MOST), whole(owner, NODE_MOST + 1) - 1, whole(left, NS_MOST)
+        )
+    return Release(task, token, whole(fields[2], NODE_MOST + 1) - 1)
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -11,6 +11,9 @@
 from random import Random
 from typing import Any
 
+from driftstair.tier.ownership import wire as council
+from driftstair.tier.ownership.leases import Leases, Owns
+from driftstair.tier.ownership.messages import Letters
 from driftstair.tier.shared import wire
 from driftstair.tier.shared.budget import TICKS, Budget, Messages, Spec
 from driftstair.tier.shared.evidence import Judge
@@ -20,6 +23,7 @@
 from driftstair.tier.shared.wire import Unusable
 
 NEVER = 1 << 62
+PROBING = "probe/"  # and a server's key: the task of trying one that is held back
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,6 +58,7 @@
         self._random = random
         self._others = others
         self.judge: Judge | None = None
+        self.leases: Leases | None = None
         self._budget_at = self._gossip_at = NEVER
         self._gossip: Gossip | None = None
         self._own = self._life = self._count = -1
@@ -81,6 +86,9 @@
         if before is not None:
             self.judge.sight, self.judge.ready = before.sight, before.ready
         self._gossip_at = now
+        self.leases = Leases(
+            (), self._own, self._life, self._count, now, self._random, lambda: sorted(zones())
+        )
         self._set_wake(now)
         return self.judge
 
@@ -92,6 +100,7 @@
     def close(self) -> None:
         """Not that node any more: nothing is held."""
         self.budgets, self._keys, self._is_open, self._gossip = {}, {}, False, None
+        self.leases = self.judge = None
         self._budget_at = self._gossip_at = self.wake_at = NEVER
 
     def renamed(self, life: int) -> None:
@@ -124,7 +133,8 @@
         return [_described(now, one, self._count) for one in changed]
 
     def leave(self, now: int) -> list[Action]:
-        return self._told([(one, one.leave(now)) for one in self.budgets.values()])
+        out = self._told([(one, one.leave(now)) for one in self.budgets.values()])
+        return out if self.leases is None else out + self._led(*self.leases.leave(now))
 
     # Time and datagrams.
 
@@ -137,6 +147,8 @@
             self._gossip_at = now + ROUND
             out += self._judged(now)
             out += _sent(self._gossip.tick(now))
+        if self.leases is not None and now >= self.leases.wake_at:
+            out += self._led(*self.leases.tick(now))
         self._set_wake(now)
         return out
 
@@ -145,12 +157,42 @@
         if times and self._budget_at == NEVER:
             self._budget_at = now + min(times)
         self.wake_at = min(self._budget_at, self._gossip_at)
+        if self.leases is not None:
+            self.wake_at = min(self.wake_at, self.leases.wake_at)
+
+    def _led(self, letters: Letters, changes: list[Owns]) -> list[Action]:
+        out: list[Action] = []
+        for one in changes:
+            if one.was:
+                out.append(Wrote("lost", {"task": one.task, "token": one.was}))
+            if one.token:
+                out.append(Wrote("own", {"task": one.task, "token": one.token}))
+        return out + _sent([(to, council.item(message)) for to, message in letters])
+
+    def _probe(self, now: int) -> list[Action]:
+        """One node tries each server that is held back, for all."""
+        judge, leases = self.judge, self.leases
+        if judge is None or leases is None:
+            return []
+        out: list[Action] = []
+        wanted = {f"{PROBING}{server:08x}": server for server in judge.out}
+        for name in [name for name in leases.tasks if name not in wanted]:
+            out += self._led(*leases.remove(now, name))
+        for name in wanted:
+            leases.add(now, name)
+        judge.probing = {
+            server: token for name, server in wanted.items() if (token := leases.token(now, name))
+        }
+        for server, token in judge.refused:
+            out.append(Wrote("refused", {"task": f"{PROBING}{server:08x}", "token": token}))
+        judge.refused.clear()
+        return out
 
     def _judged(self, now: int) -> list[Action]:
         if self.judge is None:
             return []
         left_out, back = self.judge.tick(now)
-        return [
+        return self._probe(now) + [
             Wrote("judge", {"server": one.server, "verdict": verdict, "reporters": list(one.reporters)})
             for verdict, some in (("out", left_out), ("back", back)) for one in some
         ]  # fmt: skip
@@ -160,15 +202,18 @@
         self.thrown["unreadable"] += broken
         answers: list[tuple[Budget, Messages]] = []
         tells: Tells = []
+        led: list[Action] = []
         for item in found:
             try:
                 if item[0] in (wire.FACT, wire.DIGEST, wire.DIGEST_BACK) and self._gossip is not None:
                     tells += self._gossip.take(now, sender, item)
+                elif item[0] in council.KINDS and self.leases is not None:
+                    led += self._led(*self.leases.heard(now, sender, life, council.read(item)))
                 else:
                     answers += self._take(now, sender, life, item)
             except Unusable as problem:
                 self.thrown[str(problem)] += 1
-        return self._told(answers) + _sent(tells)
+        return self._told(answers) + _sent(tells) + led
 
     def _take(self, now: int, sender: int, life: int, item: wire.Item) -> list[tuple[Budget, Messages]]:
         if item[0] not in (wire.ASK, wire.GRANT, wire.BACK):
--- a/driftstair/tier/shared/evidence.py
+++ b/driftstair/tier/shared/evidence.py
@@ -21,7 +21,7 @@
 from math import ceil, log2
 from typing import Any, NamedTuple
 
-from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, Fact, Facts
+from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, PROBE, Fact, Facts
 
 SPAN = 2_500_000_000  # ns: what was seen counts for one to two of these
 SURE = 2  # tries, fewer say nothing; a node leaves a server out itself after two that failed
@@ -31,6 +31,8 @@
 OUT_MOST = 0.2  # of the servers that are ready, left out on others' word
 OWN_FAULT = 1 / 3  # of the servers that a reporter tried: more of them bad is its own fault
 COUNT_MOST = 255
+PROBE_LIVES = 10_000_000_000  # ns that they do where one node tries for all, which it does ever more seldom
+SOUND = 3  # successes in a row by which a prober finds a server sound
 RUN_LIVES = 6_000_000_000  # ns that failures in a row count after the last
 HEARING = 1_500_000_000  # ns: for those who find nothing wrong with a server to say so
 LATER = KINDS[EVIDENCE].lives // 2  # evidence that goes on is told anew
@@ -88,6 +90,7 @@
     def __init__(self, now: int) -> None:
         self._spans: list[dict[int, Seen]] = [{}, {}]
         self._runs: dict[int, tuple[int, int]] = {}  # failures in a row, and when the last was
+        self._well: dict[int, int] = {}  # successes in a row, of servers that failed lately
         self._began = now
         self.answered = 0  # requests, since the last `load`
         self.in_flight = 0
@@ -101,10 +104,13 @@
         seen.unreached += not reached
         seen.took += took if ok else 0
         self.answered += ok
-        if ok:
-            self._runs.pop(server, None)
-        else:
+        if not ok:
             self._runs[server] = self._runs.get(server, (0, 0))[0] + 1, now
+            self._well[server] = 0
+        else:
+            self._runs.pop(server, None)
+            if server in self._well:
+                self._well[server] = min(SOUND, self._well[server] + 1)
 
     def _turn(self, now: int) -> None:
         if now - self._began >= SPAN:
@@ -121,11 +127,18 @@
                 seen.failed += one.failed
                 seen.unreached += one.unreached
                 seen.took += one.took
-        self._runs = {server: one for server, one in self._runs.items() if now - one[1] < RUN_LIVES}
-        for server, (count, _) in self._runs.items():
-            out.setdefault(server, Seen()).run = count
+        self._runs = {server: one for server, one in self._runs.items() if now - one[1] < PROBE_LIVES}
+        for server, (count, at) in self._runs.items():
+            if now - at < RUN_LIVES:
+                out.setdefault(server, Seen()).run = count
         return out
 
+    def found(self, now: int, server: int) -> bool | None:
+        """By whoever tries it for all: whether it fails; None: that is not known."""
+        if server in self._runs:
+            return True if now - self._runs[server][1] < PROBE_LIVES else None
+        return False if self._well.get(server) == SOUND else None
+
     def per_s(self, now: int) -> int:
         passed = max(1, now - self._load_at)
         rate = int(self.answered * 1e9 / passed)
@@ -145,6 +158,9 @@
         self.out: dict[int, Verdict] = {}
         self.ready: set[int] = set()
         self._disputed: dict[int, int] = {}  # since when there has been evidence on a server
+        self.probing: dict[int, int] = {}  # servers that this node tries for all, by its token to do so
+        self.probed: dict[int, int] = {}  # by server: the greatest token that somebody tried it with
+        self.refused: list[tuple[int, int]] = []  # servers and older tokens, for the history
         self._facts = facts
         self._zone = zone
         self._sound = sound
@@ -156,6 +172,7 @@
         seen = self.sight.all(now)
         if self._sound():
             self._tell(now, seen, len(zones))
+            self._tell_probes(now, len(zones))
         wanted = {one.server: one for one in self._worst(now, seen, zones)}
         new = [one for server, one in wanted.items() if server not in self.out]
         back = [one for server, one in self.out.items() if server not in wanted]
@@ -189,6 +206,31 @@
             load = (self._zone, min(rate, 0xFFFF), min(self.sight.in_flight, 0xFFFF), tried, bad)
             self._publish(now, LOAD, 0, load, nodes)
 
+    def _tell_probes(self, now: int, nodes: int) -> None:
+        for server, token in self.probing.items():
+            fails = self.sight.found(now, server)
+            if fails is not None:
+                parts = tuple(token >> shift & 0xFFFF for shift in (48, 32, 16, 0))
+                self._publish(now, PROBE, server, (int(fails), *parts), nodes)
+
+    def _probes(self, now: int, zones: dict[int, int]) -> dict[int, Fact]:
+        """By server: what its prober says. One with an older token than another has shown was too late."""
+        out: dict[int, Fact] = {}
+        for server, facts in self._facts.subjects(now, PROBE).items():
+            for one in facts:
+                token = token_of(one)
+                if token < self.probed.get(server, 0):
+                    if (server, token) not in self.refused:
+                        self.refused.append((server, token))
+                elif one.owner in zones and (server not in out or token > token_of(out[server])):
+                    out[server] = one
+                    self.probed[server] = token
+        return out
+
+    def hidden(self) -> set[int]:
+        """What this node's own module is not to use: it tries those itself that it probes for all."""
+        return self.out.keys() - self.probing.keys()
+
     def _publish(self, now: int, kind: int, subject: int, value: tuple[int, ...], nodes: int) -> None:
         known = self._facts.published(kind, subject)
         if known is None or now - known.born > LATER or _differs(known.value, value):
@@ -197,13 +239,19 @@
     def _worst(self, now: int, seen: dict[int, Seen], zones: dict[int, int]) -> list[Verdict]:
         faulty = {one.owner for one in self._facts.read(now, LOAD) if at_fault(one)}
         found = []
+        probes = self._probes(now, zones)
         disputed = self._facts.subjects(now, EVIDENCE)
+        for server in probes:
+            disputed.setdefault(server, [])
         self._disputed = {server: self._disputed.get(server, now) for server in disputed}
         for server, facts in disputed.items():
             if server not in self.ready or now - self._disputed[server] < HEARING:
                 continue
             verdict = judged(server, facts, zones, faulty)
             own = seen.get(server)
+            if server in self.out and (probe := probes.get(server)) is not None:
+                # Whoever tries it for all knows: it is out for as long as that fails, and no longer.
+                verdict = Verdict(server, (probe.owner,), 1.0) if probe.value[0] else None
             if verdict is not None and not (own is not None and own.tried() and not own.bad()):
                 found.append(verdict)
         room = int(OUT_MOST * len(self.ready))
@@ -217,6 +265,11 @@
     return load.value[4] > max(1, OWN_FAULT * load.value[3])
 
 
+def token_of(probe: Fact) -> int:
+    high, second, third, low = probe.value[1:5]
+    return high << 48 | second << 32 | third << 16 | low
+
+
 def _differs(before: tuple[int, ...], after: tuple[int, ...]) -> bool:
     """By enough to be told: half as much again, or between nothing and something."""
     return any(
--- a/driftstair/tier/shared/facts.py
+++ b/driftstair/tier/shared/facts.py
@@ -30,8 +30,8 @@
     fields: int  # whole numbers of its value
 
 
-EVIDENCE, LOAD = 1, 2
-KINDS = {EVIDENCE: Kind(5_000 * MS, 1, 5), LOAD: Kind(5_000 * MS, 2, 5)}
+EVIDENCE, LOAD, PROBE = 1, 2, 3
+KINDS = {EVIDENCE: Kind(5_000 * MS, 1, 5), LOAD: Kind(5_000 * MS, 2, 5), PROBE: Kind(5_000 * MS, 3, 5)}
 
 Place = tuple[int, int, int]  # owner, kind, subject
 
--- a/driftstair/tier/watching.py
+++ b/driftstair/tier/watching.py
@@ -58,7 +58,7 @@
             )
             judge.sight.in_flight = len(self._open)
             judge.ready = {key(one.id) for one in self._servers.values() if one.state is ServerState.READY}
-            out = frozenset(judge.out) & judge.ready
+            out = frozenset(judge.hidden()) & judge.ready
             if out != self._out:
                 self._out = out
                 shown = tuple(self._shown(one) for one in self._servers.values())
--- a/tests/tier/test_evidence.py
+++ b/tests/tier/test_evidence.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from driftstair.tier.shared.evidence import HEARING, OUT_MOST, RUN_LIVES, Judge, judged
-from driftstair.tier.shared.facts import EVIDENCE, LOAD, MS, Fact, Facts
+from driftstair.tier.shared.evidence import HEARING, OUT_MOST, RUN_LIVES, Judge, judged, token_of
+from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, MS, PROBE, Fact, Facts
 from driftstair.tier.watching import Watching, key
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, Result, ServerState
@@ -169,6 +169,61 @@
     assert node.after_hearing() == set()
 
 
+# One tries it for all.
+
+
+def probe(owner: int, version: int, token: int, fails: bool, now: int) -> Fact:
+    parts = tuple(token >> shift & 0xFFFF for shift in (48, 32, 16, 0))
+    return Fact(owner, 1, version, PROBE, 3, now, (int(fails), *parts))
+
+
+def left_out() -> tuple[Node, int]:
+    node = Node()
+    for owner in (1, 2, 3, 4):
+        node.hears(SECOND, owner, 3, 9, 9)
+    assert node.after_hearing() == {3}
+    return node, SECOND + HEARING
+
+
+def test_a_server_is_out_for_as_long_as_its_prober_finds_it_failing_and_back_at_its_word() -> None:
+    node, now = left_out()
+    for number in range(10):  # long after all other evidence
+        now += SECOND
+        node.facts.take(now, probe(2, 50 + number, 7, True, now), 6)
+        assert node.judge.tick(now) == ([], [])
+    node.facts.take(now, probe(2, 99, 7, False, now), 6)
+    new, (back,) = node.judge.tick(now)
+    assert new == [] and back.server == 3
+
+
+def test_a_prober_that_wakes_up_late_is_refused_by_its_token() -> None:
+    node, now = left_out()
+    node.facts.take(now, probe(4, 50, 9, True, now), 6)
+    node.judge.tick(now)
+    node.facts.take(now, probe(2, 50, 7, False, now), 6)  # it had it before, and says that all is well
+    assert node.judge.tick(now) == ([], [])
+    assert node.judge.refused == [(3, 7)]
+    node.facts.forget(4)  # the later one is gone: the older token is no better for that
+    node.judge.tick(now + KINDS[EVIDENCE].lives)
+    assert node.judge.probed[3] == 9
+
+
+def test_whoever_probes_uses_the_server_itself_and_tells_what_came_of_it() -> None:
+    node, now = left_out()
+    token = 0x0001_0002_0003_0004
+    node.judge.probing = {3: token}
+    assert node.judge.out.keys() == {3} and node.judge.hidden() == set()
+    node.judge.sight.note(now, 3, False, True, 0)
+    node.judge.tick(now)
+    fact = node.facts.published(PROBE, 3)
+    assert fact is not None and fact.value[0] == 1 and token_of(fact) == token
+    for number in range(3):
+        node.judge.sight.note(now + SECOND, 3, True, True, 0)
+        node.judge.tick(now + SECOND)
+        fact = node.facts.published(PROBE, 3)
+        assert fact is not None and fact.value[0] == (0 if number == 2 else 1)  # one success says little
+
+
 # Round the module.
 
 
--- a/tests/tier/test_judgements_processes.py
+++ b/tests/tier/test_judgements_processes.py
@@ -16,6 +16,7 @@
 from rig import Server, answer, run_for, says, serves
 from traffic import Traffic
 
+from driftstair.rehearsal.tier import owners
 from driftstair.rehearsal.tier.judgements import Judged, held_back
 from driftstair.tier import history
 
@@ -26,9 +27,12 @@
 Act = Callable[[Fleet, Traffic, dict[str, Server]], Awaitable[None]]
 
 
+def events(fleet: Fleet) -> list[dict[str, Any]]:
+    return [one for path in sorted(fleet.histories.glob("*.jsonl")) for one in history.read(path)]
+
+
 def judged(fleet: Fleet) -> list[Judged]:
-    events = [one for path in sorted(fleet.histories.glob("*.jsonl")) for one in history.read(path)]
-    return held_back(events, SERVERS)
+    return held_back(events(fleet), SERVERS)
 
 
 def holding(fleet: Fleet, *nodes: int) -> Callable[[], bool]:
@@ -59,6 +63,7 @@
             finally:
                 await traffic.off()
             assert {one.server for one in judged(fleet)} <= {BAD}
+            assert owners.check(events(fleet), fleet.story()) == []
 
     run_for(test(), 180.0)
 
@@ -90,6 +95,31 @@
     played(tmp_path, 5, act)
 
 
+def probers(fleet: Fleet) -> list[int]:
+    """Who has had the one task of trying the bad server, in the order of time."""
+    found = owners.leases(events(fleet))
+    return [node for some in found.values() for _, _, _, node in some]
+
+
+def test_one_node_tries_a_server_for_all_and_another_does_once_that_one_is_gone(tmp_path: Path) -> None:
+    async def act(fleet: Fleet, traffic: Traffic, servers: dict[str, Server]) -> None:
+        servers[BAD].script = says(answer(500))
+        await fleet.until(holding(fleet, 0, 1, 2, 3, 4))
+        await fleet.until(lambda: probers(fleet))
+        (first,) = probers(fleet)
+        await fleet.kill(first)
+        await fleet.until(lambda: len(set(probers(fleet))) > 1)
+        second = probers(fleet)[-1]
+        fleet.stop(second)
+        await fleet.until(lambda: probers(fleet)[-1] not in (first, second))
+        fleet.go_on(second)
+        await fleet.start(first)
+        servers[BAD].script = serves
+        await fleet.until(lambda: all(one.end < 1 << 62 for one in judged(fleet)))
+
+    played(tmp_path, 5, act)
+
+
 def test_two_that_say_that_every_server_fails_are_not_believed(tmp_path: Path) -> None:
     async def act(fleet: Fleet, traffic: Traffic, servers: dict[str, Server]) -> None:
         servers[BAD].script = says(answer(500))
--- /dev/null
+++ b/tests/tier/test_owner_checks.py
@@ -0,0 +1,62 @@
+"""The checker of owners on histories made up for it, and what goes by datagram."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from driftstair.rehearsal.tier.checks import Span, Story
+from driftstair.rehearsal.tier.owners import check
+from driftstair.tier.ownership import wire
+from driftstair.tier.ownership.messages import Accepted, Message, Prepare, Promise, Propose, Refused, Release
+from driftstair.tier.shared.wire import Unusable
+
+SECOND = 1_000_000_000
+
+
+def event(node: int, what: str, at: float, token: int = 0) -> dict[str, Any]:
+    return {"t_ns": int(at * SECOND), "node": node, "event": what, "task": "t", "token": token}
+
+
+FIRST = [event(1, "start", 0), event(2, "start", 0), event(1, "own", 1, 10)]
+
+
+@pytest.mark.parametrize(
+    ("more", "troubles", "rules"),
+    [
+        ([event(1, "lost", 5, 10), event(2, "own", 6, 11)], [], []),
+        ([event(1, "lost", 5, 10), event(2, "own", 6, 9)], [], ["a token does not rise"]),
+        ([event(1, "lost", 5, 10), event(1, "own", 6, 10)], [], ["a token does not rise"]),
+        ([event(2, "own", 4, 11), event(1, "lost", 5, 10)], [], ["a task has two owners"]),
+        ([event(2, "own", 4, 11)], [], ["a task has two owners"]),
+        ([event(2, "own", 4, 11), event(1, "lost", 9, 10)], [Span(1, 2 * SECOND, 8 * SECOND)], []),
+        ([event(2, "own", 9, 11)], [Span(1, 2 * SECOND, 99 * SECOND, down=True)], []),
+        ([event(1, "start", 3), event(2, "own", 4, 11)], [], []),
+    ],
+)
+def test_tokens_rise_and_owners_do_not_overlap(
+    more: list[dict[str, Any]], troubles: list[Span], rules: list[str]
+) -> None:
+    found = check([*FIRST, *more], Story([], troubles))
+    assert [one.rule for one in found] == rules
+
+
+@pytest.mark.parametrize(
+    "message",
+    [Prepare(1, 1 << 63), Promise(1, 5), Propose(1, 5, 7), Accepted(1, 5, 7), Refused(1, 5, 9, -1, 0),
+     Refused(1, 5, 9, 3, 4 * SECOND), Release(1, 5, -1), Release(1, 5, 0)],
+)  # fmt: skip
+def test_a_message_comes_as_it_went(message: Message) -> None:
+    assert wire.read(wire.item(message)) == message
+
+
+@pytest.mark.parametrize(
+    ("item", "why"),
+    [((20, 1), "too_few_fields"), ((22, 1, 5), "too_few_fields"), ((20, -1, 5), "out_of_range"),
+     ((20, 1, 1 << 64), "out_of_range"), ((24, 1, 5, 9, "x", 0), "out_of_range"),
+     ((25, 1, 5, -2), "out_of_range")],
+)  # fmt: skip
+def test_what_is_none_is_counted_and_passed_over(item: tuple[Any, ...], why: str) -> None:
+    with pytest.raises(Unusable, match=why):
+        wire.read(item)
--- a/tests/tier/test_tier_rehearsals.py
+++ b/tests/tier/test_tier_rehearsals.py
@@ -9,8 +9,10 @@
 from driftstair.rehearsal import virtual
 from driftstair.rehearsal.load import ScenarioError, load, parse, shipped
 from driftstair.rehearsal.report import build, html
+from driftstair.rehearsal.tier import owners
 from driftstair.tier.membership.core import NEVER, Membership
 from driftstair.tier.membership.suspicion import Suspicion
+from driftstair.tier.ownership.acceptor import Acceptor
 from driftstair.tier.shared import evidence
 from driftstair.tier.shared.rights import Rights, Terms
 
@@ -56,6 +58,23 @@
     assert all(15 < one["at"] < one["until"] < 35 + 8 for one in held)
 
 
+@pytest.mark.parametrize("name", [name for name in shipped() if name.startswith("owner-")])
+def test_one_node_at_a_time_tries_a_failing_server_whatever_befalls_the_nodes(name: str) -> None:
+    rehearsal, log, _ = virtual.play(load(name, {}))
+    found = build.build(rehearsal, log, "virtual")
+    assert found["tier"]["findings"] == []
+    assert not found["verdict"]["crashes"]
+    had = owners.leases([one for events in rehearsal.ground.histories() for one in events])
+    assert len({node for some in had.values() for _, _, _, node in some}) > 1, had
+
+
+def test_a_member_that_forgets_and_speaks_at_once_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Acceptor, "silent", lambda self, now: False)
+    monkeypatch.setattr(Acceptor, "lease", lambda self, now, task: None)
+    rules = {one["rule"] for one in report("owner-one-sided", {})["tier"]["findings"]}
+    assert rules & {"a task has two owners", "a token does not rise"}
+
+
 def test_two_nodes_that_find_every_server_failing_get_no_sound_one_held_back() -> None:
     found = report("shared-liar", {})
     assert found["tier"]["findings"] == []
