A planned end tells the next process of its node until when it has lent

Need: a lender that restarts holds its floor for a loan's time, as it does not know what is out. With a folder that outlives it, a process that ends as planned leaves one figure, read once, good on the same boot alone; one that was killed leaves none. Seen on processes: 32 of 32 shares after a planned end, 1 after SIGKILL.

tier state says who tries a held-back server.

--- a/driftstair/tier/command.py
+++ b/driftstair/tier/command.py
@@ -129,6 +129,9 @@
         for one in found["held_back"]:
             by = ", ".join(map(str, one["reporters"]))
             console.print(f"{one['server']} is held back: found bad by {by}", highlight=False)
+    for task, one in found.get("tasks", {}).items():
+        who = "nobody that this node knows of" if one["owner"] is None else f"node {one['owner']}"
+        console.print(f"{task}: {who}, token {one['token']}", highlight=False)
     if found["counts"]:
         counts = ", ".join(f"{name} {number}" for name, number in found["counts"].items())
         console.print(counts, style="dim", highlight=False)
--- a/driftstair/tier/ownership/leases.py
+++ b/driftstair/tier/ownership/leases.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from driftstair.tier.ownership.acceptor import Acceptor
 from driftstair.tier.ownership.messages import (
@@ -213,6 +213,24 @@
                 self.acceptor.release(now, sender, life, message)
         return [] if answer is None else [(sender, answer)]
 
+    def report(self, now: int) -> dict[str, Any]:
+        """Per task: the owner as this node knows (none where it is not of the council and has it not itself),
+        the token, and s that are left of the lease."""
+        out: dict[str, Any] = {}
+        for task in self.tasks.values():
+            own = task.proposer.token(now)
+            lease = None if self.acceptor is None else self.acceptor.lease(now, task.key)
+            out[task.name] = {
+                "owner": self._own if own else None if lease is None else lease.owner,
+                "token": own or (0 if lease is None else lease.token), "own": bool(own),
+                "left_s": None if lease is None else round((lease.until - now) / 1e9, 3),
+            }  # fmt: skip
+        return out
+
+    def silent(self, now: int) -> bool:
+        """Whether it is of the council, and says nothing yet."""
+        return self.acceptor is not None and self.acceptor.silent(now)
+
     def floor(self, task: str, token: int) -> None:
         """What bears the effect knows a greater token: this node's lease is none, its next is above."""
         one = self.tasks.get(task)
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -15,7 +15,7 @@
 
 from driftstair.net.system import Datagrams, System
 from driftstair.settings import Config
-from driftstair.tier import kept, told, wire
+from driftstair.tier import kept, lent, told, wire
 from driftstair.tier.history import History
 from driftstair.tier.kept import KeptError
 from driftstair.tier.membership import events as api
@@ -58,6 +58,8 @@
         self._system = system
         self._codec = Codec(key)
         self._history = history
+        self._lent = folder / f"{config.name}.lent" if folder else None
+        self._opened = False  # once: what is said for a start is said once
         self._kept = folder / f"{config.name}.members" if folder else None
         self._loop = asyncio.get_running_loop()
         self._socket: Datagrams | None = None
@@ -111,7 +113,9 @@
             return
         if self.sharing is not None:
             # The machine gives the address to one process alone: whoever has it has the number's rights.
-            self.sharing.open(self._told.own, self.core.mine.life, len(self._told.peers))
+            lent_until = lent.take(self._lent) if self._lent is not None and not self._opened else None
+            self._opened = True
+            self.sharing.open(self._told.own, self.core.mine.life, len(self._told.peers), lent_until)
             self._set_timer()
 
     def respec(self, budgets: Sequence[Spec]) -> None:
@@ -192,7 +196,11 @@
         for timer in (self._timer, self._keeping, self._saying):
             if timer is not None:
                 timer.cancel()
+        lent_until = None if self.sharing is None else self.sharing.core.lent_until()
         self._unbind()
+        if self._lent is not None and lent_until is not None:
+            path, until = self._lent, lent_until
+            await self._system.aside(lambda: lent.write(path, until))
         for task in list(self._tasks):
             await task
         if self._kept is not None:
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -66,12 +66,17 @@
 
     # Its life.
 
-    def open(self, now: int, own: int, life: int, count: int) -> list[Action]:
-        """This process is that node from now on; one before it may have lent what is not known here."""
+    def open(
+        self, now: int, own: int, life: int, count: int, lent_until: int | None = None
+    ) -> list[Action]:
+        """This process is that node from now on; one before it may have lent what is not known here, but for
+        `lent_until` (ns), if it has told."""
         self._own, self._life, self._count, self._is_open = own, life, count, True
         self.budgets = {}
         for spec in self.specs.values():
             self._add(now, spec)
+            if lent_until is not None:
+                self.budgets[spec.name].rights.known(lent_until)
         self._keys = {one.key: one for one in self.budgets.values()}
         self._set_wake(now)
         return [_described(now, one, count) for one in self.budgets.values()]
@@ -132,6 +137,10 @@
         self._set_wake(now)
         return [_described(now, one, self._count) for one in changed]
 
+    def lent_until(self) -> int | None:
+        """ns; to be asked once it lends no more: after `leave`."""
+        return max((one.rights.lent_until() for one in self.budgets.values()), default=None)
+
     def leave(self, now: int) -> list[Action]:
         out = self._told([(one, one.leave(now)) for one in self.budgets.values()])
         return out if self.leases is None else out + self._led(*self.leases.leave(now))
--- a/driftstair/tier/shared/rights.py
+++ b/driftstair/tier/shared/rights.py
@@ -87,6 +87,14 @@
         self._last = 0
         self._seen = started  # the latest time that was told
 
+    def known(self, until: int) -> None:
+        """An earlier process has said until when it had lent (ns of this one's clock)."""
+        self._whole_at = min(self._whole_at, until)
+
+    def lent_until(self) -> int:
+        """ns at which nothing is out any more, of this process or of one before it."""
+        return max([self._whole_at, *(loan.until for _, loan in self._out.values())])
+
     def held(self, now: int) -> int:
         """Shares that this node may spend on, now."""
         return self.of_own(now) + sum(loan.shares for loan in self._in.values())
--- a/driftstair/tier/sharing.py
+++ b/driftstair/tier/sharing.py
@@ -94,8 +94,8 @@
     def _spent(self, name: str) -> None:
         self._write("spend", budget=name, amount=1.0)
 
-    def open(self, own: int, life: int, count: int) -> None:
-        self._do(self.core.open(self._clock(), own, life, count))
+    def open(self, own: int, life: int, count: int, lent_until: int | None = None) -> None:
+        self._do(self.core.open(self._clock(), own, life, count, lent_until))
         if self._speaks is not None:
             self.core.speak(self._clock(), *self._speaks)
 
@@ -145,7 +145,11 @@
         thrown = {f"thrown_{why}": number for why, number in sorted(self.core.thrown.items()) if number}
         judge = self.core.judge
         judged = {} if judge is None else {"state": judge.state(now), "held_back": _named(judge, servers)}
-        return {"budgets": budgets, "counts": thrown, **judged}
+        leases = self.core.leases
+        led = {} if leases is None else {
+            "council": list(leases.council), "silent": leases.silent(now), "tasks": leases.report(now),
+        }  # fmt: skip
+        return {"budgets": budgets, "counts": thrown, **judged, **led}
 
 
 def _named(judge: Judge, servers: Iterable[str]) -> list[dict[str, Any]]:
--- a/tests/tier/test_budgets_processes.py
+++ b/tests/tier/test_budgets_processes.py
@@ -44,9 +44,11 @@
 Act = Callable[[Fleet, Traffic], Awaitable[None]]
 
 
-def played(folder: Path, count: int, act: Act, bound: bool = True, **more: Any) -> None:
+def played(
+    folder: Path, count: int, act: Act, bound: bool = True, folder_line: str = "", **more: Any
+) -> None:
     async def test() -> None:
-        async with Fleet(folder, count, TABLE, **more) as fleet, Server("s0") as server:
+        async with Fleet(folder, count, folder_line + TABLE, **more) as fleet, Server("s0") as server:
             fleet.servers.append(server)
             await fleet.start()
             await fleet.joined()
@@ -77,6 +79,27 @@
     played(tmp_path, 5, act)
 
 
+def test_with_a_folder_a_planned_end_tells_the_next_what_is_lent_and_a_crash_does_not(tmp_path: Path) -> None:
+    kept = tmp_path / "kept"
+    kept.mkdir()
+
+    async def act(fleet: Fleet, traffic: Traffic) -> None:
+        def begins() -> list[int]:
+            return [one["own"] for one in events(fleet) if one["event"] == "budget" and one["node"] == 1]
+
+        await fleet.until(lambda: (kept / "n1.members").exists())
+        assert await fleet.terminate(1) == 0
+        await fleet.start(1)
+        await fleet.until(lambda: len(begins()) == 2)
+        await fleet.kill(1)
+        await fleet.start(1)
+        await fleet.until(lambda: len(begins()) == 3)
+        # It had been up for longer than a loan lasts, and had lent nothing.
+        assert begins() == [1, 32, 1]
+
+    played(tmp_path, 3, act, bound=False, folder_line=f'folder = "{kept}"\n')
+
+
 def test_a_borrower_that_stood_still_has_nothing_left_of_its_loans(tmp_path: Path) -> None:
     async def act(fleet: Fleet, traffic: Traffic) -> None:
         traffic.on(0, 1)
--- a/tests/tier/test_judgements_processes.py
+++ b/tests/tier/test_judgements_processes.py
@@ -84,6 +84,7 @@
         found = await asyncio.to_thread(state, fleet)
         assert [one["server"] for one in found["held_back"]] == [BAD]
         assert found["state"]["0"]["nodes"] == 5
+        assert found["council"] == [0, 1, 2, 3, 4]
         fleet.stop(2)
         await fleet.kill(3)
         await fleet.start(3)
@@ -107,6 +108,8 @@
         await fleet.until(holding(fleet, 0, 1, 2, 3, 4))
         await fleet.until(lambda: probers(fleet))
         (first,) = probers(fleet)
+        found = await asyncio.to_thread(state, fleet)
+        assert [one["owner"] for one in found["tasks"].values()] == [first]
         await fleet.kill(first)
         await fleet.until(lambda: len(set(probers(fleet))) > 1)
         second = probers(fleet)[-1]
--- /dev/null
+++ b/tests/tier/test_lent.py
@@ -0,0 +1,51 @@
+"""What a process that ends as planned tells the next one of its loans."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from driftstair.tier import lent
+from driftstair.tier.shared.budget import TERMS
+from driftstair.tier.shared.rights import Ask, Rights
+
+
+def test_it_is_read_once(tmp_path: Path) -> None:
+    path = tmp_path / "n0.lent"
+    assert lent.take(path) is None
+    lent.write(path, 123)
+    assert lent.take(path) == 123 and lent.take(path) is None
+    assert list(tmp_path.iterdir()) == []
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", "[]", "null", "[" * 9000, json.dumps({"format": "x", "boot": lent.boot(), "until_ns": 1}),
+     json.dumps({"format": lent.FORMAT, "boot": "another", "until_ns": 1}),
+     json.dumps({"format": lent.FORMAT, "boot": lent.boot(), "until_ns": "1"}),
+     json.dumps({"format": lent.FORMAT, "boot": lent.boot()})],
+)  # fmt: skip
+def test_what_is_none_of_this_boot_tells_nothing(text: str, tmp_path: Path) -> None:
+    path = tmp_path / "n0.lent"
+    path.write_text(text)
+    assert lent.take(path) is None and not path.exists()
+
+
+def test_a_folder_that_is_gone_is_one_line(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    lent.write(tmp_path / "none" / "n0.lent", 5)
+    assert len(caplog.records) == 1
+
+
+def test_the_next_process_holds_all_from_when_nothing_is_out() -> None:
+    first = Rights(0, 1, TERMS, -(10**12))
+    assert first.lend(0, Ask(1, 1, 0, 4), 4) is not None
+    until = first.lent_until()
+    assert until == TERMS.waited()
+    following = Rights(0, 2, TERMS, 10**9)
+    following.known(until)
+    assert following.held(until - 1) == TERMS.floor and following.held(until) == TERMS.shares
+    late = Rights(0, 3, TERMS, 10**9)
+    late.known(10**15)  # whatever it says, no longer than a loan can last
+    assert late.held(10**9 + TERMS.waited()) == TERMS.shares
--- a/tests/tier/test_tier_processes.py
+++ b/tests/tier/test_tier_processes.py
@@ -112,6 +112,37 @@
     played(tmp_path, 7, act)
 
 
+# A process whose wall clock is off by so many hours, whatever the machine's says.
+OFF = """
+import sys, time
+right = time.time_ns
+time.time_ns = lambda: right() + {hours} * 3600 * 10**9
+from driftstair.__main__ import main
+sys.exit(main())
+"""
+
+
+def test_wall_clocks_hours_apart_and_one_set_back_by_a_day_are_no_harm(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Fleet(tmp_path, 5, period=SLOW) as fleet:
+            fleet.code |= {1: OFF.format(hours=-5), 2: OFF.format(hours=7), 3: OFF.format(hours=0)}
+            await fleet.start()
+            await fleet.joined()
+            before = fleet.story().processes
+            await fleet.kill(3)
+            await fleet.held((3,), "dead")
+            fleet.code[3] = OFF.format(hours=-24)
+            await fleet.start(3)
+            await fleet.joined()
+            lives = [process.last()[3].rank[0] for process in before if process.node == 3]
+            assert fleet.story().processes[-2].node == 3
+            assert fleet.story().processes[-2].last()[3].rank[0] > max(lives)
+            assert {one.member for _, one in fleet.deaths()} == {3}
+            assert fleet.findings(LOOSE) == []
+
+    run_for(test(), 180.0)
+
+
 def test_all_restarted_at_once_find_each_other(tmp_path: Path) -> None:
     async def act(fleet: Fleet) -> None:
         await fleet.kill(*range(fleet.count))
