Attempts out at the busiest servers are told in steps of two

Need: requests in flight by server, as far as all can know. All servers of all nodes would be 4,000 facts each 2.5 s at 200 nodes with a part of 20 servers each, 230 datagrams a second for every node; so each tells its three busiest, from four attempts on, as the least worthy of facts.

--- a/driftstair/tier/command.py
+++ b/driftstair/tier/command.py
@@ -129,6 +129,9 @@
         for one in found["held_back"]:
             by = ", ".join(map(str, one["reporters"]))
             console.print(f"{one['server']} is held back: found bad by {by}", highlight=False)
+    for server, one in found.get("in_flight", {}).items():
+        told = f"{server}: {one['at_least']} attempts out or more, by {one['by']} nodes"
+        console.print(told, highlight=False)
     for task, one in found.get("tasks", {}).items():
         who = "nobody that this node knows of" if one["owner"] is None else f"node {one['owner']}"
         console.print(f"{task}: {who}, token {one['token']}", highlight=False)
--- a/driftstair/tier/shared/evidence.py
+++ b/driftstair/tier/shared/evidence.py
@@ -21,7 +21,7 @@
 from math import ceil, log2
 from typing import Any, NamedTuple
 
-from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, PROBE, Fact, Facts
+from driftstair.tier.shared.facts import EVIDENCE, FLIGHT, KINDS, LOAD, PROBE, Fact, Facts
 
 SPAN = 2_500_000_000  # ns: what was seen counts for one to two of these
 SURE = 2  # tries, fewer say nothing; a node leaves a server out itself after two that failed
@@ -31,6 +31,7 @@
 OUT_MOST = 0.2  # of the servers that are ready, left out on others' word
 OWN_FAULT = 1 / 3  # of the servers that a reporter tried: more of them bad is its own fault
 COUNT_MOST = 255
+BUSIEST, MANY = 3, 4  # servers that a node tells the attempts of, from so many on
 PROBE_LIVES = 10_000_000_000  # ns that they do where one node tries for all, which it does ever more seldom
 SOUND = 3  # successes in a row by which a prober finds a server sound
 RUN_LIVES = 6_000_000_000  # ns that failures in a row count after the last
@@ -94,6 +95,7 @@
         self._began = now
         self.answered = 0  # requests, since the last `load`
         self.in_flight = 0
+        self.by_server: dict[int, int] = {}  # attempts out now
         self._load_at = now
 
     def note(self, now: int, server: int, ok: bool, reached: bool, took: int) -> None:
@@ -112,6 +114,16 @@
             if server in self._well:
                 self._well[server] = min(SOUND, self._well[server] + 1)
 
+    def sent(self, server: int) -> None:
+        self.by_server[server] = self.by_server.get(server, 0) + 1
+
+    def ended(self, server: int) -> None:
+        left = self.by_server.get(server, 0) - 1
+        if left > 0:
+            self.by_server[server] = left
+        else:
+            self.by_server.pop(server, None)
+
     def _turn(self, now: int) -> None:
         if now - self._began >= SPAN:
             old = self._spans[0] if now - self._began < 2 * SPAN else {}
@@ -193,6 +205,18 @@
             }  # fmt: skip
         return out
 
+    def busy(self, now: int) -> dict[int, dict[str, int]]:
+        """Attempts that are out, of servers with many: at least so many, to a factor of two, by so many
+        nodes. What a node has few of, or beside its busiest, it does not tell."""
+        zones = self._zones()
+        out: dict[int, dict[str, int]] = {}
+        for server, facts in self._facts.subjects(now, FLIGHT).items():
+            rows = [one for one in facts if one.owner in zones]
+            if rows:
+                least = sum(1 << one.value[0] - 1 for one in rows if one.value[0])
+                out[server] = {"at_least": least, "by": len(rows)}
+        return out
+
     def _tell(self, now: int, seen: dict[int, Seen], nodes: int) -> None:
         disputed = self._facts.subjects(now, EVIDENCE)
         for server, one in seen.items():
@@ -205,6 +229,10 @@
             rate = self.sight.per_s(now)
             load = (self._zone, min(rate, 0xFFFF), min(self.sight.in_flight, 0xFFFF), tried, bad)
             self._publish(now, LOAD, 0, load, nodes)
+        busiest = sorted(self.sight.by_server.items(), key=lambda one: (-one[1], one[0]))[:BUSIEST]
+        for server, number in busiest:
+            if number >= MANY:
+                self._publish(now, FLIGHT, server, (number.bit_length(),), nodes)
 
     def _tell_probes(self, now: int, nodes: int) -> None:
         for server, token in self.probing.items():
--- a/driftstair/tier/shared/facts.py
+++ b/driftstair/tier/shared/facts.py
@@ -30,8 +30,9 @@
     fields: int  # whole numbers of its value
 
 
-EVIDENCE, LOAD, PROBE = 1, 2, 3
-KINDS = {EVIDENCE: Kind(5_000 * MS, 1, 5), LOAD: Kind(5_000 * MS, 2, 5), PROBE: Kind(5_000 * MS, 3, 5)}
+EVIDENCE, LOAD, PROBE, FLIGHT = 1, 2, 3, 4
+KINDS = {EVIDENCE: Kind(5_000 * MS, 1, 5), LOAD: Kind(5_000 * MS, 2, 5), PROBE: Kind(5_000 * MS, 3, 5),
+         FLIGHT: Kind(5_000 * MS, 0, 1)}  # fmt: skip
 
 Place = tuple[int, int, int]  # owner, kind, subject
 
--- a/driftstair/tier/sharing.py
+++ b/driftstair/tier/sharing.py
@@ -144,7 +144,10 @@
             }  # fmt: skip
         thrown = {f"thrown_{why}": number for why, number in sorted(self.core.thrown.items()) if number}
         judge = self.core.judge
-        judged = {} if judge is None else {"state": judge.state(now), "held_back": _named(judge, servers)}
+        judged = {} if judge is None else {
+            "state": judge.state(now), "held_back": _named(judge, servers),
+            "in_flight": _flight(judge, now, servers),
+        }  # fmt: skip
         leases = self.core.leases
         led = {} if leases is None else {
             "council": list(leases.council), "silent": leases.silent(now), "tasks": leases.report(now),
@@ -152,6 +155,11 @@
         return {"budgets": budgets, "counts": thrown, **judged, **led}
 
 
+def _flight(judge: Judge, now: int, servers: Iterable[str]) -> dict[str, dict[str, int]]:
+    names = {key(digest(one)): one for one in servers}
+    return {names.get(server, f"{server:08x}"): one for server, one in judge.busy(now).items()}
+
+
 def _named(judge: Judge, servers: Iterable[str]) -> list[dict[str, Any]]:
     names = {key(digest(one)): one for one in servers}
     return [
--- a/driftstair/tier/watching.py
+++ b/driftstair/tier/watching.py
@@ -53,6 +53,9 @@
                 self._open.discard(event.request)
         actions = self._module.handle(now, event)
         if judge is not None:
+            for one in actions:
+                if isinstance(one, api.Send):
+                    judge.sight.sent(key(one.server))
             self._open.difference_update(
                 one.request for one in actions if isinstance(one, api.Refuse | api.Fail)
             )
@@ -67,6 +70,7 @@
         return actions
 
     def _note(self, now: int, judge: Judge, outcome: api.Outcome) -> None:
+        judge.sight.ended(key(outcome.server))
         if outcome.closed:
             self._open.discard(outcome.request)
         if outcome.result is Result.OK or outcome.result in FAILURES:
--- a/tests/tier/test_evidence.py
+++ b/tests/tier/test_evidence.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from driftstair.tier.shared.evidence import HEARING, OUT_MOST, RUN_LIVES, Judge, judged, token_of
-from driftstair.tier.shared.facts import EVIDENCE, KINDS, LOAD, MS, PROBE, Fact, Facts
+from driftstair.tier.shared.facts import EVIDENCE, FLIGHT, KINDS, LOAD, MS, PROBE, Fact, Facts
 from driftstair.tier.watching import Watching, key
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, Result, ServerState
@@ -288,6 +288,25 @@
     assert node.judge.sight.in_flight == 1
 
 
+def test_attempts_out_are_told_of_the_busiest_servers_in_steps_of_two() -> None:
+    node, spy = Node(), Spy()
+    watching = Watching(spy, lambda: node.judge)
+    for number, count in ((1, 9), (2, 5), (3, 4), (4, 4), (5, 3)):
+        spy.actions = [api.Send(one, server(number).id, 0) for one in range(count)]
+        watching.handle(SECOND, api.Timer(1))
+    spy.actions = []
+    watching.handle(SECOND, api.Outcome(0, False, Result.CANCELLED, MS, server(1).id, 0, ()))
+    node.judge.tick(SECOND)
+    for owner, step in ((1, 3), (2, 1)):
+        node.facts.take(SECOND, Fact(owner, 1, 1, FLIGHT, 2, SECOND, (step,)), 6)
+    assert node.judge.busy(SECOND) == {
+        1: {"at_least": 8, "by": 1}, 2: {"at_least": 4 + 4 + 1, "by": 3}, 3: {"at_least": 4, "by": 1},
+    }  # fmt: skip
+    for _ in range(9):
+        watching.handle(SECOND, api.Outcome(0, False, Result.OK, MS, server(1).id, 0, ()))
+    assert 1 not in node.judge.sight.by_server
+
+
 def test_without_rights_to_the_number_all_passes_as_it_is() -> None:
     spy = Spy()
     watching = Watching(spy, lambda: None)
