--- a/driftstair/model/world.py
+++ b/driftstair/model/world.py
@@ -149,6 +149,7 @@
         self.box_list = Membership(
             clock, of.list.lines_per_s, of.list.call_lines, int(of.list.timeout_ms * 1e6), self.inside
         )
+        self.tier = None  # none of the kit: its troubles tell one whom they befall
         self.boxes: dict[str, Server] = {}
         self._by_id: dict[api.ServerId, Server] = {}
         self._count = 0
