The collector: one node exports the ledgers that nobody writes, under its lease's token

Need: what dead nodes left is brought to the billing side by hand. [tier.collect] names the folder of all ledgers and the billing side; the task's owner exports each ledger whose lock is free, beside the loop, and stops when its lease is over.

The export has a claim with the lease's token: the books keep it before it counts, a later one takes over at once, an older one is refused with the floor. Seen on five processes: the ledger of a killed node, and of the owner that had brought it in, are in the books byte for byte, with the billing side killed in between; an owner that stood still over its lease and woke up changed nothing.

--- a/driftstair/ledger/carrier.py
+++ b/driftstair/ledger/carrier.py
@@ -16,14 +16,29 @@
 from typing import Any, NamedTuple
 
 from driftstair.ledger.entries import DIGEST, FIRST, LINE_MOST
-from driftstair.ledger.export import BATCH, Exporter, Hello, Lines, Message, Offer, Refused, Taken
+from driftstair.ledger.export import (
+    BATCH,
+    Claim,
+    Exporter,
+    Hello,
+    Lines,
+    Message,
+    Offer,
+    Older,
+    Refused,
+    Taken,
+)
 from driftstair.ledger.segments import segments
 
 MESSAGE_MOST = BATCH * (LINE_MOST + 16) * 2  # bytes: quotes are escaped
 MARK_EVERY = 256  # lines between two places that are remembered
-NAMES: dict[str, type[Any]] = {"hello": Hello, "offer": Offer, "taken": Taken, "refused": Refused}
+NAMES: dict[str, type[Any]] = {
+    "hello": Hello, "claim": Claim, "offer": Offer, "taken": Taken, "refused": Refused, "older": Older,
+}  # fmt: skip
 TYPES: dict[str, dict[str, type]] = {
     "hello": {"node": str, "session": int},
+    "claim": {"node": str, "session": int, "token": int},
+    "older": {"node": str, "session": int, "token": int},
     "offer": {"node": str, "session": int, "first": int, "lines": list},
     "taken": {"node": str, "session": int, "number": int, "digest": str},
     "refused": {"node": str, "session": int, "why": str, "final": bool},
--- a/driftstair/ledger/export.py
+++ b/driftstair/ledger/export.py
@@ -6,11 +6,15 @@
 the seed.
 
     exporter                        collector
-    Hello(session)          ->
+    Hello(session)          ->                                   or Claim(session, token)
                             <-      Taken(number, digest)        where its books stand
     Offer(first, lines)     ->
                             <-      Taken(number, digest)        up to there they are kept
                             <-      Refused(why)                 another exporter, or a fork
+                            <-      Older(token)                 of a claim: the greatest there was
+
+A claim is of whoever exports for the fleet under a lease: it takes over at once from all claims with lesser
+tokens, and one with a lesser token than was ever taken is refused, however late its exporter wakes up.
 
 The collector acknowledges what it has *kept*; the exporter keeps nothing but the ledger itself, so one that
 is killed anywhere starts again by asking.
@@ -37,6 +41,18 @@
     session: int  # drawn anew by each exporter
 
 
+class Claim(NamedTuple):
+    node: str
+    session: int
+    token: int  # of the lease under which it is made
+
+
+class Older(NamedTuple):
+    node: str
+    session: int
+    token: int
+
+
 class Offer(NamedTuple):
     node: str
     session: int
@@ -58,7 +74,7 @@
     final: bool  # trying again would be no use
 
 
-Message = Hello | Offer | Taken | Refused
+Message = Hello | Claim | Offer | Taken | Refused | Older
 
 
 class Lines(NamedTuple):
@@ -69,9 +85,12 @@
 
 
 class Exporter:
-    """One node's. `poll` gives what is to be sent now; `wakes` says when to poll again."""
+    """One node's. `poll` gives what is to be sent now; `wakes` says when to poll again. `token`: of the lease
+    under which it exports another node's ledger; 0: it is that node's own, or a hand's."""
 
-    def __init__(self, node: str, lines: Lines, session: int, seed: int) -> None:
+    def __init__(self, node: str, lines: Lines, session: int, seed: int, token: int = 0) -> None:
+        self.token = token
+        self.older = 0  # than this token, by the books' word
         self.node = node
         self.session = session
         self.acknowledged = -1  # the books' number; -1: not heard yet
@@ -95,6 +114,8 @@
 
     def _word(self) -> Message:
         if self.acknowledged < 0:
+            if self.token:
+                return Claim(self.node, self.session, self.token)
             return Hello(self.node, self.session)
         first = self.acknowledged + 1
         return Offer(self.node, self.session, first, tuple(self._lines.read(first, BATCH)))
@@ -102,6 +123,10 @@
     def receive(self, now: int, message: Message) -> list[Message]:
         if self.stopped or message.node != self.node or message.session != self.session:
             return []  # to one that was here before
+        if isinstance(message, Older):
+            self.older = message.token
+            self.stopped = f"the books have had the token {message.token}, and this one's is {self.token}"
+            return []
         if isinstance(message, Refused):
             if message.final:
                 self.stopped = message.why
@@ -128,13 +153,20 @@
     head: Head = field(default_factory=Head)
     session: int = -1
     heard: int = 0  # ms
+    claimed: bool = False  # its session is of a claim
 
 
 class Collector:
     """The billing side: keeps each node's entries in order, once. `keep` has to have kept them when it
-    returns; if it raises, nothing is acknowledged. `heads`: what was kept in an earlier life."""
-
-    def __init__(self, keep: Keep, heads: dict[str, Head], lease: int = LEASE) -> None:
+    returns; if it raises, nothing is acknowledged. `heads`, `tokens`: what was kept in an earlier life;
+    `claimed` likewise keeps a token of a node's claims before it counts."""
+
+    def __init__(
+        self, keep: Keep, heads: dict[str, Head], lease: int = LEASE, tokens: dict[str, int] | None = None,
+        claimed: Callable[[str, int], None] = lambda node, token: None,
+    ) -> None:  # fmt: skip
+        self._tokens = dict(tokens or {})
+        self._claimed = claimed
         self._keep = keep
         self._lease = lease
         self._books = {node: _Books(head) for node, head in heads.items()}
@@ -144,16 +176,26 @@
         return Head() if books is None else books.head
 
     def receive(self, now: int, message: Message) -> list[Message]:
-        if not isinstance(message, Hello | Offer):
+        if not isinstance(message, Hello | Claim | Offer):
             return []
         books = self._books.setdefault(message.node, _Books())
-        if message.session != books.session:
+        if isinstance(message, Claim):
+            known = self._tokens.get(message.node, 0)
+            if message.token < known:
+                return [Older(message.node, message.session, known)]
+            if not books.claimed and books.session >= 0 and now - books.heard < self._lease:
+                return [Refused(message.node, message.session, "another exporter is at work", False)]
+            if message.token > known:
+                self._claimed(message.node, message.token)
+                self._tokens[message.node] = message.token
+            books.session, books.claimed = message.session, True
+        elif message.session != books.session:
             if isinstance(message, Offer):
                 # Of a session that ended, or of one that this life has not met: it has to ask first.
                 return [Refused(message.node, message.session, "another exporter is at work", False)]
             if books.session >= 0 and now - books.heard < self._lease:
                 return [Refused(message.node, message.session, "another exporter is at work", False)]
-            books.session = message.session
+            books.session, books.claimed = message.session, False
         books.heard = now
         if isinstance(message, Offer):
             why = self._take(books, message)
--- a/driftstair/rehearsal/stands/billing.py
+++ b/driftstair/rehearsal/stands/billing.py
@@ -36,6 +36,18 @@
             os.truncate(path, whole)
             self.heads[path.name.removesuffix("-00000001.ledger")] = head
 
+        self.tokens = {
+            path.name.removesuffix(".token"): int(path.read_text()) for path in folder.glob("*.token")
+        }
+
+    def claimed(self, node: str, token: int) -> None:
+        new = self._folder / f"{node}.new"
+        with open(new, "w", encoding="ascii") as file:
+            file.write(str(token))
+            file.flush()
+            os.fsync(file.fileno())
+        new.replace(self._folder / f"{node}.token")
+
     def keep(self, node: str, entries: list[Entry], fresh: Sequence[bytes]) -> None:
         with open(self._folder / f"{node}-00000001.ledger", "ab") as file:
             file.write(b"".join(line + b"\n" for line in fresh))
@@ -45,7 +57,7 @@
 
 async def serve(folder: Path, port: int = 0, lease: int = LEASE) -> None:
     books = Books(folder)
-    collector = Collector(books.keep, books.heads, lease)
+    collector = Collector(books.keep, books.heads, lease, books.tokens, books.claimed)
 
     async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -125,6 +125,13 @@
     burst: Annotated[Duration, Field(ge=100_000_000, le=600_000_000_000)] = 5_000_000_000
 
 
+class Collect(Table):
+    """One node brings in the ledgers of nodes that are gone."""
+
+    folder: Annotated[str, Field(min_length=1)]  # of all nodes' ledgers, that all reach
+    to: Annotated[str, Field(min_length=1)]  # the billing side: host and port
+
+
 class Tier(Table):
     """What the nodes tell each other, where the platform lets them."""
 
@@ -133,6 +140,7 @@
     folder: Annotated[str, Field(min_length=1)] | None = None  # outlives the process: the last list
     history: Annotated[str, Field(min_length=1)] | None = None  # a folder: what each process came to hold
     judge: Annotated[bool, Field(strict=True)] = False  # servers by what all nodes have seen of them
+    collect: Collect | None = None
     budgets: Annotated[dict[Name, FleetBudget], Field(min_length=1, max_length=32)] | None = None
 
 
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from driftstair.files import FileProblem
+from driftstair.hosts import ListError, parse_address
 from driftstair.limits.fleetwide import spent_by
 from driftstair.limits.proof import Platform, prove
 from driftstair.limits.table import Table
@@ -52,6 +53,24 @@
     return tuple(Spec(name, one.per_s, one.burst) for name, one in tier.budgets.items())
 
 
+def _collect(loaded: Loaded) -> tuple[Path, tuple[str, int]] | None:
+    """Where ledgers are collected from, and to. Raises ServiceError."""
+    wanted = None if loaded.service.tier is None else loaded.service.tier.collect
+    if wanted is None:
+        return None
+    folder = Path(wanted.folder)
+    if not folder.is_dir():
+        why = f"{folder} is no folder; the one that all nodes keep their ledgers in would do"
+        raise ServiceError([loaded.problem(("tier", "collect", "folder"), why)])
+    try:
+        return folder, parse_address(wanted.to)
+    except ListError:
+        why = f"{wanted.to[:60]!r} is no address"
+        raise ServiceError(
+            [loaded.problem(("tier", "collect", "to"), why, instead='"10.0.0.9:7000"')]
+        ) from None
+
+
 class ServiceFile:
     """A file, or a text in its place."""
 
@@ -160,5 +179,6 @@
         except HistoryError as problem:
             raise ServiceError([loaded.problem(("tier", "history"), str(problem))]) from None
         return Tier(
-            config, peers, wanted.period, key, history, folder, system, specs_of(loaded), wanted.judge
-        )
+            config, peers, wanted.period, key, history, folder, system, specs_of(loaded), wanted.judge,
+            _collect(loaded),
+        )  # fmt: skip
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from driftstair.limits.budgets import Tokens
+    from driftstair.tier.collecting import Collecting
     from driftstair.tier.shared.budget import Spec
     from driftstair.tier.sharing import Sharing
     from lichenspring.interface import Module
@@ -48,11 +49,13 @@
 
 class Tier:
     """One process of the tier. `folder`: where its list of members outlives it; `budgets`: of the fleet;
-    `judges`: whether judgements on servers are shared. Without either nothing of shared state is loaded."""
+    `judges`: whether judgements on servers are shared; `collect`: the folder of all ledgers, and where the
+    billing side is. Without any of these nothing of shared state is loaded."""
 
     def __init__(
         self, config: Config, peers: told.Told, period: int, key: bytes, history: History | None,
         folder: Path | None, system: System, budgets: Sequence[Spec] = (), judges: bool = False,
+        collect: tuple[Path, tuple[str, int]] | None = None,
     ) -> None:  # fmt: skip
         self._told = peers
         self._system = system
@@ -73,19 +76,30 @@
         self._bytes_in = self._bytes_out = self._datagrams_in = 0
         self._thrown_all: Counter[str] = Counter()
         self._numbers = {address: number for number, address in enumerate(peers.peers)}
-        supports = wire.MEMBERSHIP | (wire.SHARED if budgets or judges else 0)
+        supports = wire.MEMBERSHIP | (wire.SHARED if budgets or judges or collect else 0)
         self.core = Membership(
             peers.own, len(peers.peers), life_at(system.time_ns()),
             Traits(peers.zone, wire.VERSION, supports), period, Random(config.seed ^ 0x7E12),
             wire.ROOM, wire.size,
         )  # fmt: skip
         self.sharing: Sharing | None = None
-        if budgets or judges:
+        self._collecting: Collecting | None = None
+        if budgets or judges or collect:
             from driftstair.tier.sharing import Sharing, Speaks
 
             self.sharing = Sharing(
                 budgets, Random(config.seed ^ 0x54A2), system.monotonic_ns, self._sharers, self._carry,
                 self._write, Speaks(peers.zone, self._sound, self._zones) if judges else None,
+                ("collect",) if collect else (),
+            )  # fmt: skip
+        if collect:
+            from driftstair.tier.collecting import TASK, Collecting
+
+            sharing = self.sharing
+            assert sharing is not None
+            self._collecting = Collecting(
+                *collect, lambda: sharing.token(TASK), lambda token: sharing.floor(TASK, token), self._write,
+                system.aside,
             )  # fmt: skip
 
     # Its life.
@@ -101,6 +115,8 @@
         self._write("start", nodes=len(self._told.peers))
         self._bind(first=True)
         self._tell(api.Start(claims))
+        if self._collecting is not None:
+            self._collecting.start()
 
     def _bind(self, first: bool = False) -> None:
         self._binding = None
@@ -196,6 +212,8 @@
         for timer in (self._timer, self._keeping, self._saying):
             if timer is not None:
                 timer.cancel()
+        if self._collecting is not None:
+            await self._collecting.close()
         lent_until = None if self.sharing is None else self.sharing.core.lent_until()
         self._unbind()
         if self._lent is not None and lent_until is not None:
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -91,12 +91,15 @@
         if before is not None:
             self.judge.sight, self.judge.ready = before.sight, before.ready
         self._gossip_at = now
-        self.leases = Leases(
-            (), self._own, self._life, self._count, now, self._random, lambda: sorted(zones())
-        )
         self._set_wake(now)
         return self.judge
 
+    def lead(self, now: int, tasks: Iterable[str], living: Callable[[], list[int]]) -> Leases:
+        """Take part in who has which task, from `open` on; `living`: this node's number among them."""
+        self.leases = Leases(tasks, self._own, self._life, self._count, now, self._random, living)
+        self._set_wake(now)
+        return self.leases
+
     def _add(self, now: int, spec: Spec) -> None:
         self.budgets[spec.name] = Budget(
             spec, self._own, self._life, self._count, now, self._random, self._others
@@ -185,7 +188,7 @@
             return []
         out: list[Action] = []
         wanted = {f"{PROBING}{server:08x}": server for server in judge.out}
-        for name in [name for name in leases.tasks if name not in wanted]:
+        for name in [name for name in leases.tasks if name.startswith(PROBING) and name not in wanted]:
             out += self._led(*leases.remove(now, name))
         for name in wanted:
             leases.add(now, name)
--- a/driftstair/tier/sharing.py
+++ b/driftstair/tier/sharing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 from typing import Any, NamedTuple
 
@@ -77,13 +77,15 @@
     def __init__(
         self, specs: Iterable[Spec], random: Random, clock: Callable[[], int],
         others: Callable[[], list[int]], carry: Callable[[int, bytes], None], write: Callable[..., None],
-        speaks: Speaks | None = None,
+        speaks: Speaks | None = None, tasks: Sequence[str] = (),
     ) -> None:  # fmt: skip
         self.core = Shared(specs, random, others)
         self._clock = clock
         self._carry = carry
         self._write = write
         self._speaks = speaks
+        self._tasks = tasks
+        self._others = others
         self._tokens: dict[str, FleetTokens] = {}
 
     def tokens(self, name: str) -> FleetTokens:
@@ -98,6 +100,17 @@
         self._do(self.core.open(self._clock(), own, life, count, lent_until))
         if self._speaks is not None:
             self.core.speak(self._clock(), *self._speaks)
+        if self._speaks is not None or self._tasks:
+            self.core.lead(self._clock(), self._tasks, lambda: sorted([own, *self._others()]))
+
+    def token(self, task: str) -> int:
+        """To act with now; 0: the task is not this node's."""
+        leases = self.core.leases
+        return 0 if leases is None else leases.token(self._clock(), task)
+
+    def floor(self, task: str, token: int) -> None:
+        if self.core.leases is not None:
+            self.core.leases.floor(task, token)
 
     def around(self, module: Module) -> Module:
         """The decision module, watched and told on where judgements are shared."""
--- a/tests/tier/fleet.py
+++ b/tests/tier/fleet.py
@@ -215,5 +215,11 @@
         await self.held(every, "alive", by=every)
         await self.agreed()
 
+    async def joined_but(self, *gone: int) -> None:
+        """All alive for all, but for these, which are dead."""
+        rest = tuple(number for number in range(self.count) if number not in gone)
+        await self.held(rest, "alive", by=rest)
+        await self.held(gone, "dead", by=rest)
+
     async def agreed(self) -> None:
         await self.until(lambda: disagreement(self.story(), Bounds(settle=0.0)) == [], "views differ")
