--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -117,7 +117,7 @@
         found = list(pool.map(evening, range(FIRST_SEED, FIRST_SEED + number), chunksize=50))
     idle = sorted(one[2] for one in found)
     leases, wrong = sum(one[0] for one in found), sum(one[1] for one in found)
-    print(f"{number} evenings: {leases} leases, {wrong} times two owners or a token that did not rise; without "
+    print(f"{number} evenings: {leases} leases, {wrong} times two owners or a token that fell; without "
           f"an owner while a majority heard itself, of the time: median {median(idle):.0%}, 99th percentile "
           f"{idle[int(0.99 * number)]:.0%}")  # fmt: skip
 
