--- a/driftstair/tier/collecting.py
+++ b/driftstair/tier/collecting.py
@@ -58,11 +58,15 @@
         self._aside = aside
         self._brought: dict[str, int] = {}  # by node: the size of its ledger when all of it was in the books
         self._task: asyncio.Task[None] | None = None
+        self._exporter: Exporter | None = None
+        self._said = ""  # the last line of the log: the same is not said again
 
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def close(self) -> None:
+        if self._exporter is not None:
+            self._exporter.stopped = "the process ends"
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -75,7 +79,7 @@
                     if token := self._token():
                         await self._bring_in(node, token)
             except (OSError, StoreError) as problem:
-                log.warning("ledgers can't be collected: %s", problem)
+                self._say(f"ledgers can't be collected: {problem}")
 
     async def _bring_in(self, node: str, token: int) -> None:
         size = sum(path.stat().st_size for path in self._folder.glob(f"{node}-*.ledger"))
@@ -83,6 +87,7 @@
             return
         exporter = Exporter(node, Segments(self._folder, node).lines(), token, token, token)
         ended: list[str] = []
+        self._exporter = exporter
         working = asyncio.ensure_future(
             self._aside(lambda: ended.append(asyncio.run(carry(exporter, self._address, GIVE_UP))))
         )
@@ -91,6 +96,7 @@
             if self._token() != token and not exporter.stopped:
                 exporter.stopped = "its lease is over"  # what is done so far the next need not do
         working.result()
+        self._exporter = None
         if exporter.older:
             self._floor(exporter.older)
             self._write("refused", task=TASK, token=token)
@@ -99,4 +105,9 @@
         if exporter.acknowledged > 0:
             self._write("act", task=TASK, token=token, what=node, upto=exporter.acknowledged)
         if ended[0]:
-            log.warning("the ledger of %s is not whole in the books: %s", node, ended[0])
+            self._say(f"the ledger of {node} is not whole in the books: {ended[0]}")
+
+    def _say(self, line: str) -> None:
+        if line != self._said:
+            log.warning("%s", line)
+        self._said = line
--- a/driftstair/tier/watching.py
+++ b/driftstair/tier/watching.py
@@ -61,12 +61,12 @@
             )
             judge.sight.in_flight = len(self._open)
             judge.ready = {key(one.id) for one in self._servers.values() if one.state is ServerState.READY}
-            out = frozenset(judge.hidden()) & judge.ready
-            if out != self._out:
-                self._out = out
-                shown = tuple(self._shown(one) for one in self._servers.values())
-                # The module takes what a node has kept for no news from discovery, and asks on for that.
-                actions = actions + self._module.handle(now, api.ServerList(ListKind.CACHED, shown))
+        out = frozenset() if judge is None else frozenset(judge.hidden()) & judge.ready
+        if out != self._out:
+            self._out = out
+            shown = tuple(self._shown(one) for one in self._servers.values())
+            # The module takes what a node has kept for no news from discovery, and asks on for that.
+            actions = actions + self._module.handle(now, api.ServerList(ListKind.CACHED, shown))
         return actions
 
     def _note(self, now: int, judge: Judge, outcome: api.Outcome) -> None:
--- a/tests/tier/test_evidence.py
+++ b/tests/tier/test_evidence.py
@@ -266,6 +266,21 @@
     assert all(one.state is ServerState.READY for one in spy.seen[-1].servers)  # type: ignore[union-attr]
 
 
+def test_a_process_that_loses_its_number_holds_nothing_back_any_more() -> None:
+    node, spy = Node(), Spy()
+    judges = [node.judge]
+    watching = Watching(spy, lambda: judges[0] if judges else None)
+    watching.handle(0, api.ServerList(ListKind.FULL, tuple(server(number) for number in range(10))))
+    for owner in (1, 2, 3, 4):
+        node.hears(SECOND, owner, 3, 9, 9)
+    node.after_hearing()
+    watching.handle(SECOND, api.Timer(1))
+    assert any(one.state is ServerState.DRAINING for one in spy.seen[-1].servers)  # type: ignore[union-attr]
+    judges.clear()
+    watching.handle(SECOND, api.Timer(1))
+    assert all(one.state is ServerState.READY for one in spy.seen[-1].servers)  # type: ignore[union-attr]
+
+
 def test_outcomes_are_evidence_but_for_what_is_no_fault_of_the_server() -> None:
     node, spy = Node(), Spy()
     watching = Watching(spy, lambda: node.judge)
