A liar's probe keeps no server out, and work that comes again has a greater token

What a node at fault finds as a prober counts for nothing now, and one node's word alone holds a server back for a minute at most.

--- a/driftstair/tier/ownership/leases.py
+++ b/driftstair/tier/ownership/leases.py
@@ -88,6 +88,7 @@
         self._speaks_at = now + terms.waited()
         self.tasks: dict[str, Task] = {}
         self._keys: dict[int, Task] = {}
+        self._used = 0  # the greatest token of tasks that are no more: one that comes back begins above
         for name in tasks:
             self.add(now, name)
 
@@ -96,6 +97,7 @@
         if name not in self.tasks:
             key = key_of(name)
             proposer = Proposer(key, self._own, self._life, self.council, self._terms, self._random)
+            proposer.floor(self._used)
             self.tasks[name] = self._keys[key] = Task(name, key, proposer, max(now, self._speaks_at))
             self._alive = []
             self.wake_at = now
@@ -106,6 +108,7 @@
         if task is None:
             return [], []
         letters, changes = self._released(now, task, -1), self._changes(now)
+        self._used = max(self._used, task.proposer.next_token())
         del self.tasks[name], self._keys[task.key]
         return letters, changes
 
--- a/driftstair/tier/ownership/proposer.py
+++ b/driftstair/tier/ownership/proposer.py
@@ -151,6 +151,10 @@
         if token >= self._next:
             self._next = above(self._next, token)
 
+    def next_token(self) -> int:
+        """Greater than all that it has asked for."""
+        return self._next
+
     def release(self, now: int, heir: int = -1) -> Letters:
         """It acts no more with it from here on."""
         if not self._token:
--- a/driftstair/tier/shared/evidence.py
+++ b/driftstair/tier/shared/evidence.py
@@ -33,6 +33,7 @@
 COUNT_MOST = 255
 BUSIEST, MANY = 3, 4  # servers that a node tells the attempts of, from so many on
 PROBE_LIVES = 10_000_000_000  # ns that they do where one node tries for all, which it does ever more seldom
+PROBED_MOST = 60_000_000_000  # ns that one node's word alone holds a server back: then all look again
 SOUND = 3  # successes in a row by which a prober finds a server sound
 RUN_LIVES = 6_000_000_000  # ns that failures in a row count after the last
 HEARING = 1_500_000_000  # ns: for those who find nothing wrong with a server to say so
@@ -171,6 +172,7 @@
         self.out: dict[int, Verdict] = {}
         self.ready: set[int] = set()
         self._disputed: dict[int, int] = {}  # since when there has been evidence on a server
+        self._out_since: dict[int, int] = {}
         self.probing: dict[int, int] = {}  # servers that this node tries for all, by its token to do so
         self.probed: dict[int, int] = {}  # by server: the greatest token that somebody tried it with
         self.refused: list[tuple[int, int]] = []  # servers and older tokens, for the history
@@ -190,6 +192,7 @@
         new = [one for server, one in wanted.items() if server not in self.out]
         back = [one for server, one in self.out.items() if server not in wanted]
         self.out = wanted
+        self._out_since = {server: self._out_since.get(server, now) for server in wanted}
         return new, back
 
     def state(self, now: int) -> dict[str, Any]:
@@ -242,8 +245,9 @@
                 parts = tuple(token >> shift & 0xFFFF for shift in (48, 32, 16, 0))
                 self._publish(now, PROBE, server, (int(fails), *parts), nodes, lambda value: value[0] > 0)
 
-    def _probes(self, now: int, zones: dict[int, int]) -> dict[int, Fact]:
-        """By server: what its prober says. One with an older token than another has shown was too late."""
+    def _probes(self, now: int, zones: dict[int, int], faulty: set[int]) -> dict[int, Fact]:
+        """By server: what its prober says, unless that finds much of what it tries bad. One with an older
+        token than another has shown was too late."""
         out: dict[int, Fact] = {}
         for server, facts in self._facts.subjects(now, PROBE).items():
             for one in facts:
@@ -251,7 +255,9 @@
                 if token < self.probed.get(server, 0):
                     if (server, token) not in self.refused:
                         self.refused.append((server, token))
-                elif one.owner in zones and (server not in out or token > token_of(out[server])):
+                elif one.owner not in zones or one.owner in faulty:
+                    continue
+                elif server not in out or token > token_of(out[server]):
                     out[server] = one
                     self.probed[server] = token
         return out
@@ -276,7 +282,7 @@
     def _worst(self, now: int, seen: dict[int, Seen], zones: dict[int, int]) -> list[Verdict]:
         faulty = {one.owner for one in self._facts.read(now, LOAD) if at_fault(one)}
         found = []
-        probes = self._probes(now, zones)
+        probes = self._probes(now, zones, faulty)
         disputed = self._facts.subjects(now, EVIDENCE)
         for server in probes:
             disputed.setdefault(server, [])
@@ -286,7 +292,8 @@
                 continue
             verdict = judged(server, facts, zones, faulty)
             own = seen.get(server)
-            if server in self.out and (probe := probes.get(server)) is not None:
+            alone = now - self._out_since.get(server, now) < PROBED_MOST
+            if alone and server in self.out and (probe := probes.get(server)) is not None:
                 # Whoever tries it for all knows: it is out for as long as that fails, and no longer.
                 verdict = Verdict(server, (probe.owner,), 1.0) if probe.value[0] else None
             if verdict is not None and not (own is not None and own.tried() and not own.bad()):
--- a/tests/tier/test_evidence.py
+++ b/tests/tier/test_evidence.py
@@ -196,6 +196,28 @@
     assert new == [] and back.server == 3
 
 
+def test_a_prober_that_finds_everything_bad_keeps_no_server_out() -> None:
+    """Seen on processes: the liar got the task, and the server was never back."""
+    node, now = left_out()
+    node.hears_load(now, 2, 10, 10)
+    for number in range(8):
+        now += SECOND
+        node.facts.take(now, probe(2, 50 + number, 7, True, now), 6)
+        node.judge.tick(now)
+    assert node.judge.out == {}
+
+
+def test_one_node_s_word_alone_keeps_no_server_out_for_longer_than_a_minute() -> None:
+    node, now = left_out()
+    for number in range(70):
+        now += SECOND
+        node.facts.take(now, probe(2, 50 + number, 7, True, now), 6)
+        node.judge.tick(now)
+        if not node.judge.out:
+            break
+    assert 58 <= number <= 60
+
+
 def test_a_prober_that_wakes_up_late_is_refused_by_its_token() -> None:
     node, now = left_out()
     node.facts.take(now, probe(4, 50, 9, True, now), 6)
--- a/tests/tier/test_leases_world.py
+++ b/tests/tier/test_leases_world.py
@@ -9,7 +9,7 @@
 
 from driftstair.model.tier.ownership import Fleet
 from driftstair.model.tier.world import SECOND, Link
-from driftstair.tier.ownership.leases import COUNCIL_MOST, TERMS, Leases, council_of, ranked
+from driftstair.tier.ownership.leases import COUNCIL_MOST, TERMS, Leases, council_of, key_of, ranked
 
 SILENT = TERMS.waited() / SECOND  # s after a start in which a council says nothing
 TASKS = tuple(f"task {number}" for number in range(12))
@@ -196,6 +196,23 @@
     assert play.world.hosts[20].detector.core.acceptor is None  # type: ignore[union-attr]
 
 
+def test_work_that_is_no_more_and_comes_again_has_a_greater_token() -> None:
+    """Seen on processes: a server that was held back again had a prober with the token of the first time."""
+    play = fleet(3, tasks=())
+    # Of the node that started last: no member's floor is above its first token.
+    name = next(f"t{number}" for number in range(99) if ranked(key_of(f"t{number}"), range(3))[0] == 2)
+    for _ in range(3):
+        for host in play.world.hosts:
+            host.detector.core.add(play.world.now, name)  # type: ignore[union-attr]
+            host.detector.wake()  # type: ignore[union-attr]
+        play.until_owned(8.0, name)
+        for host in play.world.hosts:
+            host.detector._do(*host.detector.core.remove(play.world.now, name))  # type: ignore[union-attr]
+        play.world.run(1.0)
+    tokens = [one.token for one in play.had]
+    assert len(tokens) == 3 and tokens == sorted(set(tokens))
+
+
 def test_the_effect_s_word_on_a_greater_token_lifts_the_next() -> None:
     play = fleet(3)
     (owner,) = play.owners()
