--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -367,7 +367,7 @@
                     "number": one.number, "state": _name(one.state), "life": one.life,
                     "incarnation": one.incarnation, "zone": one.zone, "version": one.version,
                     "supports": one.supports, "held_s": _seconds(one.held), "heard_s": _seconds(one.heard),
-                    "round_trip_s": _seconds(one.round_trip) if one.round_trip else None,
+                    "round_trip_s": round(one.round_trip / 1e9, 6) if one.round_trip else None,
                     "suspected_by": list(one.suspected_by), "dead_in_s": _seconds(one.ends_in),
                     "unheard": one.unheard,
                 }
