Read over: dead parts of the council go, what stood twice stands once

The acceptor said that members tell a starting one what they know; nothing did, and greatest, learn, heirs and a proposer's owner were read by nobody. They go, and the docstring says what holds.

--- a/driftstair/tier/kept.py
+++ b/driftstair/tier/kept.py
@@ -26,9 +26,14 @@
 def write(path: Path, claims: tuple[Claim, ...]) -> None:
     """Raises OSError."""
     rows = [[*claim[:5], *claim.traits] for claim in claims]
-    new = path.with_suffix(".new")
+    put(path, {"format": FORMAT, "sum": _sum(rows), "members": rows})
+
+
+def put(path: Path, tree: object) -> None:
+    """As JSON, on the disk before it takes the place of what was there. Raises OSError."""
+    new = path.with_name(f"{path.name}.new")
     with open(new, "w", encoding="utf-8") as file:
-        json.dump({"format": FORMAT, "sum": _sum(rows), "members": rows}, file)
+        json.dump(tree, file)
         file.flush()
         os.fsync(file.fileno())
     new.replace(path)
--- a/driftstair/tier/lent.py
+++ b/driftstair/tier/lent.py
@@ -8,10 +8,10 @@
 
 import json
 import logging
-import os
 from pathlib import Path
 
 from driftstair.files import FileProblem, parsed, read_text
+from driftstair.tier.kept import put
 
 log = logging.getLogger(__name__)
 
@@ -29,13 +29,8 @@
 
 def write(path: Path, until: int) -> None:
     """ns, monotonic. What can't be written is as if the process had been killed."""
-    new = path.with_suffix(".lent-new")
     try:
-        with open(new, "w", encoding="utf-8") as file:
-            json.dump({"format": FORMAT, "boot": boot(), "until_ns": until}, file)
-            file.flush()
-            os.fsync(file.fileno())
-        new.replace(path)
+        put(path, {"format": FORMAT, "boot": boot(), "until_ns": until})
     except OSError as problem:
         log.warning("the next process will not know what is lent: %s", problem.strerror)
 
--- a/driftstair/tier/ownership/acceptor.py
+++ b/driftstair/tier/ownership/acceptor.py
@@ -7,8 +7,8 @@
 Trencseni and others, 2012; the refusal of promises while a lease runs is ours).
 
 That tokens rise across restarts is another matter. What a member forgot it makes up by a floor: the first
-token of its own life, as lives rise by the clock, and what other members tell it while it is silent. Where a
-majority restarts unheard and clocks disagree as well, a token may fall; what bears the effect refuses that.
+token of its own life, as lives rise by the clock. Where a majority restarts and clocks disagree as well, a
+token may fall; what bears the effect refuses that.
 """
 
 from __future__ import annotations
@@ -45,7 +45,6 @@
         self.floor = first_token(life, NUMBERS - 1)
         self.running: dict[int, Running] = {}  # by task
         self.known: dict[int, int] = {}  # by task: the greatest token promised or accepted
-        self.heirs: dict[int, int] = {}
         self._terms = terms
         self._silent_until = started + terms.waited()
 
@@ -75,7 +74,6 @@
         if (refusal := self._refusal(now, sender, life, asked.task, asked.token)) is not None:
             return refusal
         self.known[asked.task] = asked.token
-        self.heirs.pop(asked.task, None)
         self.running[asked.task] = Running(sender, life, asked.token, now + self._terms.waited())
         return Accepted(asked.task, asked.token, asked.seq)
 
@@ -91,15 +89,6 @@
         lease = self.lease(now, told.task)
         if lease is not None and (lease.owner, lease.life, lease.token) == (sender, life, told.token):
             del self.running[told.task]
-            if told.heir >= 0:
-                self.heirs[told.task] = told.heir
-
-    def greatest(self) -> int:
-        """Of all tokens that it knows: what a member that starts is told."""
-        return max(self.floor, *self.known.values(), 0)
-
-    def learn(self, token: int) -> None:
-        self.floor = max(self.floor, token)
 
     def _full(self, task: int) -> bool:
         return task not in self.known and len(self.known) >= TASKS_MOST
--- a/driftstair/tier/ownership/leases.py
+++ b/driftstair/tier/ownership/leases.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from driftstair.tier.ownership.acceptor import Acceptor
+from driftstair.tier.ownership.acceptor import Acceptor, Running
 from driftstair.tier.ownership.messages import (
     Accepted,
     Letters,
@@ -144,9 +144,13 @@
         """Of the lease that runs, as far as this node knows; -1: none."""
         if task.proposer.token(now):
             return self._own
-        lease = None if self.acceptor is None else self.acceptor.lease(now, task.key)
+        lease = self._lease(now, task)
         return -1 if lease is None else lease.owner
 
+    def _lease(self, now: int, task: Task) -> Running | None:
+        """As it runs here, where this node is of the council."""
+        return None if self.acceptor is None else self.acceptor.lease(now, task.key)
+
     def _set_wake(self, now: int) -> None:
         # Its wishes follow who lives, so it looks every now and then in any case.
         self.wake_at = min(
@@ -222,7 +226,7 @@
         out: dict[str, Any] = {}
         for task in self.tasks.values():
             own = task.proposer.token(now)
-            lease = None if self.acceptor is None else self.acceptor.lease(now, task.key)
+            lease = self._lease(now, task)
             out[task.name] = {
                 "owner": self._own if own else None if lease is None else lease.owner,
                 "token": own or (0 if lease is None else lease.token), "own": bool(own),
--- a/driftstair/tier/ownership/proposer.py
+++ b/driftstair/tier/ownership/proposer.py
@@ -42,7 +42,6 @@
     ) -> None:  # fmt: skip
         self.task = task
         self.wanted = False
-        self.owner = -1  # as somebody of the council has told last
         self._own = own
         self._council = council
         self._terms = terms
@@ -136,8 +135,6 @@
 
     def refused(self, now: int, member: int, answer: Refused) -> None:
         self.floor(answer.known)
-        if answer.owner >= 0:
-            self.owner = answer.owner
         if self._phase is Phase.IDLE or answer.token != self._asked:
             return
         self._refusals.add(member)
--- a/driftstair/tier/shared/budget.py
+++ b/driftstair/tier/shared/budget.py
@@ -193,15 +193,16 @@
                 self._wide = max(WIDE_LEAST, self._wide - 1)
             return
         key = lender, grant.lender_life, loan
-        known = key in dict(self.rights.loans())
+        known = self.rights.borrowed(key) is not None
         self.purse.advance(now)
         taken = self.rights.take(now, grant)
         self.purse.advance(now)
-        if taken:
+        loan_now = self.rights.borrowed(key)
+        if taken and loan_now is not None:
             self.counts["granted"] += 1
             self._wide = min(WIDE_MOST, self._wide + 1)
-            until = dict(self.rights.loans())[key].until
-            self.notes.append(Note("renewed" if known else "took", *key, grant.shares, until))
+            what = "renewed" if known else "took"
+            self.notes.append(Note(what, *key, grant.shares, loan_now.until))
 
     def leave(self, now: int) -> Messages:
         """The process is about to end: what it has borrowed others may use at once."""
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -244,20 +244,18 @@
         return [(budget, [])]
 
     def _told(self, messages: list[tuple[Budget, Messages]]) -> list[Action]:
-        """What is for one node goes together."""
         out: list[Action] = []
-        by_node: dict[int, list[wire.Item]] = {}
+        tells: Tells = []
         for budget, some in messages:
-            for to, message in some:
-                by_node.setdefault(to, []).append(wire.right(message, budget.key))
+            tells += [(to, wire.right(message, budget.key)) for to, message in some]
             for note in budget.notes:
                 out.append(Wrote("right", {"budget": budget.spec.name, **_fields(note)}))
             budget.notes.clear()
-        out += [Tell(to, data) for to, items in by_node.items() for data in wire.packed(items)]
-        return out
+        return out + _sent(tells)
 
 
 def _sent(tells: Tells) -> list[Action]:
+    """What is for one node goes together."""
     by_node: dict[int, list[wire.Item]] = {}
     for to, item in tells:
         by_node.setdefault(to, []).append(item)
--- a/driftstair/tier/shared/evidence.py
+++ b/driftstair/tier/shared/evidence.py
@@ -223,11 +223,12 @@
 
     def _tell(self, now: int, seen: dict[int, Seen], nodes: int) -> None:
         disputed = self._facts.subjects(now, EVIDENCE)
-        for server, one in seen.items():
-            if one.failed or one.run or server in disputed:
-                self._publish(now, EVIDENCE, server, one.value(), nodes, is_bad)
-        bad = sum(one.bad() for one in seen.values())
-        tried = sum(one.tried() for one in seen.values())
+        values = {server: one.value() for server, one in seen.items()}
+        for server, value in values.items():
+            if value[1] or value[4] or server in disputed:
+                self._publish(now, EVIDENCE, server, value, nodes, is_bad)
+        bad = sum(map(is_bad, values.values()))
+        tried = sum(map(is_tried, values.values()))
         own = self._facts.published(LOAD, 0)
         if (seen or own is not None) and (own is None or now - own.born >= LOOKED):
             rate = self.sight.per_s(now)
--- a/driftstair/tier/shared/rights.py
+++ b/driftstair/tier/shared/rights.py
@@ -160,6 +160,10 @@
         """What is borrowed, by lender, its life and the loan's number, the soonest to end first."""
         return sorted(self._in.items(), key=lambda one: one[1].until)
 
+    def borrowed(self, key: tuple[int, int, int]) -> Loan | None:
+        """By lender, its life and the loan's number."""
+        return self._in.get(key)
+
     # A lender's part.
 
     def out(self) -> dict[int, int]:
--- a/tests/tier/council.py
+++ b/tests/tier/council.py
@@ -66,7 +66,7 @@
         new.acceptors = [copy.copy(one) for one in self.acceptors]
         for one in new.acceptors:
             one.running = {task: copy.copy(lease) for task, lease in one.running.items()}
-            one.known, one.heirs = dict(one.known), dict(one.heirs)
+            one.known = dict(one.known)
         new.proposers = {number: copy.copy(one) for number, one in self.proposers.items()}
         for prop in new.proposers.values():
             prop._answers, prop._refusals = set(prop._answers), set(prop._refusals)
--- a/tests/tier/test_leases_proved.py
+++ b/tests/tier/test_leases_proved.py
@@ -11,6 +11,7 @@
 import pytest
 import z3
 from council import World, proposing, quick, walk
+from solving import refuted
 
 from driftstair.tier.ownership.leases import TERMS
 
@@ -130,15 +131,6 @@
     return z3.And(*out)
 
 
-def refuted(*claims: Any) -> bool:
-    solver = z3.Solver()
-    solver.set("timeout", 60_000)
-    solver.add(*claims)
-    found = solver.check()
-    assert found != z3.unknown
-    return bool(found == z3.unsat)
-
-
 def broken_by(waited: Any = WAITED, defect: str = "") -> set[str]:
     state = unknown()
     return {
--- a/tests/tier/test_rights_proved.py
+++ b/tests/tier/test_rights_proved.py
@@ -12,6 +12,7 @@
 import pytest
 import z3
 from lending import NAMES, Figures, Lending, Slot, State
+from solving import refuted
 
 from driftstair.tier.shared.budget import TERMS
 from driftstair.tier.shared.rights import Ask, GiveBack, Grant, Rights, Terms
@@ -64,16 +65,6 @@
     return out
 
 
-def refuted(*claims: Any) -> bool:
-    """No state makes all of these true."""
-    solver = z3.Solver()
-    solver.set("timeout", 60_000)
-    solver.add(*claims)
-    found = solver.check()
-    assert found != z3.unknown
-    return bool(found == z3.unsat)
-
-
 def broken_by(model: Lending) -> list[str]:
     """Steps that lead out of the invariant."""
     state = unknown()
