A watch that fell silent is opened anew at once, and calls after failed ones come within 2 s

By reading: silence was found after 4.5 s (discovery.SILENCE), told as a failure, answered with the module's pause of 0.5 to 1 s (balance.ASK_FIRST_PAUSE) and a dial, against 6 s in which the change counts as told; pauses after failed calls doubled to 10 s there and to 16 s in net/backoff.py where lists are pushed; an indented list was cut at its line ends and each watch failed on its first line. Ruled out: a call accepted and then mute was given up before too (test passes without the mend). Now: 3 s of silence, and the call at once; pauses up to 2 s (asked) and 0.5 s (pushed), less the time that the failed call took; 4 s for an answer that may wait its turn, 1 s for an agent's; first call within 4 s of a start; one last look before silence counts, as timers run before sockets are read; texts over several lines (net/documents.py).

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from collections.abc import Callable
 from typing import cast
@@ -11,13 +10,19 @@
 import httptools
 
 from driftstair.hosts import HostList, ListError, parse_list
+from driftstair.net.documents import TEXT_MOST, Documents
 from driftstair.net.system import System
 
 log = logging.getLogger(__name__)
 
-SILENCE = 4.5  # s without a byte: an open watch brings one every 2 s, and what a silent one misses counts as
-# told 6 s after its last; by then the module's pause before it asks anew (up to 1.5 s) has to be over as well
-LINE_MOST = 4 << 20  # bytes of one change
+# A change counts as told 6 s after discovery had it and could be reached, whatever befell the calls before.
+# So each way from there to a list that is read has to be shorter: a silent watch and the call after it, a
+# call without an answer and the pause (the module's, where it is asked), a connection that does not come up.
+SILENCE = 3.0  # s without a byte of a watch that has been answered: an open one brings one every 2 s
+ANSWER = 4.0  # s to the first line of a call: discovery works through them in turn, for up to 3 s
+ANSWER_PUSHED = 1.0  # s, where it is an agent on this machine, which answers at once or not at all
+DIAL = 2.0  # s until the connection is up
+LAST_LOOK = 0.01  # s for what has come while the loop stood still to be read, before a watch counts as silent
 
 
 class Discovery:
@@ -27,7 +32,7 @@
         self,
         address: tuple[str, int],
         version: int,
-        dial_timeout: float,
+        answer_within: float,
         on_list: Callable[[HostList], None],
         on_failed: Callable[[], None],
         system: System,
@@ -35,7 +40,7 @@
         self._system = system
         self._address = address
         self.version = version
-        self._dial_timeout = dial_timeout
+        self.answer_within = answer_within
         self._on_list = on_list
         self._on_failed = on_failed
         self._watch: _Watch | None = None
@@ -72,7 +77,7 @@
 
     async def _open(self, watch: _Watch) -> None:
         try:
-            async with asyncio.timeout(self._dial_timeout):
+            async with asyncio.timeout(DIAL):
                 await self._system.dial(lambda: watch, self._address)
         except (OSError, TimeoutError) as problem:
             self.failed(watch, f"no connection: {problem!r}")
@@ -81,19 +86,31 @@
         return watch is self._watch
 
     def received(self, watch: _Watch, line: bytes) -> None:
-        if watch is not self._watch or not line.strip():
+        if watch is not self._watch:
             return
         try:
-            update = parse_list(json.loads(line))
+            updates = [parse_list(document) for document in watch.documents.add(line)]
             # Changes build on the list that is held; one from before it would undo what was told since.
-            if not update.full and update.version < self.version:
-                raise ListError(f"version {update.version} comes after {self.version}")
+            for update in updates:
+                if not update.full and update.version < self.version:
+                    raise ListError(f"version {update.version} comes after {self.version}")
         except (ValueError, RecursionError, ListError) as problem:
             self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
             self.failed(watch, f"bad line: {problem}")
             return
-        self.version = update.version
-        self._on_list(update)
+        for update in updates:
+            self.version = update.version
+            self._on_list(update)
+
+    def silent(self, watch: _Watch) -> None:
+        """Its connection is dead, though nothing may ever say so. One that had been answered is opened anew
+        at once: the connection failed, not discovery, and no call is being spared."""
+        if watch is self._watch and watch.answered:
+            log.warning("watch fell silent: opened anew")
+            self.close()
+            self.watch()
+        else:
+            self.failed(watch, "no answer")
 
     def failed(self, watch: _Watch, why: str) -> None:
         """The watch has ended; a second report of the same one is passed over."""
@@ -113,9 +130,11 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None  # while it is up: the two hold each other
         self._rest = bytearray()
+        self.documents = Documents()
+        self.answered = False  # a line, or a part of one, has come
         loop = asyncio.get_running_loop()
         self._heard = loop.time()
-        self._timer = loop.call_later(SILENCE, self._check)
+        self._timer = loop.call_later(owner.answer_within, self._check)
 
     def close(self) -> None:
         self._timer.cancel()
@@ -126,14 +145,17 @@
         self._owner.failed(self, why)
         self.close()
 
-    def _check(self) -> None:
-        """Silence means that the connection is dead, though nothing may ever say so."""
+    def _check(self, looked: bool = False) -> None:
         loop = asyncio.get_running_loop()
-        left = self._heard + SILENCE - loop.time()
-        if left <= 0:
-            self._fail("silence")
-        else:
+        left = self._heard + (SILENCE if self.answered else self._owner.answer_within) - loop.time()
+        if left > 0:
             self._timer = loop.call_later(left, self._check)
+        elif looked:
+            self._owner.silent(self)
+        else:
+            # Timers run before sockets are read. Guards against a node that stood still: what discovery sent
+            # meanwhile is with the kernel, and it would call again, with all others that stood still.
+            self._timer = loop.call_later(LAST_LOOK, self._check, True)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -167,10 +189,15 @@
 
     def on_body(self, data: bytes) -> None:
         self._rest += data
+        if not self.answered:
+            self.answered = True
+            # Until now the time for an answer counted, which is another one.
+            self._timer.cancel()
+            self._timer = asyncio.get_running_loop().call_later(SILENCE, self._check)
         *lines, self._rest = self._rest.split(b"\n")
         for line in lines:
             self._owner.received(self, bytes(line))
-        if len(self._rest) > LINE_MOST:
+        if len(self._rest) > TEXT_MOST:
             self._fail("a line without end")
 
     def on_message_complete(self) -> None:
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -13,7 +13,7 @@
 
 from driftstair.hosts import Host, HostList
 from driftstair.net.backoff import Backoff
-from driftstair.net.discovery import Discovery
+from driftstair.net.discovery import ANSWER, ANSWER_PUSHED, Discovery
 from driftstair.net.flow import Stream, size
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Answer, Attempt, Pools
@@ -34,7 +34,9 @@
 TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
 REPORT_MOST = 1024  # bytes of a load report
-WATCH_PAUSE = 1.0  # s, where lists are pushed: from the end of a watch to the next, before any doubling
+# s, where lists are pushed: from the end of a watch to the next, and its longest. The agent stands on this
+# machine, and answers at no cost; what it has after an outage counts as told while nobody has read it.
+WATCH_PAUSE, WATCH_PAUSE_MOST = 0.25, 0.5
 
 
 def digest(text: str | bytes) -> bytes:
@@ -111,9 +113,11 @@
         self._ready: set[api.ServerId] = set()
         # Fixed: a start time must translate alike each time.
         self._to_monotonic = system.monotonic_ns() - system.time_ns()
-        self._watch_again = Backoff(WATCH_PAUSE, config.seed)  # where the module is not asked
+        # Where the module is not asked.
+        self._watch_again = Backoff(WATCH_PAUSE, WATCH_PAUSE_MOST, config.seed)
+        pushed = config.settings.list_mode is ListMode.PUSHED
         self._discovery = Discovery(
-            config.discovery, config.known.version, max(1.0, config.dial_timeout / 1e9),
+            config.discovery, config.known.version, ANSWER_PUSHED if pushed else ANSWER,
             self._list_came, self._watch_failed, system,
         )  # fmt: skip
 
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -83,7 +83,10 @@
 
 # The list.
 ASK_SPREAD = 0.5  # of the time within which to ask: many nodes starting at once spread their calls
+ASK_SPREAD_MOST = 4 * SECOND  # what has changed by its start counts as told to a node 6 s later
 ASK_FIRST_PAUSE = SECOND  # doubles with each failed call
+ASK_MOST = 2 * SECOND  # as far as this: what discovery has once it is back counts as told 6 s later
+ASK_LEAST = SECOND // 2  # after a call that was waited for so long that its pause is over
 DOUBLINGS = 4  # of that pause and of an ejection, at most
 
 TICK_TOKEN, ASK_TOKEN, LATER_TOKEN = 1, 2, 3
@@ -217,6 +220,7 @@
         self._rate = 0.0  # attempts per nanosecond and unit of a warm server's weight, lately
         self._watching = False
         self._failed_calls = 0
+        self._asked = 0  # when the call that is not answered yet was made; 0: there is none
         self._actions: list[api.Action] = []
 
     # Events.
@@ -226,7 +230,7 @@
         # Nodes that start together would cut together: each has its own phase.
         actions: list[api.Action] = [api.SetTimer(now + self._jittered(PERIOD, 0.0), TICK_TOKEN)]
         if self._settings.list_mode is ListMode.ON_REQUEST:
-            spread = int(self._settings.ask_within * ASK_SPREAD)
+            spread = min(ASK_SPREAD_MOST, int(self._settings.ask_within * ASK_SPREAD))
             actions.append(api.SetTimer(now + self._jittered(spread, 0.0), ASK_TOKEN))
         return actions
 
@@ -273,6 +277,7 @@
             self._actions.append(api.SetTimer(now + PERIOD, TICK_TOKEN))
         elif token == ASK_TOKEN and not self._watching:
             self._watching = True  # or about to; a failure takes it back
+            self._asked = now
             self._actions.append(api.Watch())
 
     # The breaker.
@@ -806,13 +811,15 @@
     def _follow(self, now: int, update: api.ServerList) -> None:
         if update.kind is ListKind.FAILED:
             self._watching = False
-            pause = ASK_FIRST_PAUSE << min(self._failed_calls, DOUBLINGS)
-            self._failed_calls += 1
-            self._ask_after(now, min(pause, self._settings.ask_within))
+            pause = min(ASK_FIRST_PAUSE << self._failed_calls, ASK_MOST, self._settings.ask_within)
+            waited = now - self._asked if self._asked else 0  # a call without an answer is a pause itself
+            self._failed_calls = min(DOUBLINGS, self._failed_calls + 1)
+            self._asked = 0
+            self._ask_after(now, max(ASK_LEAST, pause - waited))
             return
         if update.kind is not ListKind.CACHED:
             self._watching = True
-            self._failed_calls = 0
+            self._failed_calls = self._asked = 0
         listed = {server.id: server for server in update.servers}
         if update.kind is not ListKind.DELTA:
             for backend in self._backends.values():
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,12 +6,15 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from random import Random
 
 import pytest
 from world import KEYED, MS, SAFE, SECOND, START, UNSAFE, Node, server, settings, whole
 
+from driftstair.net.discovery import ANSWER, DIAL
 from lichenspring import Balancer
 from lichenspring import interface as api
+from lichenspring.balance import ASK_TOKEN
 from lichenspring.breaker import Breaker, Window, pooled_tail
 from lichenspring.interface import Result
 from lichenspring.memory import recall, remembered
@@ -543,7 +546,29 @@
         pauses.append(node.now - before)
         node.tell(api.ServerList(api.ListKind.FAILED, ()))
     assert pauses[0] <= SECOND + 50 * MS
-    assert max(pauses) > 3 * SECOND
+    assert SECOND < max(pauses) <= 2 * SECOND + 50 * MS  # a change counts as told 6 s after discovery is back
+
+
+def test_whatever_befalls_its_calls_a_node_calls_again_soon_enough_to_learn_within_6_s() -> None:
+    """Discovery may be back the moment after a call that comes to nothing has begun. The pauses doubled to
+    ten seconds and came on top of calls that had themselves been waited for."""
+    chance = Random(11)
+    # Refused, turned away, cut off, mute.
+    lasts = (0, SECOND // 100, int(DIAL * SECOND), int(ANSWER * SECOND))
+    for seed in range(40):
+        balancer = Balancer(settings(list_mode=api.ListMode.ON_REQUEST), seed)
+        (_, first) = balancer.start(START)
+        assert isinstance(first, api.SetTimer)
+        assert first.at - START + int(ANSWER * SECOND) // 4 <= 6 * SECOND
+        began = first.at
+        assert balancer.handle(began, api.Timer(ASK_TOKEN)) == [api.Watch()]
+        for _ in range(12):
+            failed = began + chance.choice(lasts)
+            (again,) = balancer.handle(failed, api.ServerList(api.ListKind.FAILED, ()))
+            assert isinstance(again, api.SetTimer) and again.at > failed + SECOND // 5
+            assert again.at - began <= 5 * SECOND  # which leaves one for the answer
+            began = again.at
+            assert balancer.handle(began, api.Timer(ASK_TOKEN)) == [api.Watch()]
 
 
 def test_a_node_that_restarts_with_an_empty_list_asks_within_a_second() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import json
+import socket
+from collections.abc import Callable
 from dataclasses import replace
-from time import time
+from time import sleep, time
 
 import pytest
 from rig import Discovery, Rig, Server, configuration, request, run, until
 
 from driftstair.hosts import parse_address
-from driftstair.net import discovery
+from driftstair.net import discovery, node
 from driftstair.net.node import digest
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
@@ -117,7 +119,7 @@
 @pytest.mark.parametrize("how", ["503", "end", "garbage", "refused", "silence"])
 def test_a_watch_that_ends_is_told_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     if how == "silence":
-        monkeypatch.setattr(discovery, "SILENCE", 0.05)
+        monkeypatch.setattr(node, "ANSWER", 0.05)  # accepted, and then mute
 
     async def test() -> None:
         async with Discovery() as source:
@@ -190,3 +192,135 @@
                 assert not rig.spy.lists(ListKind.FAILED)
 
     run(test())
+
+
+def test_a_watch_that_fell_silent_is_opened_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Servers were sent requests that had been announced as leaving: the pause after a failed call, and the
+    time to the answer, came on top of a silence that was found just before the change counts as told."""
+    monkeypatch.setattr(discovery, "SILENCE", 0.05)
+
+    async def test() -> None:
+        async with (
+            Discovery() as source, Server("s-1") as server,
+            Rig(configuration(server, discovery=source.address)) as rig,
+        ):
+            rig.watch()
+            await until(lambda: source.targets)
+            source.push(9, server)
+            await until(lambda: len(source.targets) == 2)  # though it has never ended
+            assert "from=9 " in source.targets[1]
+            assert not rig.spy.lists(ListKind.FAILED)
+
+    run(test())
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_a_call_accepted_and_then_mute_is_given_up_and_made_again(
+    pushed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(node, "ANSWER_PUSHED" if pushed else "ANSWER", 0.05)
+
+    async def test() -> None:
+        async with Discovery() as source:
+            source.reply = b""
+            document = configuration(discovery=source.address)
+            document["settings"]["MembershipMode"] = "pushed" if pushed else "on_request"
+            async with Rig(document) as rig:
+                if not pushed:
+                    rig.watch()
+                await until(lambda: len(source.targets) == 3)
+                # The module hears of it where it is the one that asks.
+                assert len(rig.spy.lists(ListKind.FAILED)) == (0 if pushed else 2)
+
+    run(test())
+
+
+def test_no_way_to_a_list_takes_longer_than_until_it_counts_as_told() -> None:
+    """Of a node whose list is pushed, whose pauses are not the module's: the longest calls and pauses."""
+    told, beat = 6.0, 2.0  # s; an open watch brings a line after each beat
+    assert told > discovery.SILENCE + discovery.DIAL  # a silent watch, and the call after it
+    for call in (0.0, discovery.DIAL, discovery.ANSWER_PUSHED):
+        assert told > call + node.WATCH_PAUSE_MOST + discovery.DIAL + discovery.ANSWER_PUSHED
+    assert beat + discovery.LAST_LOOK < discovery.SILENCE
+
+
+class Holds(asyncio.Protocol):
+    """Holds up the loop as it reads: what comes due meanwhile runs before any socket is read again."""
+
+    def __init__(self, what: Callable[[], None]) -> None:
+        self._what = what
+
+    def data_received(self, data: bytes) -> None:
+        self._what()
+
+
+def test_what_came_while_the_node_stood_still_is_read_before_its_watch_counts_as_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer and the silence's timer in one turn of the loop."""
+    monkeypatch.setattr(discovery, "SILENCE", 0.2)
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as source:
+            async with Rig(configuration(discovery="127.0.0.1:%d" % source.getsockname()[1])) as rig:
+                rig.watch()
+                open_watch, _ = await loop.run_in_executor(None, source.accept)
+                line = b'{"version":%d,"full":false,"servers":[]}\n'
+                open_watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                open_watch.sendall(b"28\r\n" + line % 8 + b"\r\n")
+                await until(lambda: rig.spy.lists(ListKind.DELTA))
+                watch = rig.node._discovery._watch
+
+                def stands_still() -> None:
+                    open_watch.sendall(b"28\r\n" + line % 9 + b"\r\n")
+                    sleep(0.4)
+
+                near, far = socket.socketpair()
+                await loop.create_connection(lambda: Holds(stands_still), sock=near)
+                far.send(b"now")
+                await until(lambda: len(rig.spy.lists(ListKind.DELTA)) == 2)
+                assert rig.node._discovery._watch is watch
+                far.close()
+                open_watch.close()
+
+    run(test())
+
+
+def test_an_indented_list_is_one_change(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It was cut at its line ends, and each watch failed on its first line."""
+
+    async def test() -> None:
+        async with (
+            Discovery() as source, Server("s-1") as one, Server('s-"2\\{') as two,
+            Rig(configuration(one, discovery=source.address)) as rig,
+        ):
+            rig.watch()
+            await until(lambda: source.targets)
+            for version, indent in ((8, 2), (9, 0), (10, None)):
+                entries = {"version": version, "full": version == 8, "servers": [two.entry()]}
+                text = json.dumps(entries, indent=indent).encode()
+                source.push_bytes(b"\n" + text[: version * 7])
+                source.push_bytes(text[version * 7 :] + b"\n\n")
+            await until(lambda: len(rig.spy.lists(ListKind.DELTA)) == 2)
+            assert len(rig.spy.lists(ListKind.FULL)) == 1 and not rig.spy.lists(ListKind.FAILED)
+            assert rig.node._ready == {digest(two.name)}
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b'{\n "version": 9,\n\n', b'{"version":9,"full":false,"ser\n', b"[\n" * 40, b'{\n"version":9}}\n'],
+    ids=["cut off", "cut in a word", "deep", "closed twice"],
+)
+def test_an_indented_list_that_is_cut_is_one_failure(text: bytes) -> None:
+    async def test() -> None:
+        async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
+            rig.watch()
+            await until(lambda: source.targets)
+            source.push_bytes(text)
+            await until(lambda: rig.spy.lists(ListKind.FAILED))
+            assert rig.node._discovery.version == 0  # the next one starts from the whole list
+
+    run(test())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -69,7 +69,7 @@
 
 def test_forty_nodes_whose_pushed_list_ends_do_not_come_back_in_step() -> None:
     """They did, once a second, for as long as discovery was away."""
-    fleet = [Backoff(1.0, seed) for seed in range(40)]
+    fleet = [Backoff(1.0, 16.0, seed) for seed in range(40)]
     for failures in range(8):
         longest = 2.0 ** min(4, failures)
         pauses = sorted(one.pause() for one in fleet)
@@ -79,6 +79,7 @@
     for one in fleet:
         one.succeeded()
         assert one.pause() <= 1.0
+        assert max(one.pause() for _ in range(40)) <= 16.0
 
 
 def test_a_hot_key_in_the_first_second_of_forty_nodes_fills_no_two_servers() -> None:
