--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -263,7 +263,7 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         with socket.create_server(("127.0.0.1", 0)) as source:
-            async with Rig(configuration(discovery="127.0.0.1:%d" % source.getsockname()[1])) as rig:
+            async with Rig(configuration(discovery=f"127.0.0.1:{source.getsockname()[1]}")) as rig:
                 rig.watch()
                 open_watch, _ = await loop.run_in_executor(None, source.accept)
                 line = b'{"version":%d,"full":false,"servers":[]}\n'
