Nothing begins for a client that has left: asked of the kernel before each attempt

Cause, by reading and by tests on sockets: a client's FIN only set _half_closed (front.eof_received), and its request went on: further attempts after a failure, dials that came up, turns of a key. Where reading is paused, or a request is read together with the end behind it (a full table, a node that stood still), the end was not even known. Weighed: a FIN as the client's end outright would refuse simple clients that end their sending and wait (half-close); so what is out goes on and is answered, and nothing begins 0.08 s after the end. Before each attempt, and after each dial, the kernel is asked for it (POLLRDHUP, and how long ago data came), read or not. What still waits is answered at once, 503, or 502 where it may have run. At a reset all attempts are cancelled, as before.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, cast
@@ -31,6 +32,7 @@
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 DRAIN_LOOK = 0.02  # s
 BESIDE = 4.0  # s for which a process that has taken over counts on another one beside it
+GONE_AFTER = 0.08  # s from a client's close, or end of sending: nothing begins for it any more
 HELD_BESIDE = 0.6  # part of the connections that clients may hold, for that time
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -46,6 +48,7 @@
         self.node = node
         self.config = config
         self.now = system.monotonic_ns
+        self.departure = system.departure
         self._system = system
         self.closing = False  # answers end their connections
         self.stopping = False  # `/up` sends clients elsewhere
@@ -314,6 +317,8 @@
         self._ends = False  # nothing more is read
         self._rejected = False  # by the last answer
         self._half_closed = False  # the client sends no more
+        self._departed: Callable[[], int | None] = lambda: None
+        self._left_at: int | None = None  # when the client closed, or ended its sending, monotonic ns
         self._dropped = 0  # bytes that came after the end
         self._deadline = 0
         self._slow_reader: asyncio.TimerHandle | None = None
@@ -323,6 +328,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         transport.set_write_buffer_limits(high=0)  # to be told when an answer's last byte is out
+        self._departed = self._front.departure(transport)
         self._front.came(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -354,13 +360,33 @@
         self._next()
 
     def eof_received(self) -> bool:
-        """A client may end its sending and wait for the answer to what it has sent whole."""
+        """A client that closes and one that ends its sending and waits (half-close, RFC 9112) look alike:
+        attempts that are out are waited for, and their answer is passed on; what has not begun soon after
+        never begins, and is answered as refused. Both get what is theirs."""
         self._half_closed = True
+        if self._left_at is None:
+            self._left_at = self._front.now()
+        if self._number:
+            self._loop.call_later(GONE_AFTER, self._withdraw, self._number)
         if self._upload is not None and not self._upload.ended:
             return False  # the rest of the body will never come
         waits = self._busy or bool(self._reader.ready) or self._reader.has_unread()
         return waits and not self._ends
 
+    def has_gone(self) -> bool:
+        """Whether the client has left, and that so long ago that nothing may begin for it. Asked before each
+        attempt: its end may be with the kernel still, behind what waited there with it, or unread."""
+        if self._left_at is None:
+            ago = self._departed()
+            if ago is None:
+                return False
+            self._left_at = self._front.now() - ago
+        return self._front.now() - self._left_at >= GONE_AFTER * 1e9
+
+    def _withdraw(self, number: int) -> None:
+        if number == self._number:
+            self._front.node.withdraw(number)
+
     def time_out(self) -> None:
         """The limit of the front: a client that has sent a part is told, one that has not is not."""
         if self._reader.is_partial():
@@ -485,6 +511,7 @@
         key = fields.get(b"x-key")
         return Call(
             client=self,
+            has_gone=self.has_gone,
             identity=fields[b"x-request-id"],
             head=incoming.forwarded_head(),
             body=bytes(incoming.body) if incoming.stream is None else incoming.stream,
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
 from hashlib import blake2b
@@ -69,6 +70,7 @@
     resubmitted: bool
     deadline: int  # monotonic ns; that of a stream counts from its last byte, and is later
     patience: int  # ns from the last byte to the deadline
+    has_gone: Callable[[], bool]  # the client has left: nothing may begin for it
     asked: Asked | None = None  # in the terms of routes, where there are any
 
 
@@ -81,6 +83,7 @@
     watchdog: asyncio.TimerHandle | None = None
     answered: bool = False
     sent: int = 0  # attempts so far
+    may_have_run: bool = False  # one of those that have ended
     out: dict[int, Attempt] = field(default_factory=dict)
     counted: Counted | None = None  # in the ledger, where one is kept
 
@@ -287,6 +290,15 @@
             request.counted.gone()
         self._close(request)
 
+    def withdraw(self, number: int) -> None:
+        """Its client has left, or may have: what is out goes on, and nothing begins."""
+        request = self._open.get(number)
+        if request is None or request.answered or any(one.is_out() for one in request.out.values()):
+            return
+        # A client that is still there is told at once, and whether it may ask again.
+        request.call.client.answer(502 if request.may_have_run else 503, [], b"")
+        self._close(request)
+
     def _overdue(self, request: Open, status: int = 504) -> None:
         """Guards against a request that nobody answers, whatever the reason."""
         if not request.answered:
@@ -328,12 +340,16 @@
         if request is None:
             self._tell(api.Outcome(action.request, True, Result.NOT_SENT, 0, action.server, 0, ()))
             return
+        gone = request.call.has_gone()
+        if gone:
+            self.withdraw(request.number)
         index = request.sent
         request.sent += 1
         pool = self._pools.get(action.server)
         body = request.call.body
         passed_on = isinstance(body, Stream) and body.begun
-        if pool is None or request.answered or passed_on or index >= self._config.settings.max_attempts:
+        over = gone or request.answered or passed_on
+        if pool is None or over or index >= self._config.settings.max_attempts:
             self._tell(
                 api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
             )
@@ -347,7 +363,7 @@
         expires = min(latest, now + action.time_out) if action.time_out else latest
         ended = partial(self._ended, request, index, action.server, now)
         call = request.call
-        attempt = Attempt(pool, call.head, call.body, expires, ended, action.first_byte)
+        attempt = Attempt(pool, call.head, call.body, expires, ended, call.has_gone, action.first_byte)
         request.out[index] = attempt
         attempt.start()
 
@@ -356,6 +372,7 @@
         result: Result, answer: Answer | None,
     ) -> None:
         elapsed = self._now() - (request.out.pop(index).written_at or since)
+        request.may_have_run |= result not in NEVER_RAN
         if answer is not None and not request.answered:
             if result is Result.OK:
                 self._answer(request.number, 200, answer.headers, answer.body)
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -10,6 +10,7 @@
 import asyncio
 import select
 import socket
+import struct
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -19,6 +20,10 @@
 """Bytes that a socket takes in ahead, and so what one read brings at most, about: what the node has to hold
 for a slow reader."""
 
+TCP_INFO_SIZE, LAST_DATA_RECV_AT, LAST_DATA_RECV = 104, 52, struct.Struct("=I")
+"""Of Linux's tcp_info (tcp(7), linux/tcp.h): how many ms ago data came last."""
+LONG_AGO = 1 << 60  # ns
+
 Factory = Callable[[], asyncio.BaseProtocol]
 
 
@@ -78,6 +83,10 @@
         """Set up a connection that came up for requests one at a time. What is returned tells whether it is
         quiet: nothing has come, nor its end, that the loop has not read yet."""
 
+    def departure(self, transport: asyncio.Transport) -> Callable[[], int | None]:
+        """What is returned tells for how long (ns) at most a connection's peer has closed it or ended its
+        sending, whether or not the loop has read so far; None while it has not."""
+
     async def aside(self, what: Callable[[], None]) -> None:
         """Do what waits for a disk, off the loop's turn."""
 
@@ -157,6 +166,24 @@
             own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVES)
         return lambda: not poll.poll(0)
 
+    def departure(self, transport: asyncio.Transport) -> Callable[[], int | None]:
+        own = transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(own.fileno(), select.POLLRDHUP)
+
+        def departed() -> int | None:
+            found = poll.poll(0)
+            if not found or not found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+                return None
+            try:
+                # An end comes behind the last data. That it came alone, and later, can't be seen.
+                told = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+                return int(LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) * 1_000_000
+            except (OSError, struct.error):
+                return LONG_AGO
+
+        return departed
+
     async def aside(self, what: Callable[[], None]) -> None:
         await asyncio.to_thread(what)
 
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -38,13 +38,13 @@
     """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
 
     __slots__ = (
-        "_body", "_connection", "_dial", "_head", "_on_end", "_patience", "_timer", "done", "expires",
-        "first_byte", "moved", "pool", "written_at",
+        "_body", "_connection", "_dial", "_has_gone", "_head", "_on_end", "_patience", "_timer", "done",
+        "expires", "first_byte", "moved", "pool", "written_at",
     )  # fmt: skip
 
     def __init__(
         self, pool: Pool, head: bytes, body: bytes | Stream, expires: int,
-        on_end: Callable[[Result, Answer | None], None], first_byte: int = 0,
+        on_end: Callable[[Result, Answer | None], None], has_gone: Callable[[], bool], first_byte: int = 0,
     ) -> None:  # fmt: skip
         self.pool = pool
         self.expires = expires  # monotonic ns
@@ -56,6 +56,7 @@
         self._head = head
         self._body = body
         self._on_end = on_end
+        self._has_gone = has_gone  # the client, while this was dialed
         self._connection: Connection | None = None
         self._dial: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -93,6 +94,9 @@
             connection.close()
         elif connection.closed:
             self.end(Result.CONNECT_FAILED)
+        elif self._has_gone():
+            self.pool.put(connection)
+            self.end(Result.NOT_SENT)
         else:
             if self._timer is not None:
                 self._timer.cancel()
@@ -151,6 +155,10 @@
             self._timer.cancel()
         self._expires_at(self.expires)
 
+    def is_out(self) -> bool:
+        """Some of it has been written."""
+        return self._connection is not None
+
     def cancel(self) -> None:
         self.end(Result.CANCELLED)
 
--- a/driftstair/rehearsal/sim/stream.py
+++ b/driftstair/rehearsal/sim/stream.py
@@ -28,7 +28,7 @@
     __slots__ = (
         "_buffer", "_closing", "_eof_pending", "_eof_sent", "_fin_seen", "_gone", "_held", "_high",
         "_last_arrival", "_lost_called", "_low", "_network", "_on_the_way", "_paused_protocol", "_protocol",
-        "_reading", "_received", "_reset", "address", "counted", "loop", "machine", "peer",
+        "_reading", "_received", "_reset", "address", "counted", "left_at", "loop", "machine", "peer",
     )  # fmt: skip
 
     def __init__(self, network: Network, machine: Machine, address: tuple[str, int]) -> None:
@@ -55,6 +55,7 @@
         self._gone = False  # its socket is closed
         self._lost_called = False
         self._reset: OSError | None = None
+        self.left_at: int | None = None  # when the peer's end or its reset arrived
         machine.endpoints[self] = None
 
     def join(self, other: Endpoint) -> None:
@@ -235,6 +236,8 @@
             if data is not FIN or self._reset is not None:
                 self._send_reset()
             return
+        if data is FIN:
+            self.left_at = self._network.scheduler.now
         self._received.append(data)
         if self._reading and self.loop is not None and len(self._received) == 1:
             self._read_on()
@@ -297,6 +300,7 @@
         if self._gone or not self.machine.reachable:
             return
         self._reset = ConnectionResetError(errno.ECONNRESET, os.strerror(errno.ECONNRESET))
+        self.left_at = self.left_at or self._network.scheduler.now
         self._received.clear()
         self._buffer.clear()
         if self.loop is not None:
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -48,6 +48,14 @@
         endpoint = cast(Endpoint, transport)
         return lambda: not endpoint.has_unread()
 
+    def departure(self, transport: asyncio.Transport) -> Callable[[], int | None]:
+        endpoint = cast(Endpoint, transport)
+
+        def departed() -> int | None:
+            return None if endpoint.left_at is None else self._scheduler.now - endpoint.left_at
+
+        return departed
+
     async def aside(self, what: Callable[[], None]) -> None:
         """At once: a thread would not be in step with this world's time."""
         what()
