What a cold server is sent is bounded by the settings' multiple

Lead: each process starts a cold server with a token by chance and a budget of its own. Now 0.54 of the multiple at most; unchanged at 3.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -68,6 +68,7 @@
 COLD_MOST = 1.6  # the same where its own report says that it has room: far from pushed over
 RATE_FALLS = 0.05  # part of the way to a lower rate of warm servers that a window goes
 COLD_BURST = 2.0  # requests that a cold server's budget may save up
+FALL_PART = 0.54  # of the multiple at which a cold server falls: warm ones may be overdriven, and chance adds
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
 LOST_WEIGHT = 0.2  # part of the newest attempt in the shares that idle, new and other connections lose
 LOST_ABOVE = 0.5  # four in a row: idle connections are dropped unseen
@@ -673,9 +674,10 @@
     def _cold_part(self, backend: Backend) -> float:
         """Of what a warm server takes, for its warmth, which is a lower bound: after a release cold servers
         stood at a third of their cores, while the few warm ones were overdriven with all the rest."""
+        most = FALL_PART * self._settings.fall_multiple
         if not backend.busy:
-            return COLD_CAUTION  # no report has come since it started
-        return min(COLD_MOST, max(COLD_CAUTION, COLD_CAUTION * BUSY_ABOVE / backend.busy))
+            return min(most, COLD_CAUTION)  # no report has come since it started
+        return min(most, COLD_MOST, max(COLD_CAUTION, COLD_CAUTION * BUSY_ABOVE / backend.busy))
 
     def _warmth(self, now: int, server: api.Server) -> float:
         """The part of its work that a server does at least, by the time since its start."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
+from heapq import heappop, heappush
+from math import inf, sqrt
 from random import Random
 
 import pytest
@@ -112,3 +114,103 @@
     for key in range(100, 100 + 2 * servers):
         assert node.serve(key) is not None
     assert len({node.serve(42) for _ in range(3)}) == 1
+
+
+class Crowd:
+    """Nodes before servers that work through what they get, one after the other, and answer 0.5 s late at
+    most. Requests come at random (Poisson), each to a node by chance."""
+
+    def __init__(self, nodes: int, rules: api.Settings, warm: int, power: float, seed: int) -> None:
+        self.chance = Random(seed)
+        self.fleet = [Node(rules, servers=warm, seed=seed * 1000 + number) for number in range(nodes)]
+        self.rules = rules
+        self.began = self.fleet[0].now
+        self.power = power  # requests a second of a warm server
+        self.cold: dict[api.ServerId, list[int]] = {}  # when each was sent a request
+        self.started = 0
+        self._free: dict[api.ServerId, int] = {}
+        self._ends: list[tuple[int, int, Node, api.Send, Result]] = []
+
+    def warmth(self, at: int) -> float:
+        share = self.rules.cold_share
+        return min(1.0, share + (1.0 - share) * max(0, at - self.started) / self.rules.cold_time)
+
+    def start(self, count: int) -> None:
+        """So many servers more. Every node is told within a second."""
+        self.started = max(node.now for node in self.fleet)
+        entries = tuple(server(99 + number, started=self.started) for number in range(count))
+        self.cold = {entry.id: [] for entry in entries}
+        for node in self.fleet:
+            told = self.started + int(self.chance.random() * SECOND)
+            node.wait(told - node.now)
+            node.tell(api.ServerList(api.ListKind.DELTA, entries))
+
+    def play(self, rate: float, seconds: float) -> None:
+        at = float(max(node.now for node in self.fleet))
+        end = at + seconds * SECOND
+        while (at := at + self.chance.expovariate(rate) * SECOND) < end:
+            now = int(at)
+            while self._ends and self._ends[0][0] <= now:
+                when, _, node, send, result = heappop(self._ends)
+                node.wait(max(0, when - node.now))
+                report = () if result is Result.TIMEOUT else (0.25 if send.server in self.cold else 0.9,)
+                node.end(send, result, 500 * MS if result is Result.TIMEOUT else 100 * MS, report)
+            node = self.chance.choice(self.fleet)
+            node.wait(max(0, now - node.now))
+            action = node.ask(0, self.chance.randrange(1, 5000))[-1]
+            if isinstance(action, api.Send):
+                self._serve(now, node, action)
+
+    def _serve(self, now: int, node: Node, send: api.Send) -> None:
+        power = self.power
+        if send.server in self.cold:
+            self.cold[send.server].append(now)
+            power *= self.warmth(now)
+        free = max(now, self._free.get(send.server, now)) + int(SECOND / power)
+        late = free > now + 480 * MS
+        self._free[send.server] = free - int(SECOND / power / 2) * late
+        done = now + 500 * MS if late else free + 60 * MS
+        result = Result.TIMEOUT if late else Result.OK
+        heappush(self._ends, (done, send.request * 1000 + self.fleet.index(node), node, send, result))
+
+    def most_over(self) -> float:
+        """By how much any cold server was sent more than its budget N in some window, in parts of what counts
+        as chance: 2 x root of N + 2."""
+        most = -inf
+        for sent in self.cold.values():
+            first = 0
+            for last, at in enumerate(sent):
+                while sent[first] <= at - WINDOW:
+                    first += 1
+                budget = self.rules.fall_multiple * self.warmth(at - WINDOW) * self.power * WINDOW / SECOND
+                most = max(most, (last - first + 1 - budget) / (2 * sqrt(budget) + 2))
+        return most
+
+
+@pytest.mark.parametrize("nodes", [1, 5, 20, 30])
+@pytest.mark.parametrize("multiple", [3.0, 1.5])
+def test_the_ramp_of_cold_servers_holds_for_the_fleet(nodes: int, multiple: float) -> None:
+    """A release in a quiet time, in which every node saves up what it may send, and then a surge."""
+    rules = settings(nodes=nodes, fall_multiple=multiple, report_fields=("utilization",))
+    crowd = Crowd(nodes, rules, warm=4, power=20.0, seed=5)
+    crowd.play(50.0, 4.0)
+    crowd.start(8)
+    crowd.play(50.0, 2.0)
+    crowd.play(240.0, 5.0)
+    assert sum(map(len, crowd.cold.values())) > 100  # they are used at all
+    assert crowd.most_over() <= 1.0
+
+
+def test_a_cold_server_gets_no_more_than_another_customers_settings_allow() -> None:
+    """One that reports room got up to 1.6 times what it could do then, whatever the settings call too much."""
+    for multiple in (1.2, 2.0, 3.0):
+        rules = settings(
+            fall_multiple=multiple, cold_share=0.5, cold_time=10_000 * SECOND, report_fields=("utilization",),
+        )
+        crowd = Crowd(1, rules, warm=4, power=200.0, seed=3)
+        crowd.play(400.0, 4.0)
+        crowd.start(1)
+        crowd.play(400.0, 8.0)
+        (sent,) = crowd.cold.values()
+        usual = (400.0 * 8.0 - len(sent)) / 4  # of a warm server, which has room itself
+        assert 0.3 < len(sent) / (usual * 0.5) < multiple * 0.75
