--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -54,6 +54,7 @@
         self.stopping = False  # `/up` sends clients elsewhere
         self.drain: Drain | None = None  # operators have taken the node out of service
         self._handed_over = False  # another process of this node takes the clients
+        self._ended = False  # what is begun from now on would not be finished
         self._limits = limits
         self.places: Places[ClientConnection] = Places(limits)
         self.budget = Budget(config.memory)  # for bodies that are held until they are whole
@@ -232,8 +233,8 @@
         return self.node.can_serve() and self.drain is None and (self._handed_over or not self.stopping)
 
     def refuses(self) -> bool:
-        """Whether operators have emptied the node, and that long ago."""
-        return self.drain is not None and self.drain.refuses(self._loop.time())
+        """Whether the process is about to end, or operators have emptied the node, and that long ago."""
+        return self._ended or (self.drain is not None and self.drain.refuses(self._loop.time()))
 
     def counters(self) -> dict[str, int]:
         return {
@@ -291,6 +292,7 @@
             connection.close_if_unused()
         while self._connections and self._loop.time() < end:
             await asyncio.sleep(DRAIN_LOOK)
+        self._ended = True  # before anything is answered: the next request may be here already
         self.node.fail_all()
         await asyncio.sleep(DRAIN_LOOK)
 
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -363,7 +363,10 @@
         expires = min(latest, now + action.time_out) if action.time_out else latest
         ended = partial(self._ended, request, index, action.server, now)
         call = request.call
-        attempt = Attempt(pool, call.head, call.body, expires, ended, call.has_gone, action.first_byte)
+        begin_by = now + action.begin_within if action.begin_within else 0
+        attempt = Attempt(
+            pool, call.head, call.body, expires, ended, call.has_gone, action.first_byte, begin_by,
+        )  # fmt: skip
         request.out[index] = attempt
         attempt.start()
 
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -38,13 +38,14 @@
     """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
 
     __slots__ = (
-        "_body", "_connection", "_dial", "_has_gone", "_head", "_on_end", "_patience", "_timer", "done",
-        "expires", "first_byte", "moved", "pool", "written_at",
+        "_begin_by", "_body", "_connection", "_dial", "_has_gone", "_head", "_on_end", "_patience", "_timer",
+        "done", "expires", "first_byte", "moved", "pool", "written_at",
     )  # fmt: skip
 
     def __init__(
         self, pool: Pool, head: bytes, body: bytes | Stream, expires: int,
         on_end: Callable[[Result, Answer | None], None], has_gone: Callable[[], bool], first_byte: int = 0,
+        begin_by: int = 0,
     ) -> None:  # fmt: skip
         self.pool = pool
         self.expires = expires  # monotonic ns
@@ -57,6 +58,7 @@
         self._body = body
         self._on_end = on_end
         self._has_gone = has_gone  # the client, while this was dialed
+        self._begin_by = begin_by  # monotonic ns; 0: no such limit
         self._connection: Connection | None = None
         self._dial: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -94,7 +96,7 @@
             connection.close()
         elif connection.closed:
             self.end(Result.CONNECT_FAILED)
-        elif self._has_gone():
+        elif self._has_gone() or 0 < self._begin_by <= self.pool.pools.now():
             self.pool.put(connection)
             self.end(Result.NOT_SENT)
         else:
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -157,6 +157,12 @@
             return True
         return all(self._drops_repeat(server, earlier, now) for earlier in self.may_have_run())
 
+    def repeats_dropped_for(self, now: int) -> int:
+        """How long a further attempt may still be written, however long its connection takes; 0: no limit."""
+        if self.kind.repeat is not Repeat.KEYED:
+            return 0
+        return min((one.sent + self.kind.window - now for one in self.may_have_run()), default=0)
+
     def _drops_repeat(self, server: api.Server, earlier: Attempt, now: int) -> bool:
         # Without a key no server can know the repeat.
         if self.kind.repeat is not Repeat.KEYED or not self.request.key:
@@ -375,6 +381,7 @@
         return True
 
     def _send(self, now: int, entry: Open, backend: Backend) -> None:
+        within = entry.repeats_dropped_for(now)
         entry.attempts.append(Attempt(backend, now, self._connect(now, backend)))
         backend.in_flight += 1
         backend.trial = backend.ejected_until > 0
@@ -388,7 +395,7 @@
         limits = entry.request.limits
         if limits is not None:
             time_out, first_byte = min(time_out, limits.time_out or time_out), limits.first_byte
-        self._actions.append(api.Send(entry.request.id, backend.entry.id, time_out, first_byte))
+        self._actions.append(api.Send(entry.request.id, backend.entry.id, time_out, first_byte, within))
 
     def _settle(self, now: int, outcome: api.Outcome) -> None:
         entry = self._open.get(outcome.request)
--- a/lichenspring/interface.py
+++ b/lichenspring/interface.py
@@ -203,6 +203,7 @@
     server: ServerId
     time_out: int  # 0: until the client gives up
     first_byte: int = 0  # an answer that has not begun by then is not waited for; 0: as for the whole
+    begin_within: int = 0  # not written by then, it must not be: repeats are dropped for so long; 0: no limit
 
 
 class Refuse(NamedTuple):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -202,7 +202,7 @@
 
 
 def test_a_cold_server_gets_no_more_than_another_customers_settings_allow() -> None:
-    """One that reports room got up to 1.6 times what it could do then, whatever the settings call too much."""
+    """One that reports room got up to 1.6 times what it could do then, whatever the settings said."""
     for multiple in (1.2, 2.0, 3.0):
         rules = settings(
             fall_multiple=multiple, cold_share=0.5, cold_time=10_000 * SECOND, report_fields=("utilization",),
