--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -20,13 +20,16 @@
     grade,
     request,
     run,
+    says,
     status,
     until,
 )
 
+from driftstair.limits.limited import COPY_TOKEN
 from driftstair.net import front
 from driftstair.net.system import LONG_AGO, SOCKETS
 from lichenspring import interface as api
+from lichenspring.balance import LATER_TOKEN
 from lichenspring.interface import Result
 
 
@@ -275,3 +278,46 @@
         listener.close()
 
     run(test())
+
+
+def timers(rig: Rig, token: int) -> int:
+    return sum(isinstance(one, api.Timer) and one.token == token for one in rig.spy.events)
+
+
+def test_one_that_leaves_during_a_back_off_is_not_sent_on() -> None:
+    async def test() -> None:
+        text = 'version = 1\n[[route]]\nname = "r"\nretry = { attempts = 3, backoff = "200ms" }\n'
+        fails = says(answer(500))
+        async with (
+            Server("s-1", fails) as one, Server("s-2", fails) as two,
+            Rig(configuration(one, two), text) as rig,
+        ):
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: rig.spy.outcomes())
+            client.writer.close()
+            await over(rig)
+            await until(lambda: timers(rig, LATER_TOKEN))  # the back-off is over
+            assert len(one.seen) + len(two.seen) == 1
+
+    run(test())
+
+
+def test_no_second_copy_is_sent_for_one_that_has_left() -> None:
+    async def test() -> None:
+        held = Holding()
+        text = 'version = 1\n[[route]]\nname = "r"\nmatch = { class = "page" }\ncopy = { after = "200ms" }\n'
+        async with (
+            Server("s-1", held) as one, Server("s-2", held) as two,
+            Rig(configuration(one, two), text) as rig,
+        ):
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: one.seen or two.seen)
+            await leave(rig, client)
+            await until(lambda: timers(rig, COPY_TOKEN))
+            held.release.set()
+            await over(rig)
+            assert len(one.seen) + len(two.seen) == 1
+
+    run(test())
