--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -681,10 +681,11 @@
     def _cold_part(self, backend: Backend) -> float:
         """Of what a warm server takes, for its warmth, which is a lower bound: after a release cold servers
         stood at a third of their cores, while the few warm ones were overdriven with all the rest."""
-        most = FALL_PART * self._settings.fall_multiple
+        multiple = self._settings.fall_multiple
+        most = min(COLD_MOST, FALL_PART * multiple) if multiple else COLD_MOST
         if not backend.busy:
             return min(most, COLD_CAUTION)  # no report has come since it started
-        return min(most, COLD_MOST, max(COLD_CAUTION, COLD_CAUTION * BUSY_ABOVE / backend.busy))
+        return min(most, max(COLD_CAUTION, COLD_CAUTION * BUSY_ABOVE / backend.busy))
 
     def _warmth(self, now: int, server: api.Server) -> float:
         """The part of its work that a server does at least, by the time since its start."""
--- a/lichenspring/interface.py
+++ b/lichenspring/interface.py
@@ -115,11 +115,11 @@
     idle_close: int = 0  # an idle connection is closed after this time
     key_rest: int = 0  # in order: a key waits so long after a time-out, a reset or a cancel
     number: int = 0  # of this node among those that share the servers, from 0
-    fall_multiple: float = 3.0  # a cold server falls when it is sent so many times what it can do then
+    fall_multiple: float = 0.0  # a cold server falls when sent so many times what it can do; 0: not told
 
     def __post_init__(self) -> None:
         _require("classes", len(self.classes) >= 1, self.classes)
-        _require("fall_multiple", 0.0 < self.fall_multiple < float("inf"), self.fall_multiple)
+        _require("fall_multiple", 0.0 <= self.fall_multiple < float("inf"), self.fall_multiple)
         _require("cold_share", 0.0 <= self.cold_share <= 1.0, self.cold_share)
         for name, least in (
             ("nodes", 1), ("max_attempts", 1), ("ask_within", 0), ("cold_time", 0),
--- a/lichenspring/settings.py
+++ b/lichenspring/settings.py
@@ -136,5 +136,5 @@
         idle_close=values.whole("Limits.IdleClose"),
         key_rest=values.whole("Contract.KeyRest") if values.has("Contract.KeyRest") else 0,
         number=values.whole("SelfIndex") if values.has("SelfIndex") else 0,
-        fall_multiple=values.number("Contract.FallMultiple") if values.has("Contract.FallMultiple") else 3.0,
+        fall_multiple=values.number("Contract.FallMultiple") if values.has("Contract.FallMultiple") else 0.0,
     )
