Whole daemons after a long outage, and cold boxes under the sum of up to 30 of them

Seen, not mended: with the tests' small list (200 lines a second, a call counted as told after 1 s) 20 nodes restarted into a release break drains, before this work too: calls are turned away, and the kit knows no longer time after a failed call.

--- a/tests/rehearsal/test_large_fleet.py
+++ b/tests/rehearsal/test_large_fleet.py
@@ -4,12 +4,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from math import sqrt
 from typing import Any
 
 import pytest
 from stage import Run, small
 
 from driftstair.rehearsal import wire
+from driftstair.rehearsal.cold import ColdBudget, ColdRule
 from driftstair.rehearsal.rules import MS
 
 NODES = {"count": 12, "descriptors": 200}
@@ -87,3 +89,33 @@
     assert run.kept()
     assert run.seen(wire.Answered)[0].at - run.began < 2_000 * MS
     assert service_between(run, 3.5, 8.0) > 0.95
+
+
+@pytest.mark.parametrize("nodes", [5, 20, 30])
+def test_cold_boxes_bear_the_sum_of_what_all_nodes_send(nodes: int) -> None:
+    """Half of the boxes start anew while traffic jumps and nodes restart: whole daemons, each with its part.
+    Beyond the budget of N requests only 2 x root of N + 2 are put down to chance."""
+    run = Run(
+        fleet(
+            {"kind": "replace", "part": 0.5, "at_s": 2.0, "for_s": 1.0},
+            {"kind": "traffic-jump", "times": 2.0, "at_s": 4.0, "for_s": 3.0},
+            {"kind": "node-restarts", "nodes": nodes // 3, "at_s": 3.0, "for_s": 1.0},
+            nodes={"count": nodes, "descriptors": 200}, load={"rate": 120.0, "keys": 200},
+            list={"lines_per_s": 4000.0, "notice_s": 0.3, "silent_notice_s": 3.0},
+        )
+    )  # fmt: skip
+    assert run.kept()
+    rule = ColdRule()
+    sent = run.seen(wire.Sent)
+    mean = sum(one.work for one in sent) / len(sent)
+    cold = [one for one in run.seen(wire.BoxUp, 1.0) if one.cold_share < 1.0]
+    assert len(cold) == 6
+    for box in cold:
+        budget = ColdBudget(rule, box.at, box.capacity, box.cold_share, box.cold_time)
+        came = [one for one in sent if one.box == box.box and one.at >= box.at]
+        assert came
+        for one in came:
+            budget.arrive(one.at, one.work, one.node)
+            able = budget.warmth(one.at - rule.fall_time // 2) * box.capacity * rule.fall_time / 1e9
+            allowed = rule.multiple * able / mean
+            assert budget.in_window() / mean <= allowed + 2 * sqrt(allowed) + 2
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -225,6 +225,22 @@
         assert run.seen(wire.Contact, trouble["at_s"], node=trouble["nodes"][0], standing=True)
 
 
+@pytest.mark.parametrize("mode", ["pushed", "asked"])
+@pytest.mark.parametrize("silent", [True, False])
+def test_after_a_long_outage_every_node_learns_what_has_changed_within_6_s(mode: str, silent: bool) -> None:
+    """By then its calls had failed five times in a row, and its pauses had doubled to ten seconds."""
+    figures = {"mode": mode, "lines_per_s": 4000.0, "notice_s": 0.3, "silent_notice_s": 3.0}
+    run = Run(
+        small(
+            {"kind": "list-outage", "silent": silent, "for_s": 14.0},
+            {"kind": "replace", "boxes": 1, "at_s": 15.0, "for_s": 0.5},
+            nodes={"count": 6}, boxes={"count": 6, "grace_s": 9.0}, list=figures, seconds=24.0,
+        )
+    )  # fmt: skip
+    assert run.kept()
+    assert {one.node for one in run.seen(wire.Told, 16.0, 22.0)} == {f"n{number}" for number in range(6)}
+
+
 def test_a_list_that_moves_is_followed_by_sighup() -> None:
     run = Run(small({"kind": "list-moves"}, {"kind": "box-dies", "boxes": 1, "at_s": 4.0}))
     assert run.kept()
