--- a/tests/rig.py
+++ b/tests/rig.py
@@ -18,6 +18,7 @@
 from driftstair.daemon import assemble
 from driftstair.net.front import Front
 from driftstair.net.node import Node
+from driftstair.net.system import Factory, SocketSystem
 from driftstair.settings import Config
 from lichenspring import interface as api
 
@@ -266,6 +267,33 @@
         self.node._do(api.Watch())
 
 
+class LateDials(SocketSystem):
+    """The first `before` connections come up as they do, later ones when they are let."""
+
+    def __init__(self, before: int = 0) -> None:
+        self.before = before
+        self.begun = asyncio.Event()
+        self.up = asyncio.Event()
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        protocol = await super().dial(factory, address)
+        self.before -= 1
+        if self.before < 0:
+            self.begun.set()
+            await self.up.wait()
+        return protocol
+
+
+class Holds(asyncio.Protocol):
+    """Holds up the loop as it reads: what comes due meanwhile runs before any socket is read again."""
+
+    def __init__(self, what: Callable[[], None]) -> None:
+        self._what = what
+
+    def data_received(self, data: bytes) -> None:
+        self._what()
+
+
 numbers = count(1)
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,16 +6,16 @@
 import asyncio
 import signal
 import socket
-from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
 from time import monotonic_ns, sleep
-from typing import Any
 
 import pytest
 from rig import (
     PATIENCE,
     Client,
+    Holds,
+    LateDials,
     Message,
     Rig,
     Server,
@@ -30,30 +30,12 @@
 )
 from test_process import program
 
-from driftstair.net.system import SOCKETS
 from driftstair.net.upstream import Connection, Pool
 from lichenspring.interface import Result
 
 MS = 1_000_000
 
 
-class LateDials(type(SOCKETS)):  # type: ignore[misc]
-    """Connections come up when they are let, from the `n`th on."""
-
-    def __init__(self, n: int) -> None:
-        self.before = n
-        self.begun = asyncio.Event()
-        self.up = asyncio.Event()
-
-    async def dial(self, *to: Any) -> asyncio.BaseProtocol:
-        protocol = await super().dial(*to)
-        self.before -= 1
-        if self.before < 0:
-            self.begun.set()
-            await self.up.wait()
-        return protocol  # type: ignore[no-any-return]
-
-
 def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() -> None:
     """Servers drop a repeat for a while only: from then on it would be done a second time."""
 
@@ -122,16 +104,6 @@
     run(test())
 
 
-class Holds(asyncio.Protocol):
-    """Holds up the loop as it reads: what comes due meanwhile runs before any socket is read again."""
-
-    def __init__(self, what: Callable[[], None]) -> None:
-        self._what = what
-
-    def data_received(self, data: bytes) -> None:
-        self._what()
-
-
 def test_an_answer_and_the_deadline_in_one_turn_are_one_answer() -> None:
     """Whichever is taken first, the client hears once, and the connection is none for the next request."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,12 +5,11 @@
 import asyncio
 import json
 import socket
-from collections.abc import Callable
 from dataclasses import replace
 from time import sleep, time
 
 import pytest
-from rig import Discovery, Rig, Server, configuration, request, run, until
+from rig import Discovery, Holds, Rig, Server, configuration, request, run, until
 
 from driftstair.hosts import parse_address
 from driftstair.net import discovery, node
@@ -247,16 +246,6 @@
     assert discovery.ANSWER_PUSHED + node.WATCH_PAUSE_MOST < 1.0
 
 
-class Holds(asyncio.Protocol):
-    """Holds up the loop as it reads: what comes due meanwhile runs before any socket is read again."""
-
-    def __init__(self, what: Callable[[], None]) -> None:
-        self._what = what
-
-    def data_received(self, data: bytes) -> None:
-        self._what()
-
-
 def test_what_came_while_the_node_stood_still_is_read_before_its_watch_counts_as_silent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -6,12 +6,12 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import Any
 
 import pytest
 from rig import (
     PATIENCE,
     Client,
+    LateDials,
     Message,
     Rig,
     Server,
@@ -130,19 +130,10 @@
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
             for told in (True, False):
-                begun, up = asyncio.Event(), asyncio.Event()
-
-                class Late(type(SOCKETS)):  # type: ignore[misc]
-                    async def dial(self, *to: Any) -> asyncio.BaseProtocol:
-                        begun.set()  # noqa: B023
-                        protocol = await super().dial(*to)
-                        await up.wait()  # noqa: B023
-                        return protocol  # type: ignore[no-any-return]
-
-                rig.node._pools.system = Late()
+                rig.node._pools.system = dials = LateDials()
                 client = await rig.client()
                 client.writer.write(request())
-                await asyncio.wait_for(begun.wait(), PATIENCE)
+                await asyncio.wait_for(dials.begun.wait(), PATIENCE)
                 if told:
                     await leave(rig, client)
                 else:
@@ -151,7 +142,7 @@
                     client.writer.close()
                     await until(lambda: connection.has_gone())  # noqa: B023
                     connection._left_at = None
-                up.set()
+                dials.up.set()
                 if not told:
                     await until(lambda: not rig.node._open)
                     connection._transport.resume_reading()  # type: ignore[union-attr]
