--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -84,7 +84,7 @@
 
 # The list.
 ASK_SPREAD = 0.5  # of the time within which to ask: many nodes starting at once spread their calls
-ASK_SPREAD_MOST = 4 * SECOND  # what has changed by its start counts as told to a node 6 s later
+ASK_SPREAD_MOST = 5 * SECOND  # what has changed by its start counts as told to a node 6 s later
 ASK_FIRST_PAUSE = SECOND  # doubles with each failed call
 ASK_MOST = 2 * SECOND  # as far as this: what discovery has once it is back counts as told 6 s later
 ASK_LEAST = SECOND // 2  # after a call that was waited for so long that its pause is over
