--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	$(MAKE) --no-print-directory check
 
 check:
+	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 	$(PYTHON) -m pytest -q
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -59,9 +59,7 @@
             self.now += SECOND // RATE
             key, fails = self.chance.randrange(1, 1500), self.chance.random() < 0.05
             began = perf_counter_ns()
-            done = self.balancer.handle(
-                self.now, api.Request(self.number, 9 * SECOND, 0, 0, key, False)
-            )
+            done = self.balancer.handle(self.now, api.Request(self.number, 9 * SECOND, 0, 0, key, False))
             attempt = 0
             while isinstance(done[-1], api.Send):
                 result = Result.RESET if fails and not attempt else Result.OK
--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -9,8 +9,12 @@
 Run = Callable[[argparse.Namespace], int]
 
 EXTRAS = {
-    "rich": "rehearsal", "pydantic": "service", "tomli_w": "rehearsal", "msgspec": "tier",
-    "scipy": "experiments", "numpy": "experiments",
+    "rich": "rehearsal",
+    "pydantic": "service",
+    "tomli_w": "rehearsal",
+    "msgspec": "tier",
+    "scipy": "experiments",
+    "numpy": "experiments",
 }
 
 
@@ -28,8 +32,9 @@
     from driftstair.service import options as service
     from driftstair.tier import options as tier
 
-    top.add_argument("--service", metavar="FILE", help="the daemon with a service file (or "
-        "DRIFTSTAIR_SERVICE)")
+    top.add_argument(
+        "--service", metavar="FILE", help="the daemon with a service file (or " "DRIFTSTAIR_SERVICE)"
+    )
     rehearsal.add(commands)
     service.add(commands)
     ledger.add(commands)
--- a/driftstair/experiments/design.py
+++ b/driftstair/experiments/design.py
@@ -125,9 +125,7 @@
         if factor.key == POLICY:
             for value in factor.values:
                 if value not in POLICIES:
-                    raise DesignError(
-                        f"{where}.values: no policy {value!r}; there are {', '.join(POLICIES)}"
-                    )
+                    raise DesignError(f"{where}.values: no policy {value!r}; there are {', '.join(POLICIES)}")
         elif factor.key == BUILD:
             for value in factor.values:
                 if not isinstance(value, str) or not re.fullmatch(REVISION, value):
--- a/driftstair/experiments/statistics.py
+++ b/driftstair/experiments/statistics.py
@@ -86,7 +86,10 @@
     """All changes of sign where they are few, else so many drawn ones."""
     return float(
         stats.permutation_test(
-            (apart,), np.mean, permutation_type="samples", n_resamples=RESAMPLES,
+            (apart,),
+            np.mean,
+            permutation_type="samples",
+            n_resamples=RESAMPLES,
             rng=np.random.default_rng(seed),
         ).pvalue  # fmt: skip
     )
--- a/driftstair/ledger/book.py
+++ b/driftstair/ledger/book.py
@@ -47,7 +47,6 @@
         closed = max(self.closed, entry.period) if entry.kind is Kind.CLOSE else self.closed
         return Head(entry.number, digest, entry.at, ended, closed)
 
-
     def follow(self, whole: bytes) -> tuple[Entry, Head]:
         """The entry that a line without its end holds, and the head behind it. Raises EntryError."""
         entry, digest = read(self.digest, whole)
--- a/driftstair/model/node.py
+++ b/driftstair/model/node.py
@@ -270,7 +270,12 @@
             self.open.pop(request.number, None)
         self.tell(
             api.Outcome(
-                request.number, request.closed, result, now - attempt.sent_at, server.id, attempt.index,
+                request.number,
+                request.closed,
+                result,
+                now - attempt.sent_at,
+                server.id,
+                attempt.index,
                 report,
             )
         )
--- a/driftstair/model/peers.py
+++ b/driftstair/model/peers.py
@@ -155,4 +155,3 @@
 
 def _unwritten(event: str, **fields: Any) -> None:
     """The model keeps no histories."""
-
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -42,9 +42,7 @@
 class Front:
     """The listening socket and all connections that came from it."""
 
-    def __init__(
-        self, node: Node, config: Config, limits: Limits, system: System = SOCKETS
-    ) -> None:
+    def __init__(self, node: Node, config: Config, limits: Limits, system: System = SOCKETS) -> None:
         self.node = node
         self.config = config
         self.now = system.monotonic_ns
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -265,7 +265,12 @@
                 self._watch_over(request)
             self._tell(
                 api.Request(
-                    request.number, left, call.class_index, call.tenant, call.key, call.resubmitted,
+                    request.number,
+                    left,
+                    call.class_index,
+                    call.tenant,
+                    call.key,
+                    call.resubmitted,
                     None if rules is None else rules.handed,
                 )
             )
@@ -371,8 +376,13 @@
         attempt.start()
 
     def _ended(
-        self, request: Open, index: int, server: api.ServerId, since: int,
-        result: Result, answer: Answer | None,
+        self,
+        request: Open,
+        index: int,
+        server: api.ServerId,
+        since: int,
+        result: Result,
+        answer: Answer | None,
     ) -> None:
         elapsed = self._now() - (request.out.pop(index).written_at or since)
         request.may_have_run |= result not in NEVER_RAN
@@ -388,9 +398,7 @@
             self._give_up(request, result)
         self._forget_if_done(request)
         report = self._report(answer.load) if answer is not None and answer.load else ()
-        self._tell(
-            api.Outcome(request.number, request.answered, result, elapsed, server, index, report)
-        )
+        self._tell(api.Outcome(request.number, request.answered, result, elapsed, server, index, report))
 
     def _give_up(self, request: Open, result: Result) -> None:
         """What has been passed on of a stream can't be sent again: no other attempt is possible."""
@@ -494,5 +502,3 @@
             digest(host.id), zones.get(host.zone, len(zones)), host.cell, host.state, host.weight, started,
             kinds.get(host.kind, len(kinds)),
         )  # fmt: skip
-
-
--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -208,5 +208,3 @@
         path.unlink(missing_ok=True)
     except (OSError, TimeoutError) as problem:
         log.warning("the process behind %s was not told of new orders: %r", path.name, problem)
-
-
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -17,9 +17,7 @@
     """Clocks, listening and dialing of one process on one machine. `wall_offset`: ns by which this machine's
     wall clock is ahead of the others'."""
 
-    def __init__(
-        self, machine: Machine, loop: ProcessLoop, wall_offset: int = 0, rate: float = 1.0
-    ) -> None:
+    def __init__(self, machine: Machine, loop: ProcessLoop, wall_offset: int = 0, rate: float = 1.0) -> None:
         self._machine = machine
         self._loop = loop
         self._scheduler = machine.network.scheduler
--- a/driftstair/rehearsal/sockets.py
+++ b/driftstair/rehearsal/sockets.py
@@ -331,9 +331,7 @@
 
 
 class SocketGround:
-    def __init__(
-        self, folder: Path, nodes: model.Nodes
-    ) -> None:
+    def __init__(self, folder: Path, nodes: model.Nodes) -> None:
         service, tier = nodes.service, nodes.tier
         self._budgets = budgets(nodes)
         self.liars = () if tier is None else tier.liars
--- a/driftstair/rehearsal/tier/budgets.py
+++ b/driftstair/rehearsal/tier/budgets.py
@@ -81,11 +81,15 @@
     """Over every window; so over every subset of the nodes as well, which spends no more than all."""
     return [
         Finding(
-            "a budget of the fleet is overspent", one.window[0], -1, -1,
+            "a budget of the fleet is overspent",
+            one.window[0],
+            -1,
+            -1,
             f"{name}: in {(one.window[1] - one.window[0]) / SECOND:.2f} s {one.over:.1f} more than "
             f"{one.terms.per_s:g}/s; {one.allowed():.1f} may be saved up",
         )  # fmt: skip
-        for name, one in spending(events).items() if one.over > one.allowed() * (1 + one.terms.drift) + 1e-6
+        for name, one in spending(events).items()
+        if one.over > one.allowed() * (1 + one.terms.drift) + 1e-6
     ]
 
 
--- a/driftstair/rehearsal/tier/histories.py
+++ b/driftstair/rehearsal/tier/histories.py
@@ -133,8 +133,7 @@
     if rate == 1.0 and not origin:
         return events
     return [
-        event | {key: int(event[key] / rate) - origin for key in TIMES if key in event}
-        for event in events
+        event | {key: int(event[key] / rate) - origin for key in TIMES if key in event} for event in events
     ]
 
 
--- a/driftstair/rehearsal/tier/liar.py
+++ b/driftstair/rehearsal/tier/liar.py
@@ -1,6 +1,6 @@
 """A node that finds every server failing, whatever they answer, and says so to the others.
 
-    python -m driftstair.rehearsal.tier.liar [options of the daemon]
+python -m driftstair.rehearsal.tier.liar [options of the daemon]
 """
 
 from __future__ import annotations
@@ -16,9 +16,7 @@
     """From now on; only what it tells is wrong, not what it does."""
     speak = sharing.core.speak
 
-    def lying(
-        now: int, zone: int, sound: Callable[[], bool], zones: Callable[[], dict[int, int]]
-    ) -> Judge:
+    def lying(now: int, zone: int, sound: Callable[[], bool], zones: Callable[[], dict[int, int]]) -> Judge:
         judge = speak(now, zone, sound, zones)
         judge.sight = _Liar(now)
         return judge
--- a/driftstair/rehearsal/tier/service.py
+++ b/driftstair/rehearsal/tier/service.py
@@ -14,7 +14,7 @@
     if not given:
         return ""
     out = [
-        f"[tier.budgets.{name}]\nper_s = {float(one.per_s)!r}\nburst = \"{one.burst_s * 1000:.0f}ms\""
+        f'[tier.budgets.{name}]\nper_s = {float(one.per_s)!r}\nburst = "{one.burst_s * 1000:.0f}ms"'
         for name, one in given.items()
     ]
     return "\n".join([*out, '[[route]]\nname = "all"', *(SPENT[name] for name in given), ""])
--- a/driftstair/rehearsal/troubles.py
+++ b/driftstair/rehearsal/troubles.py
@@ -246,9 +246,7 @@
 
     def _nodes_stall(self, trouble: model.NodeStalls, index: int) -> End:
         names = self._choose_nodes(trouble, index)
-        return self._silent(
-            names, "stands still", lambda node: node.stand_still(), lambda node: node.go_on()
-        )
+        return self._silent(names, "stands still", lambda node: node.stand_still(), lambda node: node.go_on())
 
     def _silent(
         self, names: list[str], what: str, fall: Callable[[NodeProcess], None],
--- a/driftstair/tier/history.py
+++ b/driftstair/tier/history.py
@@ -20,17 +20,34 @@
     "start": {"nodes": int},
     "end": {},
     "member": {
-        "member": int, "state": str, "incarnation": int, "member_life": int, "told": bool, "why": str,
+        "member": int,
+        "state": str,
+        "incarnation": int,
+        "member_life": int,
+        "told": bool,
+        "why": str,
     },  # fmt: skip
     "stood-still": {"late_ns": int},
     "superseded": {"by_life": int},
     "moved": {"number": int, "nodes": int},
     "budget": {
-        "budget": str, "per_s": float, "burst_ns": int, "nodes": int, "shares": int, "floor": int,
-        "lent_ns": int, "drift": float, "own": int,
+        "budget": str,
+        "per_s": float,
+        "burst_ns": int,
+        "nodes": int,
+        "shares": int,
+        "floor": int,
+        "lent_ns": int,
+        "drift": float,
+        "own": int,
     },  # fmt: skip
     "right": {
-        "budget": str, "what": str, "other": int, "lender_life": int, "loan": int, "shares": int,
+        "budget": str,
+        "what": str,
+        "other": int,
+        "lender_life": int,
+        "loan": int,
+        "shares": int,
         "until_ns": int,
     },  # fmt: skip
     "spend": {"budget": str, "amount": float},
--- a/driftstair/tier/membership/core.py
+++ b/driftstair/tier/membership/core.py
@@ -589,9 +589,7 @@
                 self._send(Kind.NEWS, number)
         self._next_spread = now + self._spread if self._news else NEVER
 
-    def _send(
-        self, kind: Kind, to: int, seq: int = 0, about: int = api.NOBODY, items: bytes = b""
-    ) -> None:
+    def _send(self, kind: Kind, to: int, seq: int = 0, about: int = api.NOBODY, items: bytes = b"") -> None:
         """With what is most urgent for whom it goes to: what is held of itself, what of the node that it is
         about, the news, and then claims in turn."""
         claims: list[Claim] = []
--- a/driftstair/tier/ownership/permitting.py
+++ b/driftstair/tier/ownership/permitting.py
@@ -26,9 +26,7 @@
 class Permits:
     """`living`: nodes that are held alive and understand this, the own one among them."""
 
-    def __init__(
-        self, rules: Rules, own: int, life: int, count: int, living: Callable[[], Living]
-    ) -> None:
+    def __init__(self, rules: Rules, own: int, life: int, count: int, living: Callable[[], Living]) -> None:
         self.holder = Holder(rules, life)
         self.steward = Steward(rules, own, count, living)
         self._own = own
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -204,9 +204,7 @@
             self._bind(first=True)
         self._tell(api.Peers(len(peers.peers), peers.own, moved))
         if self.sharing is not None and self._socket is not None:
-            self.sharing.open(
-                peers.own, self.core.mine.life, len(peers.peers), token=self._token()
-            )
+            self.sharing.open(peers.own, self.core.mine.life, len(peers.peers), token=self._token())
         self._write("moved", number=peers.own, nodes=len(peers.peers))
 
     def leave(self) -> None:
--- a/driftstair/tier/shared/core.py
+++ b/driftstair/tier/shared/core.py
@@ -81,9 +81,7 @@
 
     # Its life.
 
-    def open(
-        self, now: int, own: int, life: int, count: int, lent_until: int | None = None
-    ) -> list[Action]:
+    def open(self, now: int, own: int, life: int, count: int, lent_until: int | None = None) -> list[Action]:
         """This process is that node from now on; one before it may have lent what is not known here, but for
         `lent_until` (ns), if it has told."""
         self._own, self._life, self._count, self._is_open = own, life, count, True
@@ -114,9 +112,7 @@
     ) -> Leases:
         """Take part in who has which task, from `open` on; `living`: this node's number among them; `kept`:
         the token on its disk, None where it has none."""
-        self.leases = Leases(
-            tasks, self._own, self._life, self._count, now, self._random, living, kept=kept
-        )
+        self.leases = Leases(tasks, self._own, self._life, self._count, now, self._random, living, kept=kept)
         self._set_wake(now)
         return self.leases
 
--- a/lichenspring/adapter.py
+++ b/lichenspring/adapter.py
@@ -15,13 +15,21 @@
 _T = TypeVar("_T")
 
 LIST_KINDS = {
-    0: api.ListKind.CACHED, 2: api.ListKind.DELTA, 3: api.ListKind.FULL, 4: api.ListKind.FAILED,
+    0: api.ListKind.CACHED,
+    2: api.ListKind.DELTA,
+    3: api.ListKind.FULL,
+    4: api.ListKind.FAILED,
 }
 STATES = {0: api.ServerState.GONE, 1: api.ServerState.READY, 2: api.ServerState.DRAINING}
 UNUSED = frozenset((wire.In.ACK_FIRST, wire.In.SAMPLED, wire.In.MAIL))  # the module decides nothing by them
 RESULTS = {
-    100: api.Result.OK, 301: api.Result.ERROR, 302: api.Result.FULL, 303: api.Result.TIMEOUT,
-    304: api.Result.CONNECT_FAILED, 305: api.Result.RESET, 306: api.Result.CANCELLED,
+    100: api.Result.OK,
+    301: api.Result.ERROR,
+    302: api.Result.FULL,
+    303: api.Result.TIMEOUT,
+    304: api.Result.CONNECT_FAILED,
+    305: api.Result.RESET,
+    306: api.Result.CANCELLED,
     307: api.Result.NOT_SENT,
 }
 RESUBMITTED = 2  # bit of a request's options
@@ -110,9 +118,7 @@
             return api.Request(request, ttl, category, tenant, key, bool(options & RESUBMITTED))
         if code == wire.In.FINISHED:
             request, last, rc, lag, server, leg, report = fields
-            return api.Outcome(
-                request, bool(last), _lookup(RESULTS, rc, "outcome"), lag, server, leg, report
-            )
+            return api.Outcome(request, bool(last), _lookup(RESULTS, rc, "outcome"), lag, server, leg, report)
         if code == wire.In.DUE:
             return api.Timer(fields[0])
         if code == wire.In.SYNC:
--- a/tests/operations/test_desk_and_upgrade.py
+++ b/tests/operations/test_desk_and_upgrade.py
@@ -200,5 +200,3 @@
         assert await process.wait() == 0
 
     run(test())
-
-
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -111,7 +111,8 @@
     server = forward[16:22]
     assert server in SERVERS
     done = run(
-        start() + batch(select(0), inbound(99, key=5))
+        start()
+        + batch(select(0), inbound(99, key=5))
         + batch(select(0), finished(99, server, 301, (12.0, 0.5)), clock=CLOCK + 1)
     )
     assert done.returncode == 0
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -214,9 +214,7 @@
 
 def test_a_surging_tenant_stops_short_and_the_others_do_not() -> None:
     node = Node(one_class(tenants=(api.Tenant(0.5), api.Tenant(0.5))), servers=6)
-    surge = [
-        node.tell(api.Request(5000 + n, SECOND, 0, 0, 100 + n, False))[0] for n in range(60)
-    ]
+    surge = [node.tell(api.Request(5000 + n, SECOND, 0, 0, 100 + n, False))[0] for n in range(60)]
     assert sum(isinstance(action, api.Send) for action in surge) == 41
     assert isinstance(node.tell(api.Request(6000, SECOND, 0, 1, 3, False))[0], api.Send)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -75,7 +75,9 @@
 
     async def test() -> None:
         async with (
-            Server("s-1", keeps) as one, Server("s-2", keeps) as two, Rig(configuration(one, two)) as rig,
+            Server("s-1", keeps) as one,
+            Server("s-2", keeps) as two,
+            Rig(configuration(one, two)) as rig,
         ):
             client = await rig.client()
             assert status(await client.ask(request("page"))) == 200
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,7 +21,9 @@
 def test_first_line_changes_and_whole_lists_are_told_in_order() -> None:
     async def test() -> None:
         async with (
-            Discovery() as source, Server("s-1") as one, Server("s-2") as two,
+            Discovery() as source,
+            Server("s-1") as one,
+            Server("s-2") as two,
             Rig(configuration(one, discovery=source.address)) as rig,
         ):
             assert [len(told.servers) for told in rig.spy.lists(ListKind.CACHED)] == [1]
@@ -78,7 +80,8 @@
 def test_a_bad_line_is_one_failure_and_the_old_list_stays(line: bytes) -> None:
     async def test() -> None:
         async with (
-            Discovery() as source, Server("s-1") as server,
+            Discovery() as source,
+            Server("s-1") as server,
             Rig(configuration(server, discovery=source.address)) as rig,
         ):
             rig.watch()
@@ -99,7 +102,9 @@
 
     async def test() -> None:
         async with (
-            Discovery() as source, Server("s-1") as one, Server("s-2") as two,
+            Discovery() as source,
+            Server("s-1") as one,
+            Server("s-2") as two,
             Rig(configuration(one, discovery=source.address)) as rig,
         ):
             rig.watch()
@@ -145,7 +150,9 @@
 def test_a_moved_watch_is_a_failure_only_if_the_new_one_fails() -> None:
     async def test() -> None:
         async with (
-            Discovery() as old, Discovery() as new, Server("s-1") as server,
+            Discovery() as old,
+            Discovery() as new,
+            Server("s-1") as server,
             Rig(configuration(server, discovery=old.address)) as rig,
         ):
             rig.watch()
@@ -200,7 +207,8 @@
 
     async def test() -> None:
         async with (
-            Discovery() as source, Server("s-1") as server,
+            Discovery() as source,
+            Server("s-1") as server,
             Rig(configuration(server, discovery=source.address)) as rig,
         ):
             rig.watch()
@@ -284,7 +292,9 @@
 
     async def test() -> None:
         async with (
-            Discovery() as source, Server("s-1") as one, Server('s-"2\\{') as two,
+            Discovery() as source,
+            Server("s-1") as one,
+            Server('s-"2\\{') as two,
             Rig(configuration(one, discovery=source.address)) as rig,
         ):
             rig.watch()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -205,7 +205,10 @@
     """One that reports room got up to 1.6 times what it could do then, whatever the settings said."""
     for multiple in (1.2, 2.0, 3.0):
         rules = settings(
-            fall_multiple=multiple, cold_share=0.5, cold_time=10_000 * SECOND, report_fields=("utilization",),
+            fall_multiple=multiple,
+            cold_share=0.5,
+            cold_time=10_000 * SECOND,
+            report_fields=("utilization",),
         )
         crowd = Crowd(1, rules, warm=4, power=200.0, seed=3)
         crowd.play(400.0, 4.0)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -170,7 +170,9 @@
                 writer.transport.abort()
 
         async with (
-            Server("s-1", script) as one, Server("s-2", script) as two, Rig(configuration(one, two)) as rig,
+            Server("s-1", script) as one,
+            Server("s-2", script) as two,
+            Rig(configuration(one, two)) as rig,
         ):
             client = await rig.client()
             client.writer.write(request())
@@ -220,7 +222,9 @@
     async def test() -> None:
         held = Holding(answer(500))
         async with (
-            Server("s-1", held) as one, Server("s-2", held) as two, Rig(configuration(one, two)) as rig,
+            Server("s-1", held) as one,
+            Server("s-2", held) as two,
+            Rig(configuration(one, two)) as rig,
         ):
             client = await rig.client()
             client.writer.write(request("order", body=b"once"))
@@ -280,7 +284,8 @@
         text = 'version = 1\n[[route]]\nname = "r"\nretry = { attempts = 3, backoff = "200ms" }\n'
         fails = says(answer(500))
         async with (
-            Server("s-1", fails) as one, Server("s-2", fails) as two,
+            Server("s-1", fails) as one,
+            Server("s-2", fails) as two,
             Rig(configuration(one, two), text) as rig,
         ):
             client = await rig.client()
@@ -299,7 +304,8 @@
         held = Holding()
         text = 'version = 1\n[[route]]\nname = "r"\nmatch = { class = "page" }\ncopy = { after = "200ms" }\n'
         async with (
-            Server("s-1", held) as one, Server("s-2", held) as two,
+            Server("s-1", held) as one,
+            Server("s-2", held) as two,
             Rig(configuration(one, two), text) as rig,
         ):
             client = await rig.client()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -225,7 +225,8 @@
 def test_a_failed_attempt_is_followed_by_one_at_the_other_server() -> None:
     async def test() -> None:
         async with (
-            Server("s-1", says(b"", abort=True)) as bad, Server("s-2") as good,
+            Server("s-1", says(b"", abort=True)) as bad,
+            Server("s-2") as good,
             Rig(configuration(bad, good)) as rig,
         ):
             client = await rig.client()
@@ -241,7 +242,8 @@
 def test_a_request_that_a_server_rejects_is_not_sent_to_the_others_nor_blamed_on_it() -> None:
     async def test() -> None:
         async with (
-            Server("s-1", says(answer(400))) as one, Server("s-2", says(answer(400))) as other,
+            Server("s-1", says(answer(400))) as one,
+            Server("s-2", says(answer(400))) as other,
             Rig(configuration(one, other)) as rig,
         ):
             for _ in range(5):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -142,7 +142,10 @@
 
     async def test() -> None:
         async with (
-            Discovery() as old, Discovery() as new, Server("s-1", waits) as server, Server("s-2") as later,
+            Discovery() as old,
+            Discovery() as new,
+            Server("s-1", waits) as server,
+            Server("s-2") as later,
         ):
             document = configuration(server, discovery=old.address)
             environment = {**os.environ, "BALANCER_DISCOVERY": old.address}
--- a/tests/test_processes_together.py
+++ b/tests/test_processes_together.py
@@ -135,7 +135,10 @@
 
     async def test() -> None:
         async with (
-            AsyncExitStack() as stack, Registry() as registry, Server("s-1") as old, Server("s-2") as new,
+            AsyncExitStack() as stack,
+            Registry() as registry,
+            Server("s-1") as old,
+            Server("s-2") as new,
         ):
             document = configuration(old, discovery=registry.address)
             document["limits"]["sockets"] = most
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,16 +13,18 @@
 from lichenspring import Balancer, balance
 from lichenspring import interface as api
 
-SHAPES = st.fixed_dictionaries({
-    "list_mode": st.sampled_from(api.ListMode),
-    "tenants": st.sampled_from([(), (api.Tenant(0.7), api.Tenant(0.3))]),
-    "retry_after": st.booleans(),
-    "worth_by_work": st.booleans(),
-    "nodes": st.sampled_from([1, 5, 200]),
-    "key_rest": st.sampled_from([0, 50 * MS, 400 * MS]),
-    "max_attempts": st.sampled_from([1, 2, 4]),
-    "report_fields": st.sampled_from([(), ("utilization",), ("completed_per_s", "utilization")]),
-})
+SHAPES = st.fixed_dictionaries(
+    {
+        "list_mode": st.sampled_from(api.ListMode),
+        "tenants": st.sampled_from([(), (api.Tenant(0.7), api.Tenant(0.3))]),
+        "retry_after": st.booleans(),
+        "worth_by_work": st.booleans(),
+        "nodes": st.sampled_from([1, 5, 200]),
+        "key_rest": st.sampled_from([0, 50 * MS, 400 * MS]),
+        "max_attempts": st.sampled_from([1, 2, 4]),
+        "report_fields": st.sampled_from([(), ("utilization",), ("completed_per_s", "utilization")]),
+    }
+)
 
 
 def classes(group: api.Group) -> tuple[api.RequestClass, ...]:
--- a/tests/tier/council.py
+++ b/tests/tier/council.py
@@ -40,9 +40,7 @@
 class World:
     """`air`: who, its life, to whom, what."""
 
-    def __init__(
-        self, terms: Terms = SHORT, air_most: int = 3, repeats: int = 1, restarts: int = 1
-    ) -> None:
+    def __init__(self, terms: Terms = SHORT, air_most: int = 3, repeats: int = 1, restarts: int = 1) -> None:
         self.terms = terms
         self.crowded = False  # where too much is in the air: the oldest is lost, else the newest
         self.clocks = [0, 1000, 2000]
--- a/tests/tier/test_budget_checks.py
+++ b/tests/tier/test_budget_checks.py
@@ -73,7 +73,8 @@
         ([right(1, "renewed", 0, 3.01, 6.0)], True),  # the lender knows nothing of it
         ([right(0, "returned", 1, 2.0, 2.0)], True),  # it was not given back
         ([right(1, "took", 0, 2.0, 5.0, loan=2)], True),
-        ([begins(1)], False), ([begins(32)], True),  # a process that does not know of the loan
+        ([begins(1)], False),
+        ([begins(32)], True),  # a process that does not know of the loan
         ([right(0, "lent", 2, 2.0, 5.0, loan=2, shares=25)], True),  # more than there is
     ],
 )
@@ -131,6 +132,7 @@
 
 def test_the_report_says_what_is_held_lent_and_wanted() -> None:
     clock, written = Clock(), list[str]()
+
     def write(event: str, **_: Any) -> None:
         written.append(event)
 
--- a/tests/tier/test_budgets_processes.py
+++ b/tests/tier/test_budgets_processes.py
@@ -198,12 +198,15 @@
         # A lender that does not wait its loans out.
         ("rights", "rights.Terms.waited = lambda self: self.lent // 8"),
         # A borrower that counts it from when it came.
-        ("rights", "plain = rights.Rights.take\n"
-         "def take(self, now, grant):\n"
-         "    found = plain(self, now, grant)\n"
-         "    for loan in self._in.values(): loan.until += 2 * 10**9\n"
-         "    return found\n"
-         "rights.Rights.take = take"),
+        (
+            "rights",
+            "plain = rights.Rights.take\n"
+            "def take(self, now, grant):\n"
+            "    found = plain(self, now, grant)\n"
+            "    for loan in self._in.values(): loan.until += 2 * 10**9\n"
+            "    return found\n"
+            "rights.Rights.take = take",
+        ),
     ],
 )
 def test_a_planted_defect_is_seen_in_the_histories(module: str, what: str, tmp_path: Path) -> None:
--- a/tests/tier/test_judgements_processes.py
+++ b/tests/tier/test_judgements_processes.py
@@ -37,6 +37,7 @@
 
 def holding(fleet: Fleet, *nodes: int) -> Callable[[], bool]:
     """Whether all of these hold the bad server back now."""
+
     def so() -> bool:
         now = {one.node for one in judged(fleet) if one.server == BAD and one.end >= 1 << 62}
         return set(nodes) <= now
--- a/tests/tier/test_leases_proved.py
+++ b/tests/tier/test_leases_proved.py
@@ -100,8 +100,13 @@
             )  # fmt: skip
             taken = put(state.taken[rival], member, z3.BoolVal(True))
             # A proposal that the rival waits for yet, or one that it has given up: the same to the member.
-            out.append(("accept", z3.And(may, state.now[rival] > state.freed[rival]),
-                        replace(given, taken=put(state.taken, rival, taken))))
+            out.append(
+                (
+                    "accept",
+                    z3.And(may, state.now[rival] > state.freed[rival]),
+                    replace(given, taken=put(state.taken, rival, taken)),
+                )
+            )
             out.append(("accept late", z3.And(may, state.now[rival] > state.freed[rival]), given))
             heard = z3.And(state.bound[member] == rival, state.gen[member] <= state.freed[rival])
             if defect == "any release":
--- a/tests/tier/test_linear.py
+++ b/tests/tier/test_linear.py
@@ -48,9 +48,7 @@
 @settings(max_examples=400, deadline=None)
 @given(st.lists(st.tuples(spans, words), max_size=5))
 def test_it_finds_an_order_where_trying_all_does(found: list[Any]) -> None:
-    ops = [
-        Op(begin, FOREVER if length is None else begin + length, word) for (begin, length), word in found
-    ]
+    ops = [Op(begin, FOREVER if length is None else begin + length, word) for (begin, length), word in found]
     assert (stuck(ops, 0, register) is None) == by_trying_all(ops)
 
 
@@ -66,9 +64,7 @@
     assert stuck([*ops, wrong], 0, register) is not None
 
 
-def event(
-    at: int, node: int, kind: str, token: int = 0, task: str = "work", over: int = 0
-) -> dict[str, Any]:
+def event(at: int, node: int, kind: str, token: int = 0, task: str = "work", over: int = 0) -> dict[str, Any]:
     out: dict[str, Any] = {"t_ns": at, "node": node, "event": kind, "over_ns": over or at}
     return out | ({"task": task, "token": token} if token else {})
 
--- a/tests/tier/test_permits_every_order.py
+++ b/tests/tier/test_permits_every_order.py
@@ -98,6 +98,7 @@
             yield after(lambda new, index=index: new.deliver(new.air.pop(index)))  # type: ignore[misc]
             yield after(lambda new, index=index: new.air.pop(index))  # type: ignore[misc]
             if self.repeats and isinstance(self.air[index][3], Permit | Held):
+
                 def twice(new: World, index: int = index) -> None:
                     new.repeats -= 1
                     new.deliver(new.air[index])
@@ -106,6 +107,7 @@
         for number in NODES:
             holder = self.holders[number]
             if self.wants and not holder.wanted() and not holder.held(self.now):
+
                 def want(new: World, number: int = number) -> None:
                     new.wants -= 1
                     new.holders[number].want(new.now, Kind.DRAIN)
@@ -114,6 +116,7 @@
             if holder.held(self.now):
                 yield after(lambda new, number=number: new.holders[number].give_back(new.now))  # type: ignore[misc]
             if self.restarts and holder.held(self.now):
+
                 def restart(new: World, number: int = number) -> None:
                     new.restarts -= 1
                     new.lives[number] += 1
@@ -121,6 +124,7 @@
 
                 yield after(restart)
         if self.elections:
+
             def elect(new: World) -> None:
                 new.elections -= 1
                 new.token += 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -190,10 +190,19 @@
     def _finish(self) -> None:
         if out := self._outstanding():
             taken, index = self.random.choice(out)
-            result = self.random.choice([
-                api.Result.OK, api.Result.OK, api.Result.OK, api.Result.ERROR, api.Result.FULL,
-                api.Result.CONNECT_FAILED, api.Result.RESET, api.Result.NOT_SENT, api.Result.CANCELLED,
-            ])
+            result = self.random.choice(
+                [
+                    api.Result.OK,
+                    api.Result.OK,
+                    api.Result.OK,
+                    api.Result.ERROR,
+                    api.Result.FULL,
+                    api.Result.CONNECT_FAILED,
+                    api.Result.RESET,
+                    api.Result.NOT_SENT,
+                    api.Result.CANCELLED,
+                ]
+            )
             self._outcome(taken, index, result)
 
     def _outcome(self, taken: _Taken, index: int, result: api.Result) -> None:
@@ -205,9 +214,11 @@
         if result is api.Result.OK or broke:
             taken.answered = True
         report = tuple(self.random.random() for _ in self.rules.report_fields)
-        self._tell(api.Outcome(
-            taken.request.id, taken.answered, result, self.now - one.sent, one.server.id, index, report
-        ))
+        self._tell(
+            api.Outcome(
+                taken.request.id, taken.answered, result, self.now - one.sent, one.server.id, index, report
+            )
+        )
 
     def _begin_stream(self) -> None:
         for taken, index in self._outstanding():
