--- /dev/null
+++ b/driftstair/control/__init__.py
@@ -0,0 +1,4 @@
+"""The control plane: replicas that keep the log of configuration changes and serve it to nodes.
+
+Design: docs/design/configuration.md.
+"""
