--- a/driftstair/limits/fleetwide.py
+++ b/driftstair/limits/fleetwide.py
@@ -2,51 +2,50 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from difflib import get_close_matches
 
-from driftstair.service.load import Loaded, Problem
+from driftstair.limits.findings import Finding
+from driftstair.service.load import Loaded
 from driftstair.service.schema import Budget, Rate, Route
 
 Place = tuple[str | int, ...]
 
 
-def places(route: Route, index: int) -> Iterator[tuple[Place, Budget | Rate]]:
-    """The tables of a route that may name a budget of the fleet."""
+def places(route: Route) -> Iterator[tuple[tuple[str, ...], Budget | Rate]]:
+    """The tables of a route that may name a budget of the fleet, by their path in it."""
     if route.retry.budget is not None:
-        yield ("route", index, "retry", "budget"), route.retry.budget
+        yield ("retry", "budget"), route.retry.budget
     if route.copy_ is not None:
-        yield ("route", index, "copy", "budget"), route.copy_.budget
+        yield ("copy", "budget"), route.copy_.budget
     if route.admit.rate is not None:
-        yield ("route", index, "admit", "rate"), route.admit.rate
+        yield ("admit", "rate"), route.admit.rate
 
 
 def spent_by(loaded: Loaded) -> Iterator[tuple[Place, str]]:
-    """Where a budget of the fleet is named, and its name."""
+    """Where a budget of the fleet is named in a file, and its name."""
     for index, route in enumerate(loaded.service.route):
-        for path, one in places(route, index):
+        for path, one in places(route):
             if one.fleet is not None:
-                yield (*path, "fleet"), one.fleet
-
-
-def problems(loaded: Loaded) -> Iterator[Problem]:
-    tier = loaded.service.tier
-    known = () if tier is None else tuple(tier.budgets or ())
-    for index, route in enumerate(loaded.service.route):
-        for path, one in places(route, index):
-            if one.fleet is None:
-                if isinstance(one, Rate) and one.per_s is None:
-                    yield loaded.problem(path, "wants per_s, or fleet and the name of a budget of the fleet")
-                continue
-            others = sorted(one.model_fields_set - {"fleet"})
-            if others:
-                yield loaded.problem(
-                    (*path, others[0]), f"says nothing beside fleet = {one.fleet!r}, whose figures stand in "
-                    f"[tier.budgets]", instead="one of the two",
-                )  # fmt: skip
-            if one.fleet not in known:
-                near = get_close_matches(one.fleet, known, 1) or sorted(known)[:1]
-                yield loaded.problem(
-                    (*path, "fleet"), f"{one.fleet}: no such table in [tier.budgets]",
-                    instead=f'"{near[0]}"' if near else f"a table [tier.budgets.{one.fleet}]",
-                )  # fmt: skip
+                yield ("route", index, *path, "fleet"), one.fleet
+
+
+def budget_findings(route: Route, known: Collection[str]) -> Iterator[Finding]:
+    """What a route says of budgets of the fleet; `known` are the names of those that there are."""
+    for path, one in places(route):
+        if one.fleet is None:
+            if isinstance(one, Rate) and one.per_s is None:
+                yield Finding(path, "wants per_s, or fleet and the name of a budget of the fleet")
+            continue
+        others = sorted(one.model_fields_set - {"fleet"})
+        if others:
+            yield Finding(
+                (*path, others[0]), f"says nothing beside fleet = {one.fleet!r}, whose figures stand in "
+                f"[tier.budgets]", instead="one of the two",
+            )  # fmt: skip
+        if one.fleet not in known:
+            near = get_close_matches(one.fleet, known, 1) or sorted(known)[:1]
+            yield Finding(
+                (*path, "fleet"), f"{one.fleet}: no such table in [tier.budgets]",
+                instead=f'"{near[0]}"' if near else f"a table [tier.budgets.{one.fleet}]",
+            )  # fmt: skip
