--- a/tests/configuration/test_state.py
+++ b/tests/configuration/test_state.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from random import Random
+from sys import getrefcount
+
 import msgspec
 import pytest
 
@@ -82,3 +85,64 @@
     wrong = Change(TENANT, "acme", msgspec.Raw(b"{}"), expected_revision=0)
     assert state.first_conflict(ChangeSet("one", (right, fresh))) is None
     assert state.first_conflict(ChangeSet("two", (fresh, wrong))) == wrong
+
+
+def test_at_each_step_of_an_application_the_state_is_the_old_one_or_the_new_one() -> None:
+    state = ConfigurationState()
+    names = [f"tenant-{number}" for number in range(200)]
+    state.apply(logged(1, *(put(TENANT, name, b'{"burst":1.0}') for name in names)))
+    for number, _ in enumerate(state.applying(logged(2, *(put(TENANT, name, b"{}") for name in names)))):
+        contents = {state.content(ResourceKey(TENANT, name)) for name in names}
+        assert contents == ({b"{}"} if state.revision == 2 else {b'{"burst":1.0}'}), number
+    assert state.revision == 2
+
+
+def test_an_application_that_is_left_halfway_is_as_if_it_had_not_begun_or_is_whole() -> None:
+    names = [f"tenant-{number}" for number in range(200)]
+    steps = 0
+    while True:
+        state, whole = ConfigurationState(), ConfigurationState()
+        first = logged(1, *(put(TENANT, name) for name in names))
+        application = state.applying(first)
+        if sum(1 for _ in zip(range(steps), application, strict=False)) < steps:
+            break
+        application.close()
+        if state.revision == 0:
+            assert state.digest == 0 and len(state) == 0
+            state.apply(first)
+        whole.apply(first)
+        then = logged(2, Change(TENANT, names[7]), put(TENANT, "another"))
+        state.apply(then)
+        whole.apply(then)
+        assert list(state.resources()) == list(whole.resources()) and state.digest == whole.digest
+        steps += 1
+    assert steps > 10
+
+
+def test_a_digest_by_the_change_is_that_of_the_whole() -> None:
+    state, random = ConfigurationState(), Random(7)
+    for revision in range(1, 300):
+        changes = [
+            Change(TENANT, name) if random.random() < 0.3 else put(TENANT, name, b'{"burst":%d}' % revision)
+            for name in random.sample("abcdefgh", 3)
+        ]
+        state.apply(logged(revision, *changes))
+    hashes = (resource_hash(one.key, one.revision, bytes(one.content)) for one in state.resources())
+    assert state.digest == sum(hashes) % (1 << 64)
+
+
+@pytest.mark.parametrize("revision", [-1, 1 << 63])
+def test_a_snapshot_of_no_possible_revision_is_refused(revision: int) -> None:
+    with pytest.raises(ValueError, match="no revision"):
+        ConfigurationState.restore(1, [Resource(TENANT, "acme", revision, msgspec.Raw(b"{}"))])
+    with pytest.raises(ValueError, match="no revision"):
+        ConfigurationState.restore(revision, [])
+
+
+def test_contents_do_not_keep_the_document_alive_that_they_came_in() -> None:
+    line = b'{"kind":"tenant","name":"acme","revision":1,"content":{"burst":1.0}}' + b" " * 10_000
+    resource = msgspec.json.decode(line, type=Resource)
+    state = ConfigurationState.restore(1, [resource])
+    assert state.content(resource.key) == b'{"burst":1.0}'
+    del resource
+    assert getrefcount(line) == 2  # this name and the argument
