A change set is proved by looking only at what it touches

Rules of one route are those of the file's proof. Ties and shadows are look-ups, at any number of routes; the file's proof judges shadows up to 400. One difference: a rate that is a budget of the fleet counts wherever its route stands, where the file's proof looks only at routes with a rate of their own.

--- /dev/null
+++ b/driftstair/configuration/assessment.py
@@ -0,0 +1,85 @@
+"""A change set while it is judged: what it would change, and what is wrong with it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from driftstair.configuration.change_sets import Change, ChangeSet
+from driftstair.configuration.resources import ResourceKey, ResourceKind
+from driftstair.configuration.route_facts import RouteFacts, RouteSums
+from driftstair.configuration.route_index import RouteIndex
+from driftstair.configuration.route_overlap import RouteView
+from driftstair.configuration.schema import ContentError, parse_content
+from driftstair.limits.findings import Circumstances, Finding
+from driftstair.service.schema import FleetBudget, Route, Table
+
+CELLS_MAX = 64  # combinations of class, tenant and method of one route: each is a line of the index
+
+
+class Violation(NamedTuple):
+    """What is wrong with a resource as a change set would leave it."""
+
+    resource: ResourceKey
+    where: str  # the path of a key in its content; "$" for the whole
+    why: str
+
+
+class RouteChange(NamedTuple):
+    """A route of a change set. None: there was none, or there will be none."""
+
+    before: RouteFacts | None
+    after: RouteFacts | None
+
+
+@dataclass(slots=True)
+class Assessment:
+    change_set: ChangeSet
+    budgets: dict[str, FleetBudget]  # all that there would be
+    staged: RouteIndex  # the routes that it puts
+    view: RouteView  # all routes as they would be
+    violations: list[Violation] = field(default_factory=list)
+    routes: dict[str, RouteChange] = field(default_factory=dict)
+    sums: RouteSums = field(default_factory=RouteSums)  # the difference that it makes
+
+    @staticmethod
+    def of(change_set: ChangeSet, routes: RouteIndex, budgets: Mapping[str, FleetBudget]) -> Assessment:
+        """`routes` and `budgets` are those in force."""
+        changed = {one.name for one in change_set.changes if one.kind is ResourceKind.ROUTE}
+        staged = RouteIndex()
+        return Assessment(change_set, dict(budgets), staged, RouteView(routes, changed, staged))
+
+    def violate(self, key: ResourceKey, where: str, why: str) -> None:
+        self.violations.append(Violation(key, where, why))
+
+    def parse(self, change: Change) -> Table | None:
+        """A content by the schema of its kind; what is wrong with it is a violation."""
+        try:
+            return parse_content(change.key, bytes(change.content))
+        except ContentError as problem:
+            for fault in problem.faults:
+                self.violate(change.key, fault.where, fault.why)
+            return None
+
+    def facts(self, key: ResourceKey, route: Route, given: Circumstances) -> RouteFacts | None:
+        """Of a route that can be indexed; what stands in the way is a violation."""
+        cells = 1
+        for names in (route.match.classes, route.match.tenant, route.match.method):
+            cells *= max(1, len(set(names or ())))
+        if cells > CELLS_MAX:
+            why = f"names {cells} combinations of class, tenant and method; several routes of {CELLS_MAX}"
+            self.violate(key, "match", f"{why} would do")
+            return None
+        try:
+            return RouteFacts.of(route, given)
+        except ValueError as problem:
+            self.violate(key, "match.path", str(problem))
+            return None
+
+
+def explained(finding: Finding) -> str:
+    """A finding in one line, without its path."""
+    rule = f" (would break: {finding.rule})" if finding.rule else ""
+    instead = f"; {finding.instead} would do" if finding.instead else ""
+    return f"{finding.why}{rule}{instead}"
--- a/driftstair/limits/overlap.py
+++ b/driftstair/limits/overlap.py
@@ -2,28 +2,32 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Sequence
 from itertools import product
 
 from driftstair.limits.findings import Platform
 from driftstair.limits.routes import Pattern
 from lichenspring.interface import Repeat
 
+Header = tuple[bytes, bytes]
+"""A name and its value; b"*" for any."""
 Cell = tuple[str, str, str]
 """Class, tenant and method; "" stands for any that is not named."""
 
 
-def cells(pattern: Pattern, platform: Platform | None) -> set[Cell]:
-    """All that a route may match, as far as classes, tenants and methods tell requests apart."""
-    classes = pattern.classes or frozenset(platform.classes if platform else ("",))
-    tenants = pattern.tenants or frozenset((*(platform.tenants if platform else ()), ""))
-    methods = pattern.methods or frozenset(("GET", "POST"))
-    if platform is None:
-        return set(product(classes, tenants, methods))
-    return {
-        (kind, tenant, method)
-        for kind, tenant, method in product(classes, tenants, methods)
-        if kind not in platform.classes or (method == "GET") is (platform.classes[kind].repeat is Repeat.SAFE)
-    }
+def cells(pattern: Pattern, platform: Platform | None) -> Iterator[Cell]:
+    """All that a route may match, as far as classes, tenants and methods tell requests apart; those of a
+    tenant that is not named first."""
+    classes = sorted(pattern.classes) or sorted(platform.classes if platform else ("",))
+    tenants = sorted(pattern.tenants) or ("", *(platform.tenants if platform else ()))
+    methods = sorted(pattern.methods) or ("GET", "POST")
+    for tenant, kind, method in product(tenants, classes, methods):
+        if (
+            platform is None
+            or kind not in platform.classes
+            or (method == "GET") is (platform.classes[kind].repeat is Repeat.SAFE)
+        ):
+            yield kind, tenant, method
 
 
 def is_wider(one: Pattern, other: Pattern) -> bool:
@@ -35,9 +39,11 @@
 
 def can_meet(one: Pattern, other: Pattern) -> bool:
     """Whether some request matches both, as far as path, headers and key go; classes and the rest do."""
-    its = dict(other.headers)
-    headers = all(
-        name not in its or b"*" in (value, its[name]) or value == its[name] for name, value in one.headers
-    )
     keys = one.key.startswith(other.key) or other.key.startswith(one.key)
-    return one.path.meets(other.path) and headers and keys
+    return one.path.meets(other.path) and headers_can_meet(one.headers, other.headers) and keys
+
+
+def headers_can_meet(one: Sequence[Header], other: Sequence[Header]) -> bool:
+    """Whether some request has the headers of both."""
+    its = dict(other)
+    return all(name not in its or b"*" in (value, its[name]) or value == its[name] for name, value in one)
--- a/driftstair/limits/proof.py
+++ b/driftstair/limits/proof.py
@@ -87,12 +87,12 @@
             return
         for place, index in enumerate(order):
             pattern = patterns[index]
-            left = cells(pattern, self.platform)
+            left = set(cells(pattern, self.platform))
             by: list[str] = []
             for other in order[:place]:
                 above = patterns[other]
                 if above.rank() > pattern.rank() and is_wider(above, pattern):
-                    taken = left & cells(above, self.platform)
+                    taken = left & set(cells(above, self.platform))
                     if taken:
                         left -= taken
                         by.append(self.routes[other].name)
