--- a/driftstair/configuration/route_index.py
+++ b/driftstair/configuration/route_index.py
@@ -38,21 +38,21 @@
 MEMO_MAX = 2_048  # answers that are kept: 0.5 KB each
 NOBODY: frozenset[str] = frozenset()
 ANY = PathId(str(ANY_PATH))
-Mask = tuple[bool, ...]
-"""Which parts of a template are fixed."""
+Mask = tuple[int, ...]
+"""The places of a template's parts that may be anything."""
 
 
-class RankedName(NamedTuple):
+class FoundRoute(NamedTuple):
     """A route that a request matches."""
 
-    rank: Rank  # as Pattern.rank
     name: str
-
-
-class _MemoKey(NamedTuple):
     path: PathId
     shape: Shape
-    wanted: Wanted
+
+    @property
+    def rank(self) -> Rank:
+        """As Pattern.rank."""
+        return (*path_rank(self.path), *self.shape.rank)
 
 
 class RouteIndex:
@@ -63,7 +63,7 @@
         self._masks: dict[int, dict[Mask, int]] = {}  # by number of parts: how many templates of each
         self._lengths: dict[str, tuple[int, ...]] = {}  # of prefixes, by their first part; the longest first
         self._known_lengths: dict[tuple[int, ...], tuple[int, ...]] = {}
-        self._memo: dict[_MemoKey, str | None] = {}
+        self._memo: dict[tuple[PathId, Shape, Wanted], str | None] = {}
 
     def __len__(self) -> int:
         """How many lines there are."""
@@ -79,13 +79,13 @@
             self._shapes[path] = self._shared(tuple(both))
         for wanted in pattern.wanted():
             self._lines.add(line_prefix(path, shape, wanted) + name.encode())
-            self._memo.pop(_MemoKey(path, shape, wanted), None)
+            self._memo.pop((path, shape, wanted), None)
 
     def remove(self, name: str, pattern: Pattern) -> None:
         path, shape = path_id(pattern.path), Shape.of(pattern)
         for wanted in pattern.wanted():
             self._lines.discard(line_prefix(path, shape, wanted) + name.encode())
-            self._memo.pop(_MemoKey(path, shape, wanted), None)
+            self._memo.pop((path, shape, wanted), None)
         if path not in self._shapes or self._has_shape(path, shape):
             return
         left = tuple(one for one in self._shapes[path] if one != shape)
@@ -95,13 +95,13 @@
             del self._shapes[path]
             self._remove_path(path)
 
-    def find(self, asked: Asked, masked: Collection[str] = NOBODY) -> RankedName | None:
+    def find(self, asked: Asked, masked: Collection[str] = NOBODY) -> FoundRoute | None:
         """The most specific route that the request matches, without those that are masked."""
         for paths in self._paths(asked.path):
-            best: RankedName | None = None
+            best: FoundRoute | None = None
             for path in paths:
                 found = self._find_at(path, asked, masked)
-                if found is not None and (best is None or found.rank > best.rank):
+                if found is not None and (best is None or found.shape.rank > best.shape.rank):
                     best = found
             if best is not None:
                 return best
@@ -131,16 +131,16 @@
         looking, after some 10 look-ups."""
         parts = template_parts(path)
         for mask in self._masks.get(len(parts), ()):
-            if sum(mask) == sum(bool(part) for part in parts):
+            if len(mask) == parts.count(""):
                 yield from self._walk(parts, mask, ())
 
     # Paths.
 
     def _add_path(self, path: PathId) -> None:
         if path[0] == str(TEMPLATE):
-            mask = _mask_of(path)
-            masks = self._masks.setdefault(len(mask), {})
-            masks[mask] = masks.get(mask, 0) + 1
+            parts = template_parts(path)
+            masks = self._masks.setdefault(len(parts), {})
+            masks[_mask_of(parts)] = masks.get(_mask_of(parts), 0) + 1
         elif path[0] == str(PREFIX):
             part = _first_part(path[1:])
             lengths = tuple(sorted({*self._lengths.get(part, ()), len(path) - 1}, reverse=True))
@@ -148,8 +148,8 @@
 
     def _remove_path(self, path: PathId) -> None:
         if path[0] == str(TEMPLATE):
-            mask = _mask_of(path)
-            masks = self._masks[len(mask)]
+            parts = template_parts(path)
+            masks, mask = self._masks[len(parts)], _mask_of(parts)
             masks[mask] -= 1
             if not masks[mask]:
                 del masks[mask]
@@ -179,13 +179,14 @@
     def _template_paths(self, parts: list[str], masks: dict[Mask, int]) -> Iterator[list[PathId]]:
         found: dict[int, list[PathId]] = {}
         for mask in masks:
-            if any(fixed and not part for fixed, part in zip(mask, parts, strict=True)):
-                continue
-            key = template_id(tuple(part if fixed else "" for fixed, part in zip(mask, parts, strict=True)))
-            if key in self._shapes:
-                found.setdefault(sum(mask), []).append(key)
-        for fixed in sorted(found, reverse=True):
-            yield found[fixed]
+            wanted = parts.copy()
+            for place in mask:
+                wanted[place] = ""
+            key = template_id(wanted)
+            if key in self._shapes and wanted.count("") == len(mask):  # an empty part is no fixed one
+                found.setdefault(len(mask), []).append(key)
+        for free in sorted(found):
+            yield found[free]
 
     def _walk(self, parts: list[str], mask: Mask, begun: tuple[str, ...]) -> Iterator[PathId | None]:
         """Templates of one mask that begin with the parts `begun` and meet the rest of `parts`."""
@@ -193,7 +194,7 @@
         if place == len(parts):
             found = template_id(begun)
             yield found if found in self._shapes else None
-        elif not mask[place]:
+        elif place in mask:
             yield from self._walk(parts, mask, (*begun, ""))
         elif parts[place]:
             yield from self._walk(parts, mask, (*begun, parts[place]))
@@ -204,7 +205,7 @@
 
     def _next_parts(self, begun: tuple[str, ...]) -> Iterator[str]:
         """The fixed parts that follow a beginning of templates."""
-        head = (template_prefix(list(begun)) + PART).encode()
+        head = (template_prefix(begun) + PART).encode()
         line = self._lines.first_with(head)
         while line is not None and line.startswith(head):
             part = line[len(head) :].decode().partition(PART)[0].partition(FIELD)[0]
@@ -214,28 +215,28 @@
 
     # Routes at a path.
 
-    def _find_at(self, path: PathId, asked: Asked, masked: Collection[str]) -> RankedName | None:
+    def _find_at(self, path: PathId, asked: Asked, masked: Collection[str]) -> FoundRoute | None:
         for shape in self._shapes[path]:
             wanted = shape.wanted(asked)
             if wanted is None:
                 continue
-            name = self._name(path, shape, wanted)
+            try:
+                name = self._memo[path, shape, wanted]
+            except KeyError:
+                name = self._look_up(path, shape, wanted)
             if name is not None and name not in masked:
-                return RankedName((*path_rank(path), *shape.rank), name)
+                return FoundRoute(name, path, shape)
         return None
 
-    def _name(self, path: PathId, shape: Shape, wanted: Wanted) -> str | None:
-        memo = self._memo
-        key = _MemoKey(path, shape, wanted)
-        if key in memo:
-            return memo[key]
+    def _look_up(self, path: PathId, shape: Shape, wanted: Wanted) -> str | None:
         try:
             name = next(self.names_at(path, shape, wanted), None)
         except UnicodeError:
             name = None  # a header that is no text: no route's value is that
+        memo = self._memo
         if len(memo) >= MEMO_MAX:
             del memo[next(iter(memo))]
-        memo[key] = name
+        memo[path, shape, wanted] = name
         return name
 
     def _has_shape(self, path: PathId, shape: Shape) -> bool:
@@ -251,5 +252,5 @@
     return path[: end + 1] if end > 0 else ""
 
 
-def _mask_of(path: PathId) -> Mask:
-    return tuple(bool(part) for part in template_parts(path))
+def _mask_of(parts: list[str]) -> Mask:
+    return tuple(place for place, part in enumerate(parts) if not part)
--- a/driftstair/configuration/route_lines.py
+++ b/driftstair/configuration/route_lines.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
 from typing import NamedTuple, NewType
 
 from driftstair.limits.routes import PathPattern, Rank, Shape, Wanted
@@ -41,7 +42,7 @@
     return PathId(f"{path.shape}{path.text}")
 
 
-def template_id(parts: tuple[str, ...]) -> PathId:
+def template_id(parts: Sequence[str]) -> PathId:
     return PathId(f"{TEMPLATE}/{'/'.join(parts)}")
 
 
@@ -78,7 +79,7 @@
     return template_prefix(template_parts(path))
 
 
-def template_prefix(parts: list[str]) -> str:
+def template_prefix(parts: Sequence[str]) -> str:
     """The beginning of the path field of templates that begin with these parts."""
     return str(TEMPLATE) + "".join(PART + escaped(part) for part in parts)
 
