A change set without routes costs no sums and no index of its own

Cause: a profile of 220,000 tenants taken in showed sums and indexes built anew for each, and each of a few plans parsed again. Change: made only for sets with routes; parsed tenants are remembered by content.

--- a/driftstair/configuration/assessment.py
+++ b/driftstair/configuration/assessment.py
@@ -26,6 +26,11 @@
     why: str
 
 
+# Of change sets without routes, most of them tenants: nothing is ever added to these.
+NO_ROUTES = RouteIndex()
+NO_SUMS = RouteSums()
+
+
 class RouteChange(NamedTuple):
     """A route of a change set. None: there was none, or there will be none."""
 
@@ -39,16 +44,22 @@
     budgets: dict[str, FleetBudget]  # all that there would be
     staged: RouteIndex  # the routes that it puts
     view: RouteView  # all routes as they would be
+    sums: RouteSums  # the difference that it makes
     violations: list[Violation] = field(default_factory=list)
     routes: dict[str, RouteChange] = field(default_factory=dict)
-    sums: RouteSums = field(default_factory=RouteSums)  # the difference that it makes
 
     @staticmethod
     def of(change_set: ChangeSet, routes: RouteIndex, budgets: Mapping[str, FleetBudget]) -> Assessment:
         """`routes` and `budgets` are those in force."""
         changed = {one.name for one in change_set.changes if one.kind is ResourceKind.ROUTE}
-        staged = RouteIndex()
-        return Assessment(change_set, dict(budgets), staged, RouteView(routes, changed, staged))
+        staged, sums = (RouteIndex(), RouteSums()) if changed else (NO_ROUTES, NO_SUMS)
+        view = RouteView(routes, changed, staged)
+        return Assessment(change_set, dict(budgets), staged, view, sums)
+
+    def touches_rules_over_routes(self) -> bool:
+        """Whether sums and budgets can be others than they were."""
+        kinds = (change.kind for change in self.change_set.changes)
+        return bool(self.routes) or ResourceKind.BUDGET in kinds
 
     def violate(self, key: ResourceKey, where: str, why: str) -> None:
         self.violations.append(Violation(key, where, why))
--- a/driftstair/configuration/schema.py
+++ b/driftstair/configuration/schema.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import Annotated, NamedTuple, TypeVar
 
 import msgspec
@@ -16,6 +17,7 @@
 
 REASON_LETTERS_MAX = 200
 BURST = 10.0  # requests, where a tenant's limit says nothing; as a route's rate
+PLANS = 1_024  # contents of tenants that are not parsed again: 220,000 tenants have few
 WHOLE = "$"  # the path of a content itself
 
 
@@ -74,6 +76,7 @@
     return _validated(FleetBudget, _tree(content))
 
 
+@lru_cache(maxsize=PLANS)
 def parse_tenant(content: bytes) -> TenantLimits:
     """Raises ContentError."""
     return _validated(TenantLimits, _tree(content))
--- a/driftstair/configuration/validation.py
+++ b/driftstair/configuration/validation.py
@@ -84,15 +84,17 @@
             yield
         if judge:
             yield from self._judge_shadows(assessment)
-            self._judge_budgets(assessment)
-            self._judge_promises(assessment)
+            if assessment.touches_rules_over_routes():
+                self._judge_budgets(assessment)
+                self._judge_promises(assessment)
         return assessment
 
     def taking(self, assessment: Assessment) -> Iterator[None]:
         """Takes a change set that was assessed into the indexes, in steps. The routes that it touches are
         found in `assessment.staged` until then; for them the index is neither old nor new."""
         self.budgets = assessment.budgets
-        self._sums = self._sums.plus(assessment.sums)
+        if assessment.routes:
+            self._sums = self._sums.plus(assessment.sums)
         for name, change in assessment.routes.items():
             if change.before is not None:
                 self.routes.remove(name, change.before.pattern)
