--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -3,8 +3,8 @@
     python -m benchmarks.scale [--json] [--seconds N] MEASUREMENT ...
 
 Each measurement is a module with `register(commands)`, which adds its subcommand and sets `measure`: a
-function from the parsed arguments to an iterable of rows. Rows are printed as they come, one JSON object a line with
-`--json`. Exit status: 0 all rows are sound, 1 a row failed or is late, 2 bad use.
+function from the parsed arguments to an iterable of rows. Rows are printed as they come, one JSON object a
+line with `--json`. Exit status: 0 all rows are sound, 1 a row failed or is late, 2 bad use.
 """
 
 from __future__ import annotations
