Scale benchmark: single-process slopes by routes, tenants, servers and peers

Each point runs in a process of its own, its inputs written by another one: processor time, peak and kept resident memory, time of one change.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -18,6 +18,7 @@
 
 MEASUREMENTS: tuple[str, ...] = (
     # one a line, by name
+    "slopes",
 )
 """Modules of this package that register a subcommand each."""
 SECONDS = 900.0  # of a whole measurement: what a person waits for
--- /dev/null
+++ b/benchmarks/scale/billing.py
@@ -0,0 +1,65 @@
+"""Slopes by tenants that were active between two commits: the entries of a ledger, and joining ledgers."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from benchmarks.scale import documents
+from benchmarks.scale.meter import cpu_each, measured
+
+NOON = 1_771_070_400_000  # ms of Unix time
+COMMITS = 20
+
+
+def prepare(size: int, folder: Path) -> None:
+    """Nothing: books are made in the process."""
+
+
+def measure(size: int, folder: Path) -> dict[str, float]:
+    """Commits in which `size` tenants had a request each."""
+    from driftstair.ledger.book import Book
+    from driftstair.ledger.entries import Word
+    from driftstair.ledger.periods import Calendar
+
+    book = Book("n0", Calendar("UTC"))
+    book.written(book.begin(NOON, 20))
+    tenants = [documents.tenant_name(number) for number in range(size)]
+    written = 0
+
+    def commit(turn: int) -> None:
+        nonlocal written
+        for tenant in tenants:
+            book.count(NOON + turn, tenant, Word.SERVED)
+        written += len(book.written(book.commit(NOON + turn)))
+
+    each = cpu_each(commit, COMMITS)
+    _, step = measured(lambda: commit(COMMITS))
+    return {
+        "commit_cpu_ms": each * 1e3, "commit_bytes": written / (COMMITS + 1), "peak_mb": step.peak_mb,
+    }  # fmt: skip
+
+
+def measure_join(size: int, folder: Path) -> dict[str, float]:
+    """Reading and joining `size` ledgers of 200 entries each."""
+    from driftstair.ledger.book import Book
+    from driftstair.ledger.entries import Word
+    from driftstair.ledger.periods import Calendar
+    from driftstair.ledger.reconcile import chained, joined
+
+    def lines(node: int) -> list[bytes]:
+        book = Book(f"n{node}", Calendar("UTC"))
+        text = book.written(book.begin(NOON, 20))
+        for turn in range(10):
+            for tenant in range(20):
+                book.count(NOON + turn, documents.tenant_name(tenant), Word.SERVED)
+            text += book.written(book.commit(NOON + turn))
+        return text.splitlines(keepends=True)
+
+    ledgers = [lines(node) for node in range(size)]
+    copies, reading = measured(lambda: [chained(one) for one in ledgers])
+    assert all(one.finding is None for one in copies)
+    _, joining = measured(lambda: joined(copies))
+    return {
+        "read_cpu_s": reading.cpu_s, "join_cpu_s": joining.cpu_s,
+        "kept_mb": reading.kept_mb + joining.kept_mb,
+    }  # fmt: skip
--- /dev/null
+++ b/benchmarks/scale/series.py
@@ -0,0 +1,63 @@
+"""The series of the single-process slopes: which probe, at which sizes, and how each of its figures grows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.scale import billing, documents, peers, routes, servers, tenants
+
+Probe = Callable[[int, Path], dict[str, float]]
+
+
+def no_inputs(size: int, folder: Path) -> None:
+    """For probes that make what they measure by themselves."""
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """`sizes`: in rising order, the last one that of the installation in two years; `each`: the size where
+    each service is an installation of its own; `prepare` writes the inputs, in another process than the
+    probe."""
+
+    unit: str
+    sizes: tuple[int, ...]
+    each: int
+    probe: Probe
+    prepare: Callable[[int, Path], None] = no_inputs
+
+
+ROUTE_SIZES = (21, 500, 1_000, 2_000, 4_000, 8_000, 14_000, documents.ROUTES)
+TENANT_SIZES = (220, 5_000, 20_000, 55_000, 110_000, 165_000, documents.TENANTS)
+SERVER_SIZES = (33, 1_000, 4_000, 8_000, 16_000, 24_000, documents.SERVERS)
+PEER_SIZES = (3, 200, 800, 1_600, 2_400, documents.NODES)
+
+SERIES: dict[str, Series] = {
+    "service-file": Series("route", ROUTE_SIZES, documents.ROUTES_EACH, routes.measure, routes.prepare),
+    "route-look-up": Series("route", ROUTE_SIZES, documents.ROUTES_EACH, routes.measure_look_up),
+    "tenant-buckets": Series(
+        "bucket", (1_000, 20_000, 60_000, 120_000, documents.TENANTS), documents.TENANTS_EACH,
+        routes.measure_buckets,
+    ),
+    "configuration": Series(
+        "tenant", TENANT_SIZES, documents.TENANTS_EACH, tenants.measure, tenants.prepare
+    ),
+    "proof-by-tenants": Series(
+        "tenant", TENANT_SIZES, documents.TENANTS_EACH, tenants.measure_proof, tenants.prepare
+    ),
+    "tenant-shares": Series(
+        "tenant", TENANT_SIZES, documents.TENANTS_EACH, tenants.measure_shares, tenants.prepare
+    ),
+    "server-list": Series(
+        "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure, servers.prepare
+    ),
+    "request-by-servers": Series(
+        "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure_request, servers.prepare
+    ),
+    "peers": Series("peer", PEER_SIZES, documents.NODES_EACH, peers.measure, peers.prepare),
+    "ledger-commit": Series(
+        "tenant in a commit", (1, 20, 55, 220, 1_000, 4_000), 20, billing.measure
+    ),
+    "ledger-join": Series("ledger", (3, 100, 200, 400, 800), documents.NODES_EACH, billing.measure_join),
+}  # fmt: skip
