--- a/benchmarks/scale/documents.py
+++ b/benchmarks/scale/documents.py
@@ -1,4 +1,4 @@
-"""The documents that a node is told, made to any size: its configuration, its service file, lists of servers."""
+"""Documents that a node is told, made to any size: its configuration, service file and lists of servers."""
 
 from __future__ import annotations
 
--- a/benchmarks/scale/meter.py
+++ b/benchmarks/scale/meter.py
@@ -51,7 +51,7 @@
 
 
 def median_each(step: Callable[[int], object], times: int) -> float:
-    """s of processor time of one call, the median of `times`: what the event loop is held for on a free core."""
+    """s of processor time of one call, the median of `times`: how long it holds the loop on a free core."""
     found = []
     for number in range(times):
         began = time.process_time()
--- a/benchmarks/scale/point.py
+++ b/benchmarks/scale/point.py
@@ -1,7 +1,7 @@
 """One point of a series, in a process of its own: `python -m benchmarks.scale.point SERIES SIZE FOLDER`.
 
-Prints its figures as one JSON object. The inputs were written to FOLDER by another process, so what making them
-took is neither in its processor time nor in its memory.
+Prints its figures as one JSON object. The inputs were written to FOLDER by another process, so what making
+them took is neither in its processor time nor in its memory.
 """
 
 from __future__ import annotations
--- a/benchmarks/scale/servers.py
+++ b/benchmarks/scale/servers.py
@@ -1,4 +1,4 @@
-"""Slopes by servers: a whole list, one change of it, what a request and the timers take beside many of them."""
+"""Slopes by servers: a whole list, a change of it, what a request and the timers take beside many of them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from typing import Any
 
 from benchmarks.scale import documents
-from benchmarks.scale.meter import cpu_each, median_each, measured
+from benchmarks.scale.meter import cpu_each, measured, median_each
 
 CHANGES = 20
 EVENTS = 40  # requests and outcomes while servers are judged
