Scale benchmark: time added to a request by a real daemon, at rest and while it takes in control

Need: 7 ms may be added for 99 requests in 100, also while a node takes in a change of its list or its files.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -18,6 +18,7 @@
 
 MEASUREMENTS: tuple[str, ...] = (
     # one a line, by name
+    "added_time",
     "slopes",
 )
 """Modules of this package that register a subcommand each."""
