--- a/benchmarks/scale/node.py
+++ b/benchmarks/scale/node.py
@@ -58,7 +58,7 @@
         self._news.set()
 
     async def until(self, there: Callable[[], object]) -> None:
-        """Until something holds that lines tell of. Raises TimeoutError, or EOFError once the process ended."""
+        """Until something holds that lines tell of. Raises TimeoutError, or EOFError once it has ended."""
         async with asyncio.timeout(PATIENCE):
             while not there():
                 if self.process.returncode is not None:
--- a/benchmarks/scale/series.py
+++ b/benchmarks/scale/series.py
@@ -52,6 +52,9 @@
     "server-list": Series(
         "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure, servers.prepare
     ),
+    "server-reach": Series(
+        "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure_reach, servers.prepare
+    ),
     "request-by-servers": Series(
         "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure_request, servers.prepare
     ),
--- a/benchmarks/scale/servers.py
+++ b/benchmarks/scale/servers.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -77,6 +78,28 @@
     }  # fmt: skip
 
 
+def measure_reach(size: int, folder: Path) -> dict[str, float]:
+    """Servers that keys lead to, over one round of nodes, among which all servers are shared out: those that
+    stand in the table of one of them. The others get requests only where none of a table may be used."""
+    from driftstair.config import load
+    from driftstair.net.node import digest
+    from lichenspring import Balancer
+    from lichenspring import interface as api
+    from lichenspring.subset import ROUND
+
+    settings = load({"BALANCER_CONFIG": str(folder / "platform.json")}).settings
+    entries = tuple(
+        api.Server(digest(entry["id"]), 0, 0, api.ServerState.READY, 1.0, 0)
+        for entry in documents.server_list(size)["servers"]
+    )
+    reached: set[api.ServerId] = set()
+    for number in range(ROUND):
+        balancer = Balancer(replace(settings, number=number), 1)
+        balancer.handle(1, api.ServerList(api.ListKind.FULL, entries))
+        reached |= {backend.entry.id for backend in balancer._table}
+    return {"servers_reached": len(reached), "part_reached": len(reached) / size}
+
+
 def measure_request(size: int, folder: Path) -> dict[str, float]:
     """The decisions on one request and its outcome, the timers, and both while the fleet judges servers."""
     return _inside_loop(lambda: _measure_request(size, folder))
