Hollow nodes: the shipped tier over real sockets, many in a process, with dilated time

What control costs a node at 3,100 can't be played with daemons on one machine. A hollow node is the shipped `Tier` (membership, evidence, budgets, leases, permits) as the daemon makes it, with outcomes and demand fed in the place of a request path. Clock and timers run slower than the machine's by a stated factor where it can't keep pace; rows whose loop came late are marked.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -16,9 +16,7 @@
 
 from benchmarks.scale.rows import Row, print_row
 
-MEASUREMENTS: tuple[str, ...] = (
-    # one a line, by name
-)
+MEASUREMENTS: tuple[str, ...] = ("steady",)
 """Modules of this package that register a subcommand each."""
 SECONDS = 900.0  # of a whole measurement: what a person waits for
 
--- /dev/null
+++ b/benchmarks/scale/hollow/orders.py
@@ -0,0 +1,116 @@
+"""What the process that measures tells a worker, and what comes back: JSON, a line each."""
+
+from __future__ import annotations
+
+import msgspec
+
+from benchmarks.scale.hollow.plan import Address, Plan
+
+
+class Prepare(msgspec.Struct, tag=True):
+    """The first order: bind an address for each of the worker's nodes."""
+
+    plan: Plan
+    worker: int
+    folder: str  # for what nodes persist and for records
+
+
+class Start(msgspec.Struct, tag=True):
+    """All nodes of the worker, at once."""
+
+    addresses: list[Address]  # of all nodes, by number
+
+
+class Kill(msgspec.Struct, tag=True):
+    """Sockets are closed and all state is dropped; nobody is told."""
+
+    numbers: list[int]
+
+
+class Revive(msgspec.Struct, tag=True):
+    """Killed nodes start again, with the member list that they had."""
+
+    numbers: list[int]
+
+
+class Restart(msgspec.Struct, tag=True):
+    """A planned end, and a start thereafter."""
+
+    numbers: list[int]
+
+
+class Cut(msgspec.Struct, tag=True):
+    """Whether datagrams between regions are dropped by their sender."""
+
+    regions: bool
+
+
+class Sample(msgspec.Struct, tag=True):
+    """Figures since the last sample."""
+
+
+class Disagree(msgspec.Struct, tag=True):
+    """Pairs of a node and a member that it holds otherwise than it is."""
+
+    running: list[int]  # members that run; all others are gone
+
+
+class Record(msgspec.Struct, tag=True):
+    """Begin to note what nodes hold of members, or write what was noted to the worker's file."""
+
+    on: bool
+
+
+class Stop(msgspec.Struct, tag=True):
+    """The last order."""
+
+
+Order = Prepare | Start | Kill | Revive | Restart | Cut | Sample | Disagree | Record | Stop
+
+
+class Bound(msgspec.Struct, tag=True):
+    """Answer to Prepare."""
+
+    addresses: list[Address]  # in the order of the worker's numbers
+    resident: int  # bytes, of the process before it has a node
+
+
+class Figures(msgspec.Struct, tag=True):
+    """Answer to Sample. Bytes are UDP payload; times are the nodes'."""
+
+    nodes: int
+    seconds: float
+    cpu: float  # s of processor time
+    resident: int  # bytes
+    bytes_in: int
+    bytes_out: int
+    datagrams_in: int
+    datagrams_out: int
+    worst_second: int  # bytes out, of one node in one second
+    means: list[float]  # bytes out a node, second by second
+    late: list[float]  # s that the loop's timer came late: median, 99th percentile, worst
+    stood_still: int  # times that a node found itself stopped
+    suspicions: int
+    deaths: int
+    unsent: int
+    facts: float  # of shared state held, a node
+    dropped: int  # facts
+    thrown: dict[str, int]
+    held_back: int  # nodes that hold the failing server back
+    spent: int  # tokens of the shared budget
+
+
+class Pairs(msgspec.Struct, tag=True):
+    """Answer to Disagree."""
+
+    wrong: int
+    looked_at: int
+
+
+class Done(msgspec.Struct, tag=True):
+    """Answer to all others. `at`: the nodes' clock when it was carried out, ns."""
+
+    at: int
+
+
+Answer = Bound | Figures | Pairs | Done
