--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -17,9 +17,9 @@
 from benchmarks.scale.rows import Row, print_row
 
 MEASUREMENTS: tuple[str, ...] = (
-    # one a line, by name
     "added_time",
     "slopes",
+    "steady",
 )
 """Modules of this package that register a subcommand each."""
 SECONDS = 900.0  # of a whole measurement: what a person waits for
--- a/benchmarks/scale/node.py
+++ b/benchmarks/scale/node.py
@@ -44,6 +44,7 @@
     lines: list[str] = field(default_factory=list)
     address: tuple[str, int] = ("", 0)
     started_s: float = 0.0  # from the start of the process until it served
+    ended: bool = False  # it has closed its log
     _news: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def read(self) -> None:
@@ -55,13 +56,14 @@
                 host, _, port = text.split()[-1].rpartition(":")
                 self.address, self.started_s = (host, int(port)), perf_counter() - self.began
             self._news.set()
+        self.ended = True
         self._news.set()
 
     async def until(self, there: Callable[[], object]) -> None:
         """Until something holds that lines tell of. Raises TimeoutError, or EOFError once it has ended."""
         async with asyncio.timeout(PATIENCE):
             while not there():
-                if self.process.returncode is not None:
+                if self.ended:
                     raise EOFError(f"the daemon ended: {self.lines[-1:]}")
                 self._news.clear()
                 await self._news.wait()
