--- a/benchmarks/scale/peers.py
+++ b/benchmarks/scale/peers.py
@@ -39,7 +39,7 @@
 
     config = load({"BALANCER_CONFIG": str(folder / "old.json")})
     peers, reading = measured(lambda: told.read(config))
-    claims = _claims(size)
+    claims = all_alive(size)
 
     def start() -> Tier:
         process = Tier(config, peers, PERIOD, KEY, None, None, SOCKETS, judges=True)
@@ -57,7 +57,7 @@
     }  # fmt: skip
 
 
-def _claims(size: int) -> Any:
+def all_alive(size: int) -> Any:
     """All peers as a list that the process before this one has kept."""
     from driftstair.tier.membership import events
     from driftstair.tier.membership.members import Claim, State, Traits
@@ -78,7 +78,7 @@
         0, size, 1_000, Traits(0, wire.VERSION, wire.MEMBERSHIP), PERIOD, Random(1), wire.ROOM, wire.size
     )
     now = time.monotonic_ns()
-    core.handle(now, _claims(size))
+    core.handle(now, all_alive(size))
 
     def wake(_: int) -> None:
         core.handle(max(now, core.wake_at), Wake())
--- a/benchmarks/scale/series.py
+++ b/benchmarks/scale/series.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from benchmarks.scale import billing, documents, peers, routes, servers, tenants
+from benchmarks.scale import billing, coordination, documents, peers, routes, servers, tenants
 
 Probe = Callable[[int, Path], dict[str, float]]
 
@@ -59,6 +59,19 @@
         "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure_request, servers.prepare
     ),
     "peers": Series("peer", PEER_SIZES, documents.NODES_EACH, peers.measure, peers.prepare),
+    "operator-report": Series(
+        "peer", PEER_SIZES, documents.NODES_EACH, coordination.measure_report, coordination.prepare_report
+    ),
+    "outcome-reports": Series(
+        "node", (*PEER_SIZES, 4_000, 6_000), documents.NODES_EACH, coordination.measure_reports
+    ),
+    "disruption-budget": Series(
+        "node", PEER_SIZES, documents.NODES_EACH, coordination.measure_controller
+    ),
+    "ledger-collector": Series(
+        "node", (3, 200, 400, 800, 1_600, documents.NODES), documents.NODES_EACH, coordination.measure_collector,
+        coordination.prepare_folder,
+    ),
     "ledger-commit": Series(
         "tenant in a commit", (1, 20, 55, 220, 1_000, 4_000), 20, billing.measure
     ),
