--- a/benchmarks/scale/series.py
+++ b/benchmarks/scale/series.py
@@ -30,7 +30,7 @@
 
 ROUTE_SIZES = (21, 500, 1_000, 2_000, 4_000, 8_000, 14_000, documents.ROUTES)
 TENANT_SIZES = (220, 5_000, 20_000, 55_000, 110_000, 165_000, documents.TENANTS)
-SERVER_SIZES = (33, 1_000, 4_000, 8_000, 16_000, 24_000, documents.SERVERS)
+SERVER_SIZES = (33, 200, 1_000, 4_000, 8_000, 16_000, 24_000, documents.SERVERS)
 PEER_SIZES = (3, 200, 800, 1_600, 2_400, documents.NODES)
 
 SERIES: dict[str, Series] = {
@@ -69,8 +69,8 @@
         "node", PEER_SIZES, documents.NODES_EACH, coordination.measure_controller
     ),
     "ledger-collector": Series(
-        "node", (3, 200, 400, 800, 1_600, documents.NODES), documents.NODES_EACH, coordination.measure_collector,
-        coordination.prepare_folder,
+        "node", (3, 200, 400, 800, 1_600, documents.NODES), documents.NODES_EACH,
+        coordination.measure_collector, coordination.prepare_folder,
     ),
     "ledger-commit": Series(
         "tenant in a commit", (1, 20, 55, 220, 1_000, 4_000), 20, billing.measure
