Scale benchmark: cold starts, outlier detection, ledgers at a start; requests without an answer count

Seen: with judge = true and 31,900 listed servers a real daemon answered none of 274 requests a second within their time (served 0, 3,805 unanswered of 3,288 measured and those before), where 33 servers add 2.7 ms for 99 in 100.

--- a/benchmarks/scale/added_time.py
+++ b/benchmarks/scale/added_time.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """`reading`: of "1,000 services", which one the size belongs to."""
+    """`reading`: "own" where each service is an installation of its own, "all" where all nodes serve all."""
 
     told: Told
     reading: str
@@ -70,20 +70,25 @@
     rate: int = documents.NODE_RATE
     window_s: float = WINDOW_S
     every_s: float = EVENT_EVERY_S
+    warm_s: float = WARM_S
 
 
 SCENARIOS: dict[str, Scenario] = {
-    "rest": Scenario(SMALL, "fleets of their own"),
-    "rest-times-3": Scenario(SMALL, "fleets of their own", rate=3 * documents.NODE_RATE),
-    "change-33": Scenario(SMALL, "fleets of their own", change_of_one),
-    "whole-33": Scenario(SMALL, "fleets of their own", whole_list),
-    "sighup-21": Scenario(SMALL, "fleets of their own", hang_up),
-    "rest-many-servers": Scenario(MANY_SERVERS, "all serve all"),
-    "rest-many-servers-times-3": Scenario(MANY_SERVERS, "all serve all", rate=3 * documents.NODE_RATE),
-    "change-many-servers": Scenario(MANY_SERVERS, "all serve all", change_of_one),
-    "whole-many-servers": Scenario(MANY_SERVERS, "all serve all", whole_list, window_s=2.0, every_s=4.0),
-    "sighup-many-routes": Scenario(MANY_ROUTES, "either", hang_up, window_s=3.0, every_s=6.0),
-    "sighup-all": Scenario(ALL, "all serve all", hang_up, window_s=10.0, every_s=14.0),
+    "rest": Scenario(SMALL, "own"),
+    "rest-times-3": Scenario(SMALL, "own", rate=3 * documents.NODE_RATE),
+    "change-33": Scenario(SMALL, "own", change_of_one),
+    "whole-33": Scenario(SMALL, "own", whole_list),
+    "sighup-21": Scenario(SMALL, "own", hang_up),
+    "rest-many-servers": Scenario(MANY_SERVERS, "all"),
+    "rest-many-servers-times-3": Scenario(MANY_SERVERS, "all", rate=3 * documents.NODE_RATE),
+    "change-many-servers": Scenario(MANY_SERVERS, "all", change_of_one),
+    "whole-many-servers": Scenario(MANY_SERVERS, "all", whole_list, window_s=2.0, every_s=4.0),
+    "judged": Scenario(Told(judges=True), "own"),
+    "judged-many-servers": Scenario(Told(LINE_SERVERS, nodes=documents.NODES, known=0, judges=True), "all"),
+    "sighup-many-routes": Scenario(MANY_ROUTES, "own, all", hang_up, window_s=3.0, every_s=6.0),
+    "sighup-all": Scenario(ALL, "all", hang_up, window_s=10.0, every_s=14.0),
+    "cold-start": Scenario(SMALL, "own", warm_s=0.0),
+    "cold-start-all": Scenario(ALL, "all", warm_s=0.0),
 }
 
 
@@ -139,7 +144,7 @@
             direct = RequestPath([_split(address) for address in on.servers])
             events = [] if one.event is None else [asyncio.create_task(_events(one, on))]
             paths = [through, direct]
-            await drive(paths, one.rate, WARM_S)
+            await drive(paths, one.rate, one.warm_s)
             begun, cpu = perf_counter(), on.daemon.cpu_s()
             late = await drive(paths, one.rate, _seconds(one))
             spent = (on.daemon.cpu_s() - cpu) / (perf_counter() - begun)
@@ -161,7 +166,7 @@
 async def _events(one: Scenario, on: Stage) -> list[tuple[float, float]]:
     """Makes the events happen; the times in which each was being taken in."""
     assert one.event is not None
-    await asyncio.sleep(WARM_S)
+    await asyncio.sleep(one.warm_s)
     windows = []
     for turn in range(EVENTS):
         began = perf_counter()
@@ -186,7 +191,7 @@
                 f"{label}_ratio": its / beside}  # fmt: skip
     out["worst_ms"] = max(one.took for one in node) * 1e3
     out["served"] = sum(one.served for one in node) / len(node)
-    out["unanswered"] = through.sent - len(through.answers)
+    out["unanswered"] = through.unanswered
     return out
 
 
--- a/benchmarks/scale/billing.py
+++ b/benchmarks/scale/billing.py
@@ -9,6 +9,7 @@
 
 NOON = 1_771_070_400_000  # ms of Unix time
 COMMITS = 20
+COMMITTED = 55  # tenants between two commits of 200 ms at 274 requests a second, each with one request
 
 
 def prepare(size: int, folder: Path) -> None:
@@ -39,6 +40,35 @@
     }  # fmt: skip
 
 
+def prepare_ledger(size: int, folder: Path) -> None:
+    """A ledger of about `size` entries, as a node leaves it behind."""
+    from driftstair.ledger.book import Book
+    from driftstair.ledger.entries import Word
+    from driftstair.ledger.periods import Calendar
+    from driftstair.ledger.segments import Store
+
+    store = Store(folder, "n0")
+    store.open()
+    book = Book("n0", Calendar("UTC"))
+    store.append(book.written(book.begin(NOON, 20)), False)
+    for turn in range(max(1, size // COMMITTED)):
+        for tenant in range(COMMITTED):
+            book.count(NOON + turn, documents.tenant_name(tenant), Word.SERVED)
+        store.append(book.written(book.commit(NOON + turn)), False)
+    store.close()
+
+
+def measure_open(size: int, folder: Path) -> dict[str, float]:
+    """A node's start with that ledger: before it serves, it follows the chain through all segments."""
+    from driftstair.ledger.segments import Store
+
+    store = Store(folder, "n0")
+    opened, step = measured(store.open)
+    store.close()
+    kept = sum(path.stat().st_size for path in folder.glob("*.ledger"))
+    return {"open_hold_s": step.cpu_s, "bytes": kept, "entries": opened.head.number}
+
+
 def measure_join(size: int, folder: Path) -> dict[str, float]:
     """Reading and joining `size` ledgers of 200 entries each."""
     from driftstair.ledger.book import Book
--- a/benchmarks/scale/load.py
+++ b/benchmarks/scale/load.py
@@ -32,16 +32,16 @@
 
     def __init__(self, path: Path) -> None:
         self._path = path
-        self._due = 0.0
+        self._number = 0  # of the request that it is at; 0: none
         self._got = b""
         self._transport: Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
 
-    def ask(self, due: float, request: bytes) -> None:
-        self._due = due
-        self._transport.write(request)
+    def ask(self, number: int) -> None:
+        self._number = number
+        self._transport.write(_request(number))
 
     def data_received(self, data: bytes) -> None:
         self._got += data
@@ -49,11 +49,11 @@
         if not end or len(body) < _length(head):
             return
         self._got = b""
-        self._path.done(self, self._due, head[9:12] == OK)
-        self._due = 0.0
+        number, self._number = self._number, 0
+        self._path.done(self, number, head[9:12] == OK)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._path.lost(self, self._due)
+        self._path.lost(self, self._number)
 
 
 def _length(head: bytes) -> int:
@@ -70,38 +70,56 @@
     addresses: list[tuple[str, int]]
     answers: list[Timed] = field(default_factory=list)
     sent: int = 0
+    unanswered: int = 0
+    _waiting: dict[int, float] = field(default_factory=dict)  # by number of the request, when it was due
     _idle: list[Connection] = field(default_factory=list)
     _opening: set[asyncio.Task[None]] = field(default_factory=set)
 
     def send(self, due: float) -> None:
         self.sent += 1
+        self._waiting[self.sent] = due
         if self._idle:
-            self._idle.pop().ask(due, _request(self.sent))
+            self._idle.pop().ask(self.sent)
             return
-        task = asyncio.get_running_loop().create_task(self._open(due, self.sent))
+        task = asyncio.get_running_loop().create_task(self._open(self.sent))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
 
-    async def _open(self, due: float, number: int) -> None:
+    async def _open(self, number: int) -> None:
         loop = asyncio.get_running_loop()
         try:
             _, connection = await loop.create_connection(
                 lambda: Connection(self), *self.addresses[number % len(self.addresses)]
             )
         except OSError:
-            self.answers.append(Timed(due, perf_counter() - due, False))
+            self._ended(number, served=False)
             return
-        connection.ask(due, _request(number))
+        connection.ask(number)
 
-    def done(self, connection: Connection, due: float, served: bool) -> None:
-        self.answers.append(Timed(due, perf_counter() - due, served))
+    def done(self, connection: Connection, number: int, served: bool) -> None:
+        """A connection has a request's answer, and is idle again."""
+        self._ended(number, served)
         self._idle.append(connection)
 
-    def lost(self, connection: Connection, due: float) -> None:
+    def lost(self, connection: Connection, number: int) -> None:
+        """A connection has ended; `number`: of the request that it was at, 0 for none."""
         if connection in self._idle:
             self._idle.remove(connection)
-        elif due:
-            self.answers.append(Timed(due, perf_counter() - due, False))
+        elif number:
+            self._ended(number, served=False)
+
+    def _ended(self, number: int, served: bool) -> None:
+        due = self._waiting.pop(number)
+        self.answers.append(Timed(due, perf_counter() - due, served))
+
+    def give_up(self) -> None:
+        """What has no answer by now counts as not served after the time that it has waited."""
+        self.unanswered = len(self._waiting)
+        for number in list(self._waiting):
+            self._ended(number, served=False)
+
+    def is_settled(self) -> bool:
+        return not self._waiting
 
 
 def _request(number: int) -> bytes:
@@ -130,10 +148,12 @@
 
 
 async def settled(paths: list[Path], most: float) -> None:
-    """Until all that was sent is answered, or that many s are over."""
+    """Until all that was sent is answered; what is not after `most` s is given up."""
     until = perf_counter() + most
-    while any(len(path.answers) < path.sent for path in paths) and perf_counter() < until:
+    while not all(path.is_settled() for path in paths) and perf_counter() < until:
         await asyncio.sleep(0.05)
+    for path in paths:
+        path.give_up()
 
 
 def percentile(values: list[float], part: float) -> float:
--- a/benchmarks/scale/node.py
+++ b/benchmarks/scale/node.py
@@ -20,6 +20,7 @@
 from benchmarks.scale.rows import ROOT
 
 PATIENCE = 90.0  # s: a start with all that the files allow takes a tenth of it
+KEY = b"k" * 32  # of the cluster
 LINE_MOST = 1 << 20  # bytes of a line of the daemon's log
 ASK_WITHIN = documents.SECOND // 2  # ns, in which a node that starts asks for the list
 
@@ -33,6 +34,7 @@
     tenants: int = documents.TENANTS_EACH
     nodes: int = documents.NODES_EACH
     known: int = documents.SERVERS_EACH  # servers that stand in its configuration already
+    judges: bool = False  # whether the cluster's outlier detection stands round its decisions
 
 
 @dataclass(slots=True)
@@ -102,15 +104,25 @@
 
     def write_service(self, total_ms: int) -> None:
         """The service file with one route changed."""
-        service_path(self.folder).write_text(documents.service_file(self.told.routes, total_ms))
+        write_service(self.folder, self.told, total_ms)
 
 
 def service_path(folder: Path) -> Path:
     return folder / "service.toml"
 
 
+def write_service(folder: Path, told: Told, total_ms: int = 900) -> None:
+    text = documents.service_file(told.routes, total_ms)
+    if told.judges:
+        key = folder / "key"
+        key.write_bytes(KEY)
+        key.chmod(0o600)
+        text = text.replace("\n", f'\n[tier]\nkey = "{key}"\njudge = true\n', 1)
+    service_path(folder).write_text(text)
+
+
 def _configuration(told: Told, servers: list[str], discovery: str) -> dict[str, Any]:
-    out = documents.platform(tenants=told.tenants, nodes=told.nodes)
+    out = documents.platform(told.tenants, peers=documents.NODES_EACH if told.judges else 0, nodes=told.nodes)
     out["known"] = {"version": 0, "full": True, "servers": listed(told.known, servers)}
     out["discovery"] = discovery
     out["settings"]["Contract"]["AskWithin"] = ASK_WITHIN
@@ -141,7 +153,7 @@
         folder.joinpath("config.json").write_text(
             json.dumps(_configuration(told, where["servers"], where["discovery"]))
         )
-        service_path(folder).write_text(documents.service_file(told.routes))
+        write_service(folder, told)
         daemon = await _start_daemon(folder)
         reading = asyncio.create_task(daemon.read())
         await daemon.until(lambda: daemon is not None and daemon.address[1])
--- a/benchmarks/scale/series.py
+++ b/benchmarks/scale/series.py
@@ -75,5 +75,9 @@
     "ledger-commit": Series(
         "tenant in a commit", (1, 20, 55, 220, 1_000, 4_000), 20, billing.measure
     ),
+    "ledger-open": Series(
+        "entry", (1_000, 10_000, 25_000, 50_000, 100_000, 200_000), 1_000, billing.measure_open,
+        billing.prepare_ledger,
+    ),
     "ledger-join": Series("ledger", (3, 100, 200, 400, 800), documents.NODES_EACH, billing.measure_join),
 }  # fmt: skip
