--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -14,9 +14,12 @@
 from collections.abc import Sequence
 from importlib import import_module
 
-from benchmarks.scale.rows import Row, print_row
+from benchmarks.scale.rows import Row, commit, print_row
 
-MEASUREMENTS: tuple[str, ...] = ("steady",)
+MEASUREMENTS: tuple[str, ...] = (
+    "faults",
+    "steady",
+)
 """Modules of this package that register a subcommand each."""
 SECONDS = 900.0  # of a whole measurement: what a person waits for
 
@@ -38,10 +41,10 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs one measurement and prints its rows; its exit status."""
     found = parser().parse_args(arguments)
-    rows: list[Row] = []
+    measured, rows = commit(), list[Row]()
     for row in found.measure(found):
         rows.append(row)
-        print_row(row, found.json)
+        print_row(row, measured, found.json)
     return 0 if rows and all(row.is_sound() for row in rows) else 1
 
 
--- a/benchmarks/scale/hollow/cluster.py
+++ b/benchmarks/scale/hollow/cluster.py
@@ -6,7 +6,7 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from statistics import median
 
@@ -229,8 +229,12 @@
         """Notes from now on what nodes hold of members."""
         await self._all(orders.Record(True))
 
-    async def records(self) -> list[Held]:
-        """What was noted, in the order of time."""
+    async def records(self) -> Iterator[Held]:
+        """What was noted: of each observer in the order of time."""
         await self._all(orders.Record(False))
         files = Path(self._folder.name).glob("records-*")
-        return sorted(held for file in files for held in read_records(file))
+        return (held for file in files for held in read_records(file))
+
+    def observers(self) -> list[int]:
+        """Whose notes are kept."""
+        return [number for number in range(self.plan.count) if self.plan.notes(number)]
--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -84,7 +84,7 @@
         self._system = system
         self.tier = Tier(
             replace(base_config(), name=f"n{self.number}", seed=seed), told, plan.period, KEY,
-            RecordedHistory(self._records), self._folder, system,
+            RecordedHistory(self._records, plan.notes(self.number)), self._folder, system,
             (Spec(BUDGET, PER_S * plan.count, BURST),) if plan.budgets else (), plan.judge, None,
             Rules() if plan.permits else None,
         )  # fmt: skip
--- a/benchmarks/scale/hollow/plan.py
+++ b/benchmarks/scale/hollow/plan.py
@@ -29,12 +29,17 @@
     permits: bool = True
     failing: bool = True  # one server fails for all nodes
     seed: int = 1
+    noted_of: int = 1  # of so many nodes it is noted what one holds of members: notes take memory
     wall_ns: int = 1_764_633_600 * NS  # of all nodes' wall clocks at the start
 
     def numbers_of(self, worker: int) -> range:
         """The nodes in a worker process: every so many-th, so that zones are spread evenly."""
         return range(worker, self.count, self.processes)
 
+    def notes(self, number: int) -> bool:
+        """Whether it is noted what this node holds of members."""
+        return (number // self.processes) % self.noted_of == 0
+
 
 class Address(msgspec.Struct, frozen=True, array_like=True):
     host: str
--- a/benchmarks/scale/hollow/record.py
+++ b/benchmarks/scale/hollow/record.py
@@ -53,8 +53,10 @@
 class RecordedHistory(History):
     """In the place of a node's history on the disk."""
 
-    def __init__(self, records: Records) -> None:
+    def __init__(self, records: Records, noted: bool) -> None:
+        """`noted`: whether more than counts is kept of what this node holds."""
         self._records = records
+        self._noted = noted
 
     def write(self, t_ns: int, node: int, life: int, event: str, **fields: Any) -> None:
         records = self._records
@@ -64,7 +66,8 @@
             state: str = fields["state"]
             records.suspicions += state == "suspect"
             records.deaths += state == "dead" and fields["told"]
-            records.note(Held(t_ns, node, fields["member"], state, fields["told"]))
+            if self._noted:
+                records.note(Held(t_ns, node, fields["member"], state, fields["told"]))
 
     def close(self) -> None:
         """There is no file."""
--- a/benchmarks/scale/rows.py
+++ b/benchmarks/scale/rows.py
@@ -44,10 +44,10 @@
     return described.stdout.strip() or "unknown"
 
 
-def print_row(row: Row, as_json: bool) -> None:
-    """One line on standard output."""
+def print_row(row: Row, measured: str, as_json: bool) -> None:
+    """One line on standard output. `measured`: the commit."""
     if as_json:
-        print(json.dumps({"commit": commit(), **asdict(row)}), flush=True)
+        print(json.dumps({"commit": measured, **asdict(row)}), flush=True)
         return
     parts = [row.measurement, _listed(row.conditions), "->", _listed(row.figures)]
     if not row.is_sound() or row.note:
--- a/benchmarks/scale/steady.py
+++ b/benchmarks/scale/steady.py
@@ -47,10 +47,19 @@
     parser.add_argument("--on-disk", action="store_true", help="write what nodes persist")
 
 
+NOTES_MOST = 2_000_000
+"""Pairs of a node and a member of which it is noted what the one holds of the other: some 400 MB."""
+
+
+def noted_of(nodes: int) -> int:
+    """Of so many nodes the notes of one are kept: no more than NOTES_MOST pairs in all."""
+    return max(1, -(-nodes * nodes // NOTES_MOST))
+
+
 def plan_of(found: argparse.Namespace, size: Size, persisted: bool = True) -> Plan:
     return Plan(
         size.nodes, min(found.processes, size.nodes), int(found.period * NS), size.dilation, persisted,
-        found.on_disk, **{name: False for name in found.off},
+        found.on_disk, noted_of=noted_of(size.nodes), **{name: False for name in found.off},
     )  # fmt: skip
 
 
