--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -17,6 +17,7 @@
 from benchmarks.scale.rows import Row, commit, print_row
 
 MEASUREMENTS: tuple[str, ...] = (
+    "beside",
     "faults",
     "steady",
 )
--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -134,7 +134,7 @@
 
     def feed(self) -> None:
         """Outcomes and demand of one turn, as a request path would note them."""
-        if self.tier is None or self.tier.sharing is None or self._system is None:
+        if not self._plan.feed or self.tier is None or self.tier.sharing is None or self._system is None:
             return
         now, core = self._system.monotonic_ns(), self.tier.sharing.core
         if core.judge is not None:
--- a/benchmarks/scale/hollow/plan.py
+++ b/benchmarks/scale/hollow/plan.py
@@ -27,6 +27,7 @@
     judge: bool = True
     budgets: bool = True
     permits: bool = True
+    feed: bool = True  # outcomes and demand, in a request path's place
     failing: bool = True  # one server fails for all nodes
     seed: int = 1
     noted_of: int = 1  # of so many nodes it is noted what one holds of members: notes take memory
@@ -41,6 +42,10 @@
         return (number // self.processes) % self.noted_of == 0
 
 
+PARTS = ("judge", "budgets", "permits", "feed", "failing")
+"""Fields of a plan that may be off."""
+
+
 class Address(msgspec.Struct, frozen=True, array_like=True):
     host: str
     port: int
--- a/benchmarks/scale/steady.py
+++ b/benchmarks/scale/steady.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from benchmarks.scale.hollow.cluster import Cluster, OutOfMemory, Totals
-from benchmarks.scale.hollow.plan import NS, Plan
+from benchmarks.scale.hollow.plan import NS, PARTS, Plan
 from benchmarks.scale.rows import Figure, Row, Status
 from benchmarks.scale.slope import fit
 
@@ -41,8 +41,8 @@
     parser.add_argument("--processes", type=int, default=PROCESSES, help=f"({PROCESSES})")
     parser.add_argument("--period", type=float, default=1.0, metavar="S", help="between probes (1)")
     parser.add_argument(
-        "--off", action="append", default=[], choices=("judge", "budgets", "permits", "failing"),
-        help="a part that nodes run without, or `failing`: no server fails",
+        "--off", action="append", default=[], choices=PARTS,
+        help="a part that nodes run without; `feed`: no outcomes, no demand; `failing`: no server fails",
     )  # fmt: skip
     parser.add_argument("--on-disk", action="store_true", help="write what nodes persist")
 
@@ -76,7 +76,7 @@
 
 
 def conditions(plan: Plan, seconds: float) -> dict[str, Figure]:
-    off = [name for name in ("judge", "budgets", "permits", "failing") if not getattr(plan, name)]
+    off = [name for name in PARTS if not getattr(plan, name)]
     return {
         "nodes": plan.count, "processes": plan.processes, "period_s": plan.period / NS,
         "dilation": plan.dilation, "seconds": round(seconds, 1),
