--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -84,7 +84,7 @@
         self._system = system
         self.tier = Tier(
             replace(base_config(), name=f"n{self.number}", seed=seed), told, plan.period, KEY,
-            RecordedHistory(self._records), self._folder, system,
+            RecordedHistory(self._records, plan.notes(self.number)), self._folder, system,
             (Spec(BUDGET, PER_S * plan.count, BURST),) if plan.budgets else (), plan.judge, None,
             Rules() if plan.permits else None,
         )  # fmt: skip
@@ -134,7 +134,7 @@
 
     def feed(self) -> None:
         """Outcomes and demand of one turn, as a request path would note them."""
-        if self.tier is None or self.tier.sharing is None or self._system is None:
+        if not self._plan.feed or self.tier is None or self.tier.sharing is None or self._system is None:
             return
         now, core = self._system.monotonic_ns(), self.tier.sharing.core
         if core.judge is not None:
--- a/benchmarks/scale/steady.py
+++ b/benchmarks/scale/steady.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from benchmarks.scale.hollow.cluster import Cluster, OutOfMemory, Totals
-from benchmarks.scale.hollow.plan import NS, Plan
+from benchmarks.scale.hollow.plan import NS, PARTS, Plan
 from benchmarks.scale.rows import Figure, Row, Status
 from benchmarks.scale.slope import fit
 
@@ -41,16 +41,25 @@
     parser.add_argument("--processes", type=int, default=PROCESSES, help=f"({PROCESSES})")
     parser.add_argument("--period", type=float, default=1.0, metavar="S", help="between probes (1)")
     parser.add_argument(
-        "--off", action="append", default=[], choices=("judge", "budgets", "permits", "failing"),
-        help="a part that nodes run without, or `failing`: no server fails",
+        "--off", action="append", default=[], choices=PARTS,
+        help="a part that nodes run without; `feed`: no outcomes, no demand; `failing`: no server fails",
     )  # fmt: skip
     parser.add_argument("--on-disk", action="store_true", help="write what nodes persist")
 
 
+NOTES_MOST = 2_000_000
+"""Pairs of a node and a member of which it is noted what the one holds of the other: some 400 MB."""
+
+
+def noted_of(nodes: int) -> int:
+    """Of so many nodes the notes of one are kept: no more than NOTES_MOST pairs in all."""
+    return max(1, -(-nodes * nodes // NOTES_MOST))
+
+
 def plan_of(found: argparse.Namespace, size: Size, persisted: bool = True) -> Plan:
     return Plan(
         size.nodes, min(found.processes, size.nodes), int(found.period * NS), size.dilation, persisted,
-        found.on_disk, **{name: False for name in found.off},
+        found.on_disk, noted_of=noted_of(size.nodes), **{name: False for name in found.off},
     )  # fmt: skip
 
 
@@ -67,7 +76,7 @@
 
 
 def conditions(plan: Plan, seconds: float) -> dict[str, Figure]:
-    off = [name for name in ("judge", "budgets", "permits", "failing") if not getattr(plan, name)]
+    off = [name for name in PARTS if not getattr(plan, name)]
     return {
         "nodes": plan.count, "processes": plan.processes, "period_s": plan.period / NS,
         "dilation": plan.dilation, "seconds": round(seconds, 1),
