--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -2,7 +2,7 @@
 
     python benchmarks/fleet.py [--nodes 4 12 40] [--seeds 1 2] [--seconds 16] [--json]
 
-Boxes, load and troubles are those of `large-fleet`; only how many nodes carry them differs, so a row's ratio
+Boxes, load and faults are those of `large-fleet`; only how many nodes carry them differs, so a row's ratio
 to the first one is what each node does that is fine alone and hurts when every node does it. Counted from
 what crossed the wire: worth answered in time, attempts for each request, attempts that did not run to an
 answer, how unevenly attempts fall on boxes (the busiest tenth's part over a tenth), calls to the box list in
--- a/driftstair/model/server.py
+++ b/driftstair/model/server.py
@@ -36,15 +36,15 @@
         self.kind = kind
         self.kind_index = kind_index
         self.figures = figures
-        self.faults: dict[object, tuple[float, float, float]] = {}
+        self.answer_faults: dict[object, tuple[float, float, float]] = {}
         self.started = -1  # ns; below 0: long before the run
         self.running = self.draining = self.fallen = False
         self.vanished = False
         self.life = 0
         self.open = 0  # connections
-        self.place = self  # what a trouble cuts off
+        self.place = self  # what a fault cuts off
         self.handled = self.turned_away = 0
-        self.tries_while_bad = 0  # attempts that came while a trouble made answers fail
+        self.tries_while_bad = 0  # attempts that came while a fault made answers fail
         self.engine: Engine
         self._clock = clock
         self._rule = rule
@@ -115,7 +115,7 @@
         if attempt.done or self.vanished:
             return
         now = self._clock.now
-        self.tries_while_bad += bool(self.faults)
+        self.tries_while_bad += bool(self.answer_faults)
         ask = attempt.request.ask
         work = self.engine.estimate(ask.work, ask.key_name, now / 1e9)
         if self._budget is not None and not self._budget.arrive(now, work, attempt.node.name):
@@ -170,7 +170,7 @@
         if self._held.pop(attempt, None) is None or self.vanished:
             return  # nobody waits for it; the work was done all the same
         errors, resets, swallowed = self.kind.error_share, 0.0, 0.0
-        for fault in self.faults.values():
+        for fault in self.answer_faults.values():
             errors, resets, swallowed = max(errors, fault[0]), max(resets, fault[1]), max(swallowed, fault[2])
         if errors and self._random.random() < errors:
             attempt.answered(Result.ERROR, self._report(now))
--- a/driftstair/model/world.py
+++ b/driftstair/model/world.py
@@ -1,6 +1,6 @@
 """Builds the fleet of a scenario and plays it: the rehearsal kit's scenarios, at sizes beyond sockets.
 
-Phases and troubles are the kit's own code (`rehearsal.troubles`), which turns this world as it turns the
+Phases and faults are the kit's own code (`rehearsal.faults`), which turns this world as it turns the
 other one. What the model does not hold is refused by name before anything is played.
 """
 
@@ -20,6 +20,7 @@
 from driftstair.rehearsal import scenario as kit
 from driftstair.rehearsal.account import Account
 from driftstair.rehearsal.cold import ColdRule
+from driftstair.rehearsal.faults import FaultInjector
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import random_for, seed_for
 from driftstair.rehearsal.stands.box import BoxKind
@@ -27,7 +28,6 @@
 from driftstair.rehearsal.stands.engine import Figures, Jam
 from driftstair.rehearsal.stands.workload import Choice, Workload
 from driftstair.rehearsal.tier.stage import TierStage
-from driftstair.rehearsal.troubles import Troubles
 from driftstair.rehearsal.wire import HostState
 from lichenspring import Balancer
 from lichenspring import interface as api
@@ -83,7 +83,7 @@
     list_calls: int = 0
     list_failed: int = 0
     by_node: dict[str, tuple[int, int]] = field(default_factory=dict)  # taken, refused
-    bad_tries: int = 0  # attempts at servers while a trouble made them fail
+    bad_tries: int = 0  # attempts at servers while a fault made them fail
     peer_bytes_s: float = 0.0  # that a node sends to others, each second
 
     def row(self) -> dict[str, Any]:
@@ -104,12 +104,12 @@
 
 
 class World:
-    """Also the stage of the kit's troubles: its public names are theirs."""
+    """Also the stage of the kit's faults: its public names are theirs."""
 
     def __init__(self, of: Scenario, policy: Policy = Balancer) -> None:
-        for index, trouble in enumerate(of.troubles):
-            if isinstance(trouble, NOT_HELD):
-                raise ModelError(f"{of.name}: trouble[{index}].kind: {trouble.kind} is not held by the model")
+        for index, fault in enumerate(of.faults):
+            if isinstance(fault, NOT_HELD):
+                raise ModelError(f"{of.name}: fault[{index}].kind: {fault.kind} is not held by the model")
         tier = of.nodes.tier
         if tier is not None and (tier.admitted or tier.retries or tier.liars or tier.clock_rates):
             why = "budgets, liars and clocks are not held by the model; judge would do"
@@ -270,11 +270,11 @@
         self.load.phase = self.scenario.phases[0].name if self.scenario.phases else "whole run"
         if self.scenario.phases and self.scenario.phases[0].at_s > 0:
             self.load.phase = "before"
-        troubles = Troubles(self)  # type: ignore[arg-type]
+        faults = FaultInjector(self)  # type: ignore[arg-type]
         for phase in self.scenario.phases:
-            self.after(phase.at_s, troubles.enter_phase, phase)
-        for index, trouble in enumerate(self.scenario.troubles):
-            self.after(trouble.at_s, troubles.begin, trouble, index)
+            self.after(phase.at_s, faults.enter_phase, phase)
+        for index, fault in enumerate(self.scenario.faults):
+            self.after(fault.at_s, faults.begin, fault, index)
         self.clients.start()
 
     def _sample(self) -> None:
@@ -306,7 +306,7 @@
         out.by_node = {name: (node.taken, node.refused) for name, node in self.nodes.items()}
         return out
 
-    # The stage of the troubles.
+    # The stage of the faults.
 
     def now(self) -> int:
         return self.clock.now
--- a/driftstair/rehearsal/__init__.py
+++ b/driftstair/rehearsal/__init__.py
@@ -1,4 +1,4 @@
-"""The rehearsal kit: past troubles played against the daemon on one machine, judged by the four rules.
+"""The rehearsal kit: past faults played against the daemon on one machine, judged by the four rules.
 
 The daemon under rehearsal is the shipped one. `sim` gives it a clock that jumps and a network in memory, or
 `sockets` starts it as processes on loopback; `stands` plays the boxes, the box list, the clients and the
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/director.py
@@ -1,4 +1,4 @@
-"""Plays a scenario: builds the stand-ins on a ground, starts the nodes, turns the troubles on and off, and
+"""Plays a scenario: builds the stand-ins on a ground, starts the nodes, turns the faults on and off, and
 ends.
 
 The same code plays on both grounds. Every observation of the stand-ins goes through `note` to the rule
@@ -16,6 +16,7 @@
 from driftstair.rehearsal import load, platform, wire
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.account import Account
+from driftstair.rehearsal.faults import FaultInjector
 from driftstair.rehearsal.ground import Ground
 from driftstair.rehearsal.rules import Checker
 from driftstair.rehearsal.scenario import Scenario
@@ -28,7 +29,6 @@
 from driftstair.rehearsal.stands.place import Place
 from driftstair.rehearsal.stands.workload import Choice, Workload
 from driftstair.rehearsal.tier.stage import TierStage
-from driftstair.rehearsal.troubles import Troubles
 from driftstair.rehearsal.wire import HostState
 
 READY_WITHIN = 30.0  # s; clients come then, all nodes up or not
@@ -78,7 +78,7 @@
         self.events: list[Event] = []
         self.samples: list[Sample] = []
         self.crashes: list[Crash] = []
-        self.spans: list[tuple[int, int, str]] = []  # troubles, from and to in ns, for plots
+        self.spans: list[tuple[int, int, str]] = []  # faults, from and to in ns, for plots
         self.stuck = ""
         self.cut_off = False
         self.began = 0  # ns at which clients came
@@ -235,11 +235,11 @@
         self.load.phase = self.scenario.phases[0].name if self.scenario.phases else "whole run"
         if self.scenario.phases and self.scenario.phases[0].at_s > 0:
             self.load.phase = "before"
-        troubles = Troubles(self)
+        faults = FaultInjector(self)
         for phase in self.scenario.phases:
-            self.after(phase.at_s, troubles.enter_phase, phase)
-        for index, trouble in enumerate(self.scenario.troubles):
-            self.after(trouble.at_s, troubles.begin, trouble, index)
+            self.after(phase.at_s, faults.enter_phase, phase)
+        for index, fault in enumerate(self.scenario.faults):
+            self.after(fault.at_s, faults.begin, fault, index)
         self.after(self.scenario.seconds, self._last_arrivals)
         self.clients.start()
         self._sample()
--- a/driftstair/rehearsal/troubles.py
+++ b/driftstair/rehearsal/faults.py
@@ -1,4 +1,4 @@
-"""Phases and troubles: each kind of trouble turns something on a running rehearsal, and knows how to end
+"""Phases and faults: each kind of fault turns something on a running rehearsal, and knows how to end
 it."""
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from driftstair.rehearsal.seeds import random_for
 from driftstair.rehearsal.stands.box import Box
 from driftstair.rehearsal.stands.crowd import SilentCrowd
-from driftstair.rehearsal.tier.links import Fault
+from driftstair.rehearsal.tier.links import Fault as LinkFault
 from driftstair.rehearsal.wire import HostState
 
 if TYPE_CHECKING:
@@ -20,9 +20,10 @@
 
 End = Callable[[], None]
 FOREVER = 1 << 62  # ns
+SEED_LABEL = "trouble"  # as in version 0.1: what a scenario draws depends on it
 
 
-class Troubles:
+class FaultInjector:
     def __init__(self, stage: Rehearsal) -> None:
         self._stage = stage
         self._phase_rate = 1.0
@@ -42,53 +43,50 @@
         self._stage.load.set_classes("phase", phase.shares)
         self._stage.say(f"phase {phase.name}")
 
-    def _choose_boxes(self, trouble: model._AtBoxes, index: int) -> list[Box]:
-        chosen = self._boxes_of(trouble, index)
+    def _choose_boxes(self, fault: model._AtBoxes, index: int) -> list[Box]:
+        chosen = self._boxes_of(fault, index)
         if self._stage.tier is not None:
             now = self._stage.now()
-            self._stage.tier.blame([box.name for box in chosen], now, now + int(trouble.for_s * 1e9))
+            self._stage.tier.blame([box.name for box in chosen], now, now + int(fault.for_s * 1e9))
         return chosen
 
-    def _boxes_of(self, trouble: model._AtBoxes, index: int) -> list[Box]:
+    def _boxes_of(self, fault: model._AtBoxes, index: int) -> list[Box]:
         running = [
             box for box in self._stage.boxes.values()
-            if box.running and trouble.of_kind in (None, box.kind.name)
+            if box.running and fault.of_kind in (None, box.kind.name)
         ]  # fmt: skip
-        if isinstance(trouble.boxes, tuple):
-            return [box for box in running if box.name in trouble.boxes]
-        if trouble.boxes is not None:
-            wanted = trouble.boxes
-        else:
-            wanted = max(1, round((trouble.part or 0.0) * len(running)))
-        random = random_for(self._stage.seed, "trouble", index)
+        if isinstance(fault.boxes, tuple):
+            return [box for box in running if box.name in fault.boxes]
+        wanted = fault.boxes or max(1, round((fault.part or 0.0) * len(running)))
+        random = random_for(self._stage.seed, SEED_LABEL, index)
         return random.sample(running, min(len(running), wanted))
 
-    def _choose_nodes(self, trouble: model._AtNodes, index: int) -> list[str]:
-        if isinstance(trouble.nodes, tuple):
-            return list(trouble.nodes)
-        random = random_for(self._stage.seed, "trouble", index)
-        return random.sample(self._stage.node_names, trouble.nodes or 1)
+    def _choose_nodes(self, fault: model._AtNodes, index: int) -> list[str]:
+        if isinstance(fault.nodes, tuple):
+            return list(fault.nodes)
+        random = random_for(self._stage.seed, SEED_LABEL, index)
+        return random.sample(self._stage.node_names, fault.nodes or 1)
 
-    def begin(self, trouble: model.AnyTrouble, index: int) -> None:
+    def begin(self, fault: model.AnyFault, index: int) -> None:
         if self._stage.over:
             return
         now = self._stage.now()
-        self._stage.spans.append((now, now + int(trouble.for_s * 1e9), trouble.kind))
-        end = self._HANDLERS[type(trouble)](self, trouble, index)
-        self._stage.after(trouble.for_s, self._end, trouble, end)
+        self._stage.spans.append((now, now + int(fault.for_s * 1e9), fault.kind))
+        end = self._HANDLERS[type(fault)](self, fault, index)
+        self._stage.after(fault.for_s, self._end, fault, end)
 
-    def _end(self, trouble: model.AnyTrouble, end: End) -> None:
+    def _end(self, fault: model.AnyFault, end: End) -> None:
         if not self._stage.over:
             end()
 
-    def _slow_boxes(self, trouble: model.SlowBoxes, index: int) -> End:
-        boxes = self._choose_boxes(trouble, index)
-        self._stage.say(f"{_names(boxes)} {trouble.times:g} times slower")
-        return self._slowed(boxes, trouble.times)
+    def _slow_boxes(self, fault: model.SlowBoxes, index: int) -> End:
+        boxes = self._choose_boxes(fault, index)
+        self._stage.say(f"{_names(boxes)} {fault.times:g} times slower")
+        return self._slowed(boxes, fault.times)
 
-    def _everything_slow(self, trouble: model.EverythingSlow, index: int) -> End:
-        self._stage.say(f"all boxes {trouble.times:g} times slower")
-        return self._slowed(list(self._stage.boxes.values()), trouble.times)
+    def _everything_slow(self, fault: model.EverythingSlow, index: int) -> End:
+        self._stage.say(f"all boxes {fault.times:g} times slower")
+        return self._slowed(list(self._stage.boxes.values()), fault.times)
 
     def _slowed(self, boxes: list[Box], times: float) -> End:
         for box in boxes:
@@ -103,8 +101,8 @@
 
         return end
 
-    def _boxes_die(self, trouble: model.BoxDies, index: int) -> End:
-        boxes = self._choose_boxes(trouble, index)
+    def _boxes_die(self, fault: model.BoxDies, index: int) -> End:
+        boxes = self._choose_boxes(fault, index)
         for box in boxes:
             self._stage.box_dies(box)
 
@@ -114,8 +112,8 @@
 
         return end
 
-    def _boxes_vanish(self, trouble: model.BoxVanishes, index: int) -> End:
-        boxes = self._choose_boxes(trouble, index)
+    def _boxes_vanish(self, fault: model.BoxVanishes, index: int) -> End:
+        boxes = self._choose_boxes(fault, index)
         for box in boxes:
             self._stage.say(f"box {box.name} is cut off in silence")
             box.place.vanish()
@@ -137,66 +135,64 @@
     def _end_cut(self, name: str) -> None:
         self._stage.cuts[name] = (self._stage.cuts[name][0], self._stage.now())
 
-    def _boxes_err(self, trouble: model.BoxErrors, index: int) -> End:
-        boxes = self._choose_boxes(trouble, index)
-        self._stage.say(f"{_names(boxes)}: {trouble.share:.0%} of answers are errors")
+    def _boxes_err(self, fault: model.BoxErrors, index: int) -> End:
+        boxes = self._choose_boxes(fault, index)
+        self._stage.say(f"{_names(boxes)}: {fault.share:.0%} of answers are errors")
         for box in boxes:
-            box.faults[index] = (trouble.share, 0.0, 0.0)
+            box.answer_faults[index] = (fault.share, 0.0, 0.0)
 
         def end() -> None:
             for box in boxes:
-                box.faults.pop(index, None)
+                box.answer_faults.pop(index, None)
 
         return end
 
-    def _connections_break(self, trouble: model.BrokenConnections, index: int) -> End:
-        boxes = self._choose_boxes(trouble, index)
-        lost = f"{trouble.reset:.0%} of answers are lost to resets, {trouble.swallowed:.0%} never come"
+    def _connections_break(self, fault: model.BrokenConnections, index: int) -> End:
+        boxes = self._choose_boxes(fault, index)
+        lost = f"{fault.reset:.0%} of answers are lost to resets, {fault.swallowed:.0%} never come"
         self._stage.say(f"{_names(boxes)}: {lost}")
         for box in boxes:
-            box.faults[index] = (0.0, trouble.reset, trouble.swallowed)
+            box.answer_faults[index] = (0.0, fault.reset, fault.swallowed)
 
         def end() -> None:
             for box in boxes:
-                box.faults.pop(index, None)
+                box.answer_faults.pop(index, None)
 
         return end
 
-    def _crowd_comes(self, trouble: model.SilentCrowd, index: int) -> End:
-        self._stage.say(f"{trouble.per_s:g} strangers a second connect and ask for nothing")
-        crowd = SilentCrowd(self._stage.place, self._stage.front, trouble.per_s, trouble.begin)
+    def _crowd_comes(self, fault: model.SilentCrowd, index: int) -> End:
+        self._stage.say(f"{fault.per_s:g} strangers a second connect and ask for nothing")
+        crowd = SilentCrowd(self._stage.place, self._stage.front, fault.per_s, fault.begin)
         crowd.come()
         return crowd.stop
 
-    def _replace_boxes(self, trouble: model.Replace, index: int) -> End:
-        boxes = self._choose_boxes(trouble, index)
+    def _replace_boxes(self, fault: model.Replace, index: int) -> End:
+        boxes = self._choose_boxes(fault, index)
         for place, box in enumerate(boxes):
-            self._stage.after(
-                trouble.for_s * place / len(boxes), self._stage.replace, box, trouble.same_address
-            )
+            self._stage.after(fault.for_s * place / len(boxes), self._stage.replace, box, fault.same_address)
         return lambda: None
 
-    def _jump(self, trouble: model.TrafficJump, index: int) -> End:
+    def _jump(self, fault: model.TrafficJump, index: int) -> End:
         began = self._stage.now()
-        ends = began + int(trouble.for_s * 1e9)
+        ends = began + int(fault.for_s * 1e9)
 
         def times(at: int) -> float:
-            rise = 1.0 if not trouble.rise_s else min(1.0, (at - began) / (trouble.rise_s * 1e9))
-            fall = 1.0 if not trouble.fall_s else min(1.0, max(0.0, (ends - at) / (trouble.fall_s * 1e9)))
-            return 1.0 + (trouble.times - 1.0) * min(rise, fall)
+            rise = 1.0 if not fault.rise_s else min(1.0, (at - began) / (fault.rise_s * 1e9))
+            fall = 1.0 if not fault.fall_s else min(1.0, max(0.0, (ends - at) / (fault.fall_s * 1e9)))
+            return 1.0 + (fault.times - 1.0) * min(rise, fall)
 
-        self._stage.say(f"{trouble.times:g} times the traffic")
+        self._stage.say(f"{fault.times:g} times the traffic")
         self._stage.load.set_times(index, times)
         return lambda: self._stage.load.set_times(index, None)
 
-    def _surge(self, trouble: model.Surge, index: int) -> End:
-        self._stage.say(f"{trouble.times:g} times the {trouble.of_class}")
-        self._stage.load.set_classes(index, {trouble.of_class: trouble.times})
+    def _surge(self, fault: model.Surge, index: int) -> End:
+        self._stage.say(f"{fault.times:g} times the {fault.of_class}")
+        self._stage.load.set_classes(index, {fault.of_class: fault.times})
         return lambda: self._stage.load.set_classes(index, None)
 
-    def _list_out(self, trouble: model.ListOutage, index: int) -> End:
+    def _list_out(self, fault: model.ListOutage, index: int) -> End:
         self._stage.say("the box list is out of reach")
-        self._stage.box_list.go_down(trouble.silent)
+        self._stage.box_list.go_down(fault.silent)
 
         def end() -> None:
             self._stage.say("the box list is back")
@@ -204,30 +200,30 @@
 
         return end
 
-    def _list_lags(self, trouble: model.ListLag, index: int) -> End:
-        self._stage.say(f"the box list runs {trouble.extra_s:g} s further behind")
-        self._stage.box_list.extra_lag += trouble.extra_s
+    def _list_lags(self, fault: model.ListLag, index: int) -> End:
+        self._stage.say(f"the box list runs {fault.extra_s:g} s further behind")
+        self._stage.box_list.extra_lag += fault.extra_s
 
         def end() -> None:
-            self._stage.box_list.extra_lag -= trouble.extra_s
+            self._stage.box_list.extra_lag -= fault.extra_s
 
         return end
 
-    def _watches_fall_silent(self, trouble: model.WatchesFallSilent, index: int) -> End:
-        for name in self._choose_nodes(trouble, index):
+    def _watches_fall_silent(self, fault: model.WatchesFallSilent, index: int) -> End:
+        for name in self._choose_nodes(fault, index):
             self._stage.say(f"the watch of {name} falls silent")
             self._stage.box_list.fall_silent(name)
         return lambda: None
 
-    def _list_moves(self, trouble: model.ListMoves, index: int) -> End:
+    def _list_moves(self, fault: model.ListMoves, index: int) -> End:
         self._stage.say("the box list moves to another address")
         self._stage.box_list.move()
         for name in self._stage.node_names:
             self._stage.reload(name)
         return lambda: None
 
-    def _nodes_die(self, trouble: model.NodeDies, index: int) -> End:
-        names = self._choose_nodes(trouble, index)
+    def _nodes_die(self, fault: model.NodeDies, index: int) -> End:
+        names = self._choose_nodes(fault, index)
         for name in names:
             self._stage.kill(name)
 
@@ -238,14 +234,14 @@
 
         return end
 
-    def _nodes_vanish(self, trouble: model.NodeVanishes, index: int) -> End:
-        names = self._choose_nodes(trouble, index)
+    def _nodes_vanish(self, fault: model.NodeVanishes, index: int) -> End:
+        names = self._choose_nodes(fault, index)
         return self._silent(
             names, "is cut off in silence", lambda node: node.vanish(), lambda node: node.come_back()
         )
 
-    def _nodes_stall(self, trouble: model.NodeStalls, index: int) -> End:
-        names = self._choose_nodes(trouble, index)
+    def _nodes_stall(self, fault: model.NodeStalls, index: int) -> End:
+        names = self._choose_nodes(fault, index)
         return self._silent(names, "stands still", lambda node: node.stand_still(), lambda node: node.go_on())
 
     def _silent(
@@ -271,23 +267,23 @@
 
         return end
 
-    def _nodes_starve(self, trouble: model.NodeStarves, index: int) -> End:
-        names = self._choose_nodes(trouble, index)
+    def _nodes_starve(self, fault: model.NodeStarves, index: int) -> End:
+        names = self._choose_nodes(fault, index)
         over = False
-        self._stage.say(f"{', '.join(names)}: {trouble.stands_ms:g} of each "
-                        f"{trouble.stands_ms + trouble.runs_ms:g} ms it stands still")  # fmt: skip
+        self._stage.say(f"{', '.join(names)}: {fault.stands_ms:g} of each "
+                        f"{fault.stands_ms + fault.runs_ms:g} ms it stands still")  # fmt: skip
 
         def stand() -> None:
             if not over and not self._stage.over:
                 for name in names:
                     self._stage.nodes[name].stand_still()
-                self._stage.after(trouble.stands_ms / 1e3, run)
+                self._stage.after(fault.stands_ms / 1e3, run)
 
         def run() -> None:
             for name in names:
                 if name not in self._stage.vanished:
                     self._stage.nodes[name].go_on()
-            self._stage.after(trouble.runs_ms / 1e3, stand)
+            self._stage.after(fault.runs_ms / 1e3, stand)
 
         def end() -> None:
             nonlocal over
@@ -296,18 +292,18 @@
         stand()
         return end
 
-    def _links(self, trouble: model.Links, index: int) -> End:
-        tier, random = self._stage.tier, random_for(self._stage.seed, "trouble", index)
+    def _links(self, fault: model.Links, index: int) -> End:
+        tier, random = self._stage.tier, random_for(self._stage.seed, SEED_LABEL, index)
         assert tier is not None
-        senders, receivers = tier.chosen(trouble.senders, random), tier.chosen(trouble.receivers, random)
-        low, high = trouble.delay_ms
-        fault = Fault(
-            trouble.cut, trouble.loss, (low / 1e3, high / 1e3), trouble.duplicate, trouble.reorder,
-            trouble.garble, trouble.truncate,
+        senders, receivers = tier.chosen(fault.senders, random), tier.chosen(fault.receivers, random)
+        low, high = fault.delay_ms
+        link_fault = LinkFault(
+            fault.cut, fault.loss, (low / 1e3, high / 1e3), fault.duplicate, fault.reorder,
+            fault.garble, fault.truncate,
         )  # fmt: skip
-        cut = tier.begin(self._stage.now(), senders, receivers, fault, trouble.both_ways)
+        cut = tier.begin(self._stage.now(), senders, receivers, link_fault, fault.both_ways)
         end_cut = tier.end
-        what = "carry nothing" if trouble.cut else "are bad"
+        what = "carry nothing" if fault.cut else "are bad"
         self._stage.say(f"{len(cut.pairs)} links between nodes {what}")
 
         def end() -> None:
@@ -316,10 +312,10 @@
 
         return end
 
-    def _nodes_restart(self, trouble: model.NodeRestarts, index: int) -> End:
-        names = self._choose_nodes(trouble, index)
+    def _nodes_restart(self, fault: model.NodeRestarts, index: int) -> End:
+        names = self._choose_nodes(fault, index)
         for place, name in enumerate(names):
-            self._stage.after(trouble.for_s * place / len(names), self._stage.restart, name)
+            self._stage.after(fault.for_s * place / len(names), self._stage.restart, name)
         return lambda: None
 
     _HANDLERS: ClassVar[dict[type, Callable[[Any, Any, int], End]]] = {
--- a/driftstair/rehearsal/hunt.py
+++ b/driftstair/rehearsal/hunt.py
@@ -1,4 +1,4 @@
-"""Searches for a scenario that does badly: draws troubles and loads by seed, keeps the worst, and shrinks it.
+"""Searches for a scenario that does badly: draws faults and loads by seed, keeps the worst, and shrinks it.
 
 A broken rule, a crash or a standstill is worse than any loss of service. What is found is cut down to the
 smallest scenario that still fails in the same way (delta debugging: Zeller and Hildebrandt, TSE 2002), or
@@ -96,11 +96,11 @@
         "load": {"rate": rate, "keys": random.choice((50, 400, 1500))},
         "nodes": {"count": random.randint(1, 3)},
         "boxes": {"count": boxes, "grace_s": 3.0},
-        "trouble": [_trouble(random, boxes) for _ in range(random.randint(1, 4))],
+        "fault": [_fault(random, boxes) for _ in range(random.randint(1, 4))],
     }
 
 
-def _trouble(random: Random, boxes: int) -> Tree:
+def _fault(random: Random, boxes: int) -> Tree:
     kind = random.choice(tuple(_DRAWS))
     drawn: Tree = {
         "kind": kind,
@@ -142,11 +142,11 @@
 
 def smaller(tree: Tree) -> Iterator[Tree]:
     """Scenarios that are a little less than this one, the largest cuts first."""
-    troubles = tree["trouble"]
-    for index in range(len(troubles)):
-        if len(troubles) > 1:
-            yield tree | {"trouble": troubles[:index] + troubles[index + 1 :]}
-    last = max((one["at_s"] for one in troubles), default=0.0)
+    faults = tree["fault"]
+    for index in range(len(faults)):
+        if len(faults) > 1:
+            yield tree | {"fault": faults[:index] + faults[index + 1 :]}
+    last = max((one["at_s"] for one in faults), default=0.0)
     for seconds in (tree["seconds"] / 2, tree["seconds"] * 0.75):
         if seconds >= max(LEAST_SECONDS, last + 1.0):
             yield tree | {"seconds": round(seconds, 1)}
@@ -155,19 +155,19 @@
         half = round(value / 2, 1) if isinstance(value, float) else value // 2
         if half >= least and _fits(tree, key, table, half):
             yield tree | {table: tree[table] | {key: half}}
-    for index, one in enumerate(troubles):
+    for index, one in enumerate(faults):
         for key, least in (("for_s", 1.0), ("at_s", 0.5), ("boxes", 1), ("times", 1.2), ("extra_s", 1.0)):
             value = one.get(key)
             if value is None or value <= least:
                 continue
             half = max(1, value // 2) if isinstance(value, int) else max(least, round(value / 2, 1))
-            yield tree | {"trouble": [*troubles[:index], one | {key: half}, *troubles[index + 1 :]]}
+            yield tree | {"fault": [*faults[:index], one | {key: half}, *faults[index + 1 :]]}
 
 
 def _fits(tree: Tree, key: str, table: str, value: float) -> bool:
     if table != "boxes":
         return True
-    return all(one.get("boxes", 1) <= value for one in tree["trouble"])
+    return all(one.get("boxes", 1) <= value for one in tree["fault"])
 
 
 def shrink(
--- a/driftstair/rehearsal/load.py
+++ b/driftstair/rehearsal/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import tomllib
 from difflib import get_close_matches
 from functools import reduce
@@ -16,7 +17,10 @@
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.scenario import Scenario
 
+log = logging.getLogger(__name__)
+
 EXTENDS_MOST = 8
+RENAMED = {"trouble": "fault"}  # keys of version 0.1 by their names now; they are read until 0.3
 
 
 class ScenarioError(Exception):
@@ -44,6 +48,7 @@
 
 def _whole(source: str, changes: dict[str, Any]) -> tuple[str, dict[str, Any]]:
     where, tree = _read(source)
+    tree = _with_new_names(tree, where)
     for _ in range(EXTENDS_MOST):
         base = tree.pop("extends", None)
         if base is None:
@@ -54,7 +59,20 @@
         tree = _laid_over(_read(base)[1], tree)
     else:
         raise ScenarioError(f"{where}: extends: more than {EXTENDS_MOST} files deep")
-    return where, _laid_over(tree, changes)
+    return where, _laid_over(tree, _with_new_names(changes, where))
+
+
+def _with_new_names(tree: dict[str, Any], where: str) -> dict[str, Any]:
+    """The same tables, with a warning for each key that has been renamed. Raises ScenarioError where a file
+    has both names."""
+    for old, new in RENAMED.items():
+        if old not in tree:
+            continue
+        if new in tree:
+            raise ScenarioError(f"{where}: {old}: is named {new} now, and the file has both; {new} would do")
+        log.warning("%s: %s: is named %s now; the old name is read until version 0.3", where, old, new)
+        tree = {new if key == old else key: value for key, value in tree.items()}
+    return tree
 
 
 def parse(tree: dict[str, Any], where: str) -> Scenario:
@@ -124,23 +142,23 @@
     if problem["type"] == "missing":
         return f"{shown}: is missing"
     if problem["type"] == "union_tag_not_found":
-        return f"{shown}.kind: is missing; there are {', '.join(TROUBLES)}"
+        return f"{shown}.kind: is missing; there are {', '.join(FAULT_KINDS)}"
     if problem["type"] == "union_tag_invalid":
         kind = given.get("kind") if isinstance(given, dict) else given
-        near = _nearest(kind, TROUBLES)
-        return f"{shown}.kind: no such trouble: {kind!r}{near}; there are {', '.join(TROUBLES)}"
+        near = _nearest(kind, FAULT_KINDS)
+        return f"{shown}.kind: no such fault: {kind!r}{near}; there are {', '.join(FAULT_KINDS)}"
     reason = reason.removeprefix("Value error, ")
     return f"{shown or 'the file'}: {reason[:1].lower()}{reason[1:]}, not {given!r:.60}"
 
 
-TROUBLES: dict[str, type[BaseModel]] = {
-    get_args(one.model_fields["kind"].annotation)[0]: one for one in get_args(model.AnyTrouble)
+FAULT_KINDS: dict[str, type[BaseModel]] = {
+    get_args(one.model_fields["kind"].annotation)[0]: one for one in get_args(model.AnyFault)
 }
 
 
 def _is_tag(steps: tuple[int | str, ...], index: int) -> bool:
     """Of a union's member the library names the kind in the path, where the file has nothing."""
-    return index == 2 and steps[0] == "trouble"
+    return index == 2 and steps[0] == "fault"
 
 
 def _table_at(steps: tuple[int | str, ...]) -> type[BaseModel]:
@@ -155,8 +173,8 @@
         ("front",): model.FrontLayer, ("clients",): model.Clients, ("network",): model.Net,
         ("rules",): model.Rules, ("phase",): model.Phase,
     }  # fmt: skip
-    if steps and steps[0] == "trouble":
-        return TROUBLES[str(steps[2])]
+    if steps and steps[0] == "fault":
+        return FAULT_KINDS[str(steps[2])]
     return tables[tuple(step for step in steps if isinstance(step, str))]
 
 
@@ -209,42 +227,42 @@
             refuse(key, "stands in nodes.service, where there is one")
         if budget.burst_s < least:
             refuse(f"{key}.burst_s", f"a node alone never has one token to spend; {least:g} would do")
-    for index, trouble in enumerate(found.troubles):
-        _check_trouble(found, trouble, f"trouble[{index}]", class_names, refuse)
+    for index, fault in enumerate(found.faults):
+        _check_fault(found, fault, f"fault[{index}]", class_names, refuse)
 
 
-def _check_trouble(
-    found: Scenario, trouble: model.AnyTrouble, key: str, class_names: list[str], refuse: Any
+def _check_fault(
+    found: Scenario, fault: model.AnyFault, key: str, class_names: list[str], refuse: Any
 ) -> None:
-    if trouble.at_s >= found.seconds:
-        refuse(f"{key}.at_s", f"{trouble.at_s:g} is not before the end, seconds = {found.seconds:g}")
-    if isinstance(trouble, model.Surge) and trouble.of_class not in class_names:
-        near = _nearest(trouble.of_class, class_names)
-        refuse(f"{key}.of_class", f"no such class: {trouble.of_class!r}{near}")
-    if isinstance(trouble, model.ListMoves) and found.list.mode == "pushed":
+    if fault.at_s >= found.seconds:
+        refuse(f"{key}.at_s", f"{fault.at_s:g} is not before the end, seconds = {found.seconds:g}")
+    if isinstance(fault, model.Surge) and fault.of_class not in class_names:
+        near = _nearest(fault.of_class, class_names)
+        refuse(f"{key}.of_class", f"no such class: {fault.of_class!r}{near}")
+    if isinstance(fault, model.ListMoves) and found.list.mode == "pushed":
         refuse(f"{key}.kind", "a pushed list is on the node's own machine and does not move")
-    if isinstance(trouble, model._AtNodes):
-        if trouble.nodes is None:
+    if isinstance(fault, model._AtNodes):
+        if fault.nodes is None:
             refuse(f"{key}.nodes", "give how many, or names")
-        _check_nodes(found, trouble.nodes, f"{key}.nodes", refuse)
-    if isinstance(trouble, model.Links):
+        _check_nodes(found, fault.nodes, f"{key}.nodes", refuse)
+    if isinstance(fault, model.Links):
         if found.nodes.tier is None:
             refuse(f"{key}.kind", "nodes send each other nothing without a table [nodes.tier]")
-        _check_nodes(found, trouble.senders, f"{key}.senders", refuse)
-        _check_nodes(found, trouble.receivers, f"{key}.receivers", refuse)
-    if isinstance(trouble, model._AtBoxes):
-        if (trouble.boxes is None) == (trouble.part is None):
+        _check_nodes(found, fault.senders, f"{key}.senders", refuse)
+        _check_nodes(found, fault.receivers, f"{key}.receivers", refuse)
+    if isinstance(fault, model._AtBoxes):
+        if (fault.boxes is None) == (fault.part is None):
             refuse(f"{key}.boxes", "give either boxes (how many, or names) or part (a share of them)")
         kind_names = [one.name for one in kinds(found)]
-        if trouble.of_kind is not None and trouble.of_kind not in kind_names:
-            near = _nearest(trouble.of_kind, kind_names)
-            refuse(f"{key}.of_kind", f"no such kind of box: {trouble.of_kind!r}{near}")
-        if isinstance(trouble.boxes, int):
-            if not 1 <= trouble.boxes <= found.boxes.count:
-                refuse(f"{key}.boxes", f"{trouble.boxes} of {found.boxes.count} boxes can't be chosen")
-        elif trouble.boxes is not None:
+        if fault.of_kind is not None and fault.of_kind not in kind_names:
+            near = _nearest(fault.of_kind, kind_names)
+            refuse(f"{key}.of_kind", f"no such kind of box: {fault.of_kind!r}{near}")
+        if isinstance(fault.boxes, int):
+            if not 1 <= fault.boxes <= found.boxes.count:
+                refuse(f"{key}.boxes", f"{fault.boxes} of {found.boxes.count} boxes can't be chosen")
+        elif fault.boxes is not None:
             names = box_names(found.boxes.count)
-            for name in trouble.boxes:
+            for name in fault.boxes:
                 if name not in names:
                     refuse(f"{key}.boxes", f"no such box: {name!r}; there are {names[0]} to {names[-1]}")
 
--- a/driftstair/rehearsal/options.py
+++ b/driftstair/rehearsal/options.py
@@ -13,7 +13,7 @@
 def add(commands: Any) -> None:
     rehearse: argparse.ArgumentParser = commands.add_parser(
         "rehearse",
-        help="play past troubles against the daemon on this machine",
+        help="play past faults against the daemon on this machine",
         description=(
             "Play a scenario against the daemon, in virtual time or on loopback sockets, and report the "
             "service by worth and every rule break. NAME is a shipped scenario or a TOML file; 'hunt' "
--- a/driftstair/rehearsal/report/html.py
+++ b/driftstair/rehearsal/report/html.py
@@ -128,10 +128,10 @@
 # Plots.
 
 
-def _frame(title: str, axis: Axis, height: int, troubles: list[dict[str, Any]], inside: str) -> str:
+def _frame(title: str, axis: Axis, height: int, faults: list[dict[str, Any]], inside: str) -> str:
     bottom = height - BOTTOM
     marks = []
-    for index, one in enumerate(troubles):
+    for index, one in enumerate(faults):
         x1, x2 = axis.x(one["from"]), axis.x(one["to"])
         shade = COLOURS[index % len(COLOURS)]
         marks.append(
--- a/driftstair/rehearsal/report/text.py
+++ b/driftstair/rehearsal/report/text.py
@@ -55,7 +55,7 @@
 
 
 def bar(report: Report) -> RenderableType:
-    """Worth served over worth asked for, by when it was asked; below it the troubles."""
+    """Worth served over worth asked for, by when it was asked; below it the faults."""
     seconds = report["seconds"]
     if not seconds:
         return Text("nothing was asked")
@@ -68,12 +68,10 @@
         line.append(BLOCKS[round(share * (len(BLOCKS) - 1))], style=_color(share))
     rows: list[RenderableType] = [line]
     cells = -(-len(seconds) // span)
-    for trouble in report["troubles"]:
-        first = int(max(0.0, trouble["from"]) / span)
-        last = max(first + 1, min(cells, int(trouble["to"] / span) + 1))
-        rows.append(
-            Text("         " + " " * first + "─" * (last - first) + " " + trouble["kind"], style="dim")
-        )
+    for fault in report["troubles"]:
+        first = int(max(0.0, fault["from"]) / span)
+        last = max(first + 1, min(cells, int(fault["to"] / span) + 1))
+        rows.append(Text("         " + " " * first + "─" * (last - first) + " " + fault["kind"], style="dim"))
     rows.append(Text(f"         each cell {span} s", style="dim"))
     return Group(*rows)
 
--- a/driftstair/rehearsal/scenario.py
+++ b/driftstair/rehearsal/scenario.py
@@ -1,4 +1,4 @@
-"""What a rehearsal plays: the fleet, the load and the troubles, as types, with the figures that they start
+"""What a rehearsal plays: the fleet, the load and the faults, as types, with the figures that they start
 from.
 
 A scenario file is TOML; `load` reads it. Every table and key may be left out: the defaults are a fleet like
@@ -93,7 +93,7 @@
 
     period_ms: Annotated[Number, Field(ge=50, le=60_000)] = 1000.0  # of probes
     wrongly_s: NotNegative = 0.0  # that a node which runs and is reached may be held dead
-    settle_s: Positive = 10.0  # after a trouble's end, in which what it caused may still show
+    settle_s: Positive = 10.0  # after a fault's end, in which what it caused may still show
     death_s: Positive = 10.0  # after its end, until all hold a node dead
     judge: Flag = False  # servers by what all nodes have seen of them
     liars: tuple[str, ...] = ()  # nodes that tell the others that every server fails
@@ -225,13 +225,13 @@
     shares: dict[str, NotNegative] = {}  # by class: times its share
 
 
-class _Trouble(_Table):
+class _Fault(_Table):
     kind: str
     at_s: NotNegative
     for_s: Positive = 10.0
 
 
-class _AtBoxes(_Trouble):
+class _AtBoxes(_Fault):
     """Which boxes: by name, or so many, or a part of them, drawn by the seed, of a kind if one is named."""
 
     boxes: Chosen = None
@@ -239,7 +239,7 @@
     of_kind: str | None = None
 
 
-class _AtNodes(_Trouble):
+class _AtNodes(_Fault):
     nodes: Chosen = 1
 
 
@@ -248,19 +248,19 @@
     times: AtLeastOne = 5.0
 
 
-class EverythingSlow(_Trouble):
+class EverythingSlow(_Fault):
     kind: Literal["everything-slow"]
     times: AtLeastOne = 2.0
 
 
 class BoxDies(_AtBoxes):
-    """Its process is killed; it starts again, cold, when the trouble ends."""
+    """Its process is killed; it starts again, cold, when the fault ends."""
 
     kind: Literal["box-dies"]
 
 
 class BoxVanishes(_AtBoxes):
-    """Its machine is cut off in silence; it is back, with what it held, when the trouble ends."""
+    """Its machine is cut off in silence; it is back, with what it held, when the fault ends."""
 
     kind: Literal["box-vanishes"]
 
@@ -287,14 +287,14 @@
     same_address: Flag = True
 
 
-class TrafficJump(_Trouble):
+class TrafficJump(_Fault):
     kind: Literal["traffic-jump"]
     times: Positive = 2.0
     rise_s: NotNegative = 0.5
     fall_s: NotNegative = 0.5
 
 
-class Surge(_Trouble):
+class Surge(_Fault):
     """One class asks so many times more; the others as before."""
 
     kind: Literal["surge"]
@@ -302,7 +302,7 @@
     times: Positive = 3.0
 
 
-class SilentCrowd(_Trouble):
+class SilentCrowd(_Fault):
     """Strangers connect to the nodes in turn, say nothing, or no more than the begin of a head, and stay
     until they are closed. They are not among those that share the clients' bound."""
 
@@ -311,12 +311,12 @@
     begin: Flag = False  # each brings a part of a head
 
 
-class ListOutage(_Trouble):
+class ListOutage(_Fault):
     kind: Literal["list-outage"]
     silent: Flag = False  # nothing comes back, in place of a refusal
 
 
-class ListLag(_Trouble):
+class ListLag(_Fault):
     kind: Literal["list-lag"]
     extra_s: Positive = 6.0
 
@@ -328,7 +328,7 @@
     kind: Literal["watches-fall-silent"]
 
 
-class ListMoves(_Trouble):
+class ListMoves(_Fault):
     """The list is at another address from then on, and the nodes are told by SIGHUP; the old one takes no new
     connection and ends the open ones after 1.5 s."""
 
@@ -336,13 +336,13 @@
 
 
 class NodeDies(_AtNodes):
-    """Killed outright; it starts again, with its last list of boxes, when the trouble ends."""
+    """Killed outright; it starts again, with its last list of boxes, when the fault ends."""
 
     kind: Literal["node-dies"]
 
 
 class NodeVanishes(_AtNodes):
-    """Its machine is cut off in silence, and back when the trouble ends."""
+    """Its machine is cut off in silence, and back when the fault ends."""
 
     kind: Literal["node-vanishes"]
 
@@ -354,7 +354,7 @@
 
 
 class NodeStalls(_AtNodes):
-    """Its process stands still (SIGSTOP), its machine does not, and goes on when the trouble ends."""
+    """Its process stands still (SIGSTOP), its machine does not, and goes on when the fault ends."""
 
     kind: Literal["node-stalls"]
 
@@ -367,7 +367,7 @@
     runs_ms: Positive = 10.0
 
 
-class Links(_Trouble):
+class Links(_Fault):
     """What happens to datagrams between nodes, one way, from each of some to each of others (left out: from
     all, to all). Shares of datagrams; a delay comes on top of the network's own."""
 
@@ -384,12 +384,12 @@
     truncate: Share = 0.0
 
 
-AnyTrouble = (
+AnyFault = (
     SlowBoxes | EverythingSlow | BoxDies | BoxVanishes | BoxErrors | BrokenConnections | Replace |
     TrafficJump | Surge | SilentCrowd | ListOutage | ListLag | WatchesFallSilent | ListMoves | NodeDies |
     NodeVanishes | NodeRestarts | NodeStalls | NodeStarves | Links
 )  # fmt: skip
-Trouble = Annotated[AnyTrouble, Field(discriminator="kind")]
+Fault = Annotated[AnyFault, Field(discriminator="kind")]
 
 
 class Scenario(_Table):
@@ -410,7 +410,7 @@
     network: Net = Field(default_factory=Net)
     rules: Rules = Field(default_factory=Rules)
     phases: tuple[Phase, ...] = Field(default=(), alias="phase")
-    troubles: tuple[Trouble, ...] = Field(default=(), alias="trouble")
+    faults: tuple[Fault, ...] = Field(default=(), alias="fault")
 
 
 CLASSES = (
--- a/driftstair/rehearsal/stands/box.py
+++ b/driftstair/rehearsal/stands/box.py
@@ -54,9 +54,9 @@
         self.workload = workload
         self.note = note
         self._left = left
-        # Shares of answers that are errors, lost to a reset, never sent, by the trouble that wants it so: of
+        # Shares of answers that are errors, lost to a reset, never sent, by the fault that wants it so: of
         # several that meet on one box the greatest of each holds.
-        self.faults: dict[object, tuple[float, float, float]] = {}
+        self.answer_faults: dict[object, tuple[float, float, float]] = {}
         self.started = -1  # ns; below 0: long before the run
         self.running = False
         self.draining = False
@@ -216,7 +216,7 @@
             return  # its connection is gone; the work was done all the same
         connection.job = None
         errors, resets, swallowed = self.kind.error_share, 0.0, 0.0
-        for fault in self.faults.values():
+        for fault in self.answer_faults.values():
             errors, resets, swallowed = max(errors, fault[0]), max(resets, fault[1]), max(swallowed, fault[2])
         if errors and self._random.random() < errors:
             connection.answer(response(500, (self._load(now),)))
--- a/driftstair/rehearsal/stands/engine.py
+++ b/driftstair/rehearsal/stands/engine.py
@@ -75,7 +75,7 @@
         self.figures = figures
         self.started = started if cold else started - figures.cold_time
         self.connections = 0
-        self.slow = 1.0  # a trouble's factor
+        self.slow = 1.0  # a fault's factor
         self.jams = 0
         self._random = random
         self._now = started
--- a/driftstair/rehearsal/tier/checks.py
+++ b/driftstair/rehearsal/tier/checks.py
@@ -34,7 +34,7 @@
     """s."""
 
     wrongly: float = 0.0  # that a node which runs and is reached may be held dead
-    settle: float = 10.0  # after a trouble's end, in which what it caused may still show
+    settle: float = 10.0  # after a fault's end, in which what it caused may still show
     death: float = 10.0  # after its end, until all hold a node dead
 
 
@@ -49,19 +49,19 @@
 
 @dataclass(slots=True)
 class Story:
-    """`troubles`: what befell nodes. `until`: ns, the end of it all."""
+    """`faults`: what befell nodes. `until`: ns, the end of it all."""
 
     processes: list[Process]
-    troubles: list[Span] = field(default_factory=list)
+    faults: list[Span] = field(default_factory=list)
     until: int = FOREVER
 
     def __post_init__(self) -> None:
-        self.troubles = self.troubles + [
+        self.faults = self.faults + [
             Span(process.node, begin, end) for process in self.processes for begin, end in process.stood_still
         ]
 
     def of(self, node: int) -> list[Span]:
-        return [one for one in self.troubles if one.node == node]
+        return [one for one in self.faults if one.node == node]
 
 
 def check(story: Story, bounds: Bounds) -> list[Finding]:
@@ -96,7 +96,7 @@
     out = []
     within = int(bounds.death * SECOND)
     settle = int(bounds.settle * SECOND)
-    for down in story.troubles:
+    for down in story.faults:
         late = down.begin + within
         if not down.down or late >= min(down.end, story.until):
             continue
@@ -116,10 +116,10 @@
 
 
 def disagreement(story: Story, bounds: Bounds) -> list[Finding]:
-    """Once all troubles have been over for the stated time, those that run hold the same of everyone, and
+    """Once all faults have been over for the stated time, those that run hold the same of everyone, and
     nobody that runs to be anything but alive."""
     now = story.until
-    over = max((one.end for one in story.troubles if one.end < now), default=0)
+    over = max((one.end for one in story.faults if one.end < now), default=0)
     if now < over + bounds.settle * SECOND:
         return []
     running = [
--- a/driftstair/rehearsal/tier/stage.py
+++ b/driftstair/rehearsal/tier/stage.py
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class Cut:
-    """A trouble of links that lasts."""
+    """A fault of links that lasts."""
 
     pairs: list[Pair]
     fault: Fault
--- a/tests/model/test_model_world.py
+++ b/tests/model/test_model_world.py
@@ -90,7 +90,7 @@
 def test_nodes_killed_lose_what_they_hold_and_come_back() -> None:
     tree = {
         **by_path({"nodes.count": 20, "boxes.count": 16, "load.rate": 240, "seconds": 16}),
-        "trouble": [{"kind": "node-dies", "at_s": 4, "for_s": 3, "nodes": 14}],
+        "fault": [{"kind": "node-dies", "at_s": 4, "for_s": 3, "nodes": 14}],
     }
     world = World(load("whole-fleet", tree))
     world.play()
@@ -102,7 +102,7 @@
 def test_replaced_and_dead_boxes_leave_no_connection_behind() -> None:
     tree = {
         **by_path({"nodes.count": 20, "boxes.count": 16, "load.rate": 200, "seconds": 20}),
-        "trouble": [
+        "fault": [
             {"kind": "replace", "at_s": 2, "for_s": 4, "part": 0.5},
             {"kind": "box-dies", "at_s": 8, "for_s": 4, "boxes": 3},
             {"kind": "box-vanishes", "at_s": 8, "for_s": 4, "boxes": 2},
@@ -117,7 +117,7 @@
 
 
 def test_what_the_model_does_not_hold_is_refused_by_name() -> None:
-    with pytest.raises(ModelError, match=r"trouble\[0\]\.kind: silent-crowd is not held"):
+    with pytest.raises(ModelError, match=r"fault\[0\]\.kind: silent-crowd is not held"):
         World(load("silent-crowd"))
 
 
--- a/tests/model/test_peers.py
+++ b/tests/model/test_peers.py
@@ -21,9 +21,9 @@
 FAILS = {"kind": "box-errors", "at_s": 4.0, "for_s": 9.0, "boxes": ["s-03"], "share": 0.9}
 
 
-def played(*troubles: dict[str, Any], tier: dict[str, Any] | None = TIER, **tables: Any) -> World:
+def played(*faults: dict[str, Any], tier: dict[str, Any] | None = TIER, **tables: Any) -> World:
     nodes = {"count": 6} | ({} if tier is None else {"tier": tier})
-    world = World(parse(SMALL | {"nodes": nodes} | tables | {"trouble": list(troubles)}, "small"))
+    world = World(parse(SMALL | {"nodes": nodes} | tables | {"fault": list(faults)}, "small"))
     world.play()
     return world
 
--- a/tests/rehearsal/stage.py
+++ b/tests/rehearsal/stage.py
@@ -18,8 +18,8 @@
 }  # fmt: skip
 
 
-def small(*troubles: dict[str, Any], **tables: Any) -> dict[str, Any]:
-    return SMALL | tables | {"trouble": [{"at_s": 2.0, "for_s": 2.0} | one for one in troubles]}
+def small(*faults: dict[str, Any], **tables: Any) -> dict[str, Any]:
+    return SMALL | tables | {"fault": [{"at_s": 2.0, "for_s": 2.0} | one for one in faults]}
 
 
 class Run:
--- a/tests/rehearsal/test_box_engine.py
+++ b/tests/rehearsal/test_box_engine.py
@@ -98,7 +98,7 @@
     assert engine.estimate(1.0, b"video", 1.0) == 1.0  # it remembers only three
 
 
-def test_a_trouble_slows_it_down_from_then_on() -> None:
+def test_a_fault_slows_it_down_from_then_on() -> None:
     engine = box(cores=1)
     engine.arrive(0.0, "a", 0.4, 0.0, b"")
     engine.set_slow(0.2, 4.0)
--- a/tests/rehearsal/test_hunt.py
+++ b/tests/rehearsal/test_hunt.py
@@ -45,8 +45,8 @@
     assert result.found.way == result.drawn.way == "rule 1"
     assert "no final answer" in result.found.evidence
     # Only what ends a watch can bring it about, and little of that is needed.
-    assert len(result.tree["trouble"]) == 1
-    assert result.tree["trouble"][0]["kind"] in ("list-outage", "list-moves", "node-vanishes")
+    assert len(result.tree["fault"]) == 1
+    assert result.tree["fault"][0]["kind"] in ("list-outage", "list-moves", "node-vanishes")
     # What was written replays to the same.
     path = tmp_path / "found.toml"
     path.write_text(file_text(result))
@@ -80,13 +80,13 @@
 def test_shrinking_keeps_the_way_it_fails_and_stays_within_its_budget() -> None:
     tree = {
         "seconds": 16.0, "load": {"rate": 160.0}, "boxes": {"count": 8}, "nodes": {"count": 3},
-        "trouble": [{"kind": kind, "at_s": 1.0, "for_s": 4.0} for kind in ("a", "culprit", "b", "c")],
+        "fault": [{"kind": kind, "at_s": 1.0, "for_s": 4.0} for kind in ("a", "culprit", "b", "c")],
     }  # fmt: skip
     spent = [0]
 
     def fails(candidate: dict[str, Any]) -> Finding:
         spent[0] += 1
-        kinds = [one["kind"] for one in candidate["trouble"]]
+        kinds = [one["kind"] for one in candidate["fault"]]
         if "culprit" not in kinds:
             return Finding("service", 0.0, 0, "")
         # With few boxes it fails in another way, which is no smaller case of this one.
@@ -94,7 +94,7 @@
 
     small, found, runs = shrink(tree, Finding("rule 3", 0.0, 1, ""), 200, fails)
     assert runs == spent[0] < 200
-    assert [one["kind"] for one in small["trouble"]] == ["culprit"]
+    assert [one["kind"] for one in small["fault"]] == ["culprit"]
     assert (small["boxes"]["count"], small["nodes"]["count"], found.way) == (4, 1, "rule 3")
     spent[0] = 0
     shrink(tree, Finding("rule 3", 0.0, 1, ""), 5, fails)
@@ -107,7 +107,7 @@
         "load": {"rate": 80.0},
         "boxes": {"count": 4},
         "nodes": {"count": 2},
-        "trouble": [],
+        "fault": [],
     }
 
     def loses(candidate: dict[str, Any]) -> Finding:
--- a/tests/rehearsal/test_large_fleet.py
+++ b/tests/rehearsal/test_large_fleet.py
@@ -1,4 +1,4 @@
-"""A large fleet in small: many nodes that see little of any box, in the troubles that the scenarios
+"""A large fleet in small: many nodes that see little of any box, in the faults that the scenarios
 `mass-kill`, `lost-zone` and `large-fleet` play at full size. The rules hold, and what can serve does."""
 
 from __future__ import annotations
@@ -21,8 +21,8 @@
 """A whole list is 12 lines and a call costs 40: little more than one call a second for all nodes together."""
 
 
-def fleet(*troubles: dict[str, Any], **tables: Any) -> dict[str, Any]:
-    return small(*troubles, **{"nodes": NODES, "boxes": BOXES, "load": LOAD, "seconds": 8.0} | tables)
+def fleet(*faults: dict[str, Any], **tables: Any) -> dict[str, Any]:
+    return small(*faults, **{"nodes": NODES, "boxes": BOXES, "load": LOAD, "seconds": 8.0} | tables)
 
 
 def service_between(run: Run, begin: float, end: float) -> float:
--- a/tests/rehearsal/test_pairs_of_troubles.py
+++ b/tests/rehearsal/test_pairs_of_faults.py
@@ -1,4 +1,4 @@
-"""Two troubles that meet on one box or node have a meaning, whatever their kinds: the run ends by itself."""
+"""Two faults that meet on one box or node have a meaning, whatever their kinds: the run ends by itself."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import pytest
 from stage import Run
 
-from driftstair.rehearsal.load import TROUBLES
+from driftstair.rehearsal.load import FAULT_KINDS
 
 KEYS: dict[str, dict[str, Any]] = {
     "surge": {"of_class": "paid-live"}, "silent-crowd": {"per_s": 20}, "links": {"cut": True},
@@ -20,9 +20,9 @@
     return {"kind": kind, "at_s": at, "for_s": length} | where | KEYS.get(kind, {})
 
 
-@pytest.mark.parametrize("first", TROUBLES)
+@pytest.mark.parametrize("first", FAULT_KINDS)
 def test_every_pair_of_kinds_ends_whole(first: str) -> None:
-    for second in TROUBLES:
+    for second in FAULT_KINDS:
         nodes = {"count": 2} | ({"tier": {}} if "links" in (first, second) else {})
         run = Run(
             {
@@ -30,7 +30,7 @@
                 "nodes": nodes, "boxes": {"count": 3, "grace_s": 0.8},
                 "list": {"notice_s": 0.2, "silent_notice_s": 0.5, "ask_within_s": 1.0},
                 "class": [{"name": "paid-live", "share": 1, "work_ms": 60, "given_up_ms": 900}],
-                "trouble": [drawn(first, 1.2, 1.0), drawn(second, 1.6, 1.2)],
+                "fault": [drawn(first, 1.2, 1.0), drawn(second, 1.6, 1.2)],
             }
         )  # fmt: skip
         assert run.report["ended"] == "whole", (first, second)
@@ -42,7 +42,7 @@
     run = Run(
         {
             "version": 1, "seconds": 5.0, "load": {"rate": 25.0}, "boxes": {"count": 3, "grace_s": 1.0},
-            "trouble": [drawn("replace", 1.0, 0.2), drawn("replace", 1.3, 0.2)],
+            "fault": [drawn("replace", 1.0, 0.2), drawn("replace", 1.3, 0.2)],
         }
     )  # fmt: skip
     assert sum("drains" in event.what for event in run.rehearsal.events) == 2
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -1,4 +1,4 @@
-"""The daemon in virtual time: the same report each time, troubles that do what they say, failures told."""
+"""The daemon in virtual time: the same report each time, faults that do what they say, failures told."""
 
 from __future__ import annotations
 
@@ -37,30 +37,30 @@
 count = 5
 grace_s = 2
 [boxes.jam]
-[[trouble]]
+[[fault]]
 kind = "slow-boxes"
 at_s = 1
 for_s = 4
 part = 0.4
-[[trouble]]
+[[fault]]
 kind = "node-dies"
 at_s = 2
 for_s = 2
-[[trouble]]
+[[fault]]
 kind = "replace"
 at_s = 2
 for_s = 2
 boxes = 2
-[[trouble]]
+[[fault]]
 kind = "list-outage"
 at_s = 3
 for_s = 2
-[[trouble]]
+[[fault]]
 kind = "box-vanishes"
 at_s = 4
 for_s = 2
 boxes = 1
-[[trouble]]
+[[fault]]
 kind = "node-restarts"
 at_s = 5
 for_s = 1
@@ -96,7 +96,7 @@
     )
 
 
-# Each trouble does what it says.
+# Each fault does what it says.
 
 
 def served(run: Run, begin: float, end: float, box: str) -> int:
@@ -104,8 +104,8 @@
 
 
 def test_slow_boxes_take_longer() -> None:
-    trouble = {"kind": "slow-boxes", "boxes": ["s-01"], "times": 6.0, "for_s": 3.0}
-    run, calm = Run(small(trouble)), Run(small())
+    fault = {"kind": "slow-boxes", "boxes": ["s-01"], "times": 6.0, "for_s": 3.0}
+    run, calm = Run(small(fault)), Run(small())
     assert run.kept()
     assert served(run, 3, 5, "s-01") < 0.6 * served(calm, 3, 5, "s-01")
     assert run.report["latency_ms"]["p99"] > 1.2 * calm.report["latency_ms"]["p99"]
@@ -198,11 +198,11 @@
 
 
 def test_a_lagging_list_tells_later_by_its_lag() -> None:
-    trouble = {"kind": "box-dies", "boxes": ["s-01"], "at_s": 2.5, "for_s": 9.0}
+    fault = {"kind": "box-dies", "boxes": ["s-01"], "at_s": 2.5, "for_s": 9.0}
     lag = {"kind": "list-lag", "extra_s": 2.0}
     listed = [
         next(one.at - run.began for one in run.seen(wire.Listed, 2, box="s-01"))
-        for run in (Run(small(trouble)), Run(small(lag, trouble)))
+        for run in (Run(small(fault)), Run(small(lag, fault)))
     ]
     assert listed[1] - listed[0] == 2_000_000_000
 
@@ -221,8 +221,8 @@
         )
     )  # fmt: skip
     assert run.kept()
-    for trouble in silent:  # each opens another one, after its own has fallen silent
-        assert run.seen(wire.Contact, trouble["at_s"], node=trouble["nodes"][0], standing=True)
+    for fault in silent:  # each opens another one, after its own has fallen silent
+        assert run.seen(wire.Contact, fault["at_s"], node=fault["nodes"][0], standing=True)
 
 
 @pytest.mark.parametrize("mode", ["pushed", "asked"])
@@ -308,8 +308,8 @@
 
 
 def test_half_the_fleet_is_of_the_slower_kind_and_fails() -> None:
-    trouble = {"kind": "box-dies", "part": 1.0, "of_kind": "plain-six", "for_s": 3.0}
-    run = Run(small(trouble, seconds=8.0))
+    fault = {"kind": "box-dies", "part": 1.0, "of_kind": "plain-six", "for_s": 3.0}
+    run = Run(small(fault, seconds=8.0))
     assert run.kept()
     kinds = {name: one["kind"] for name, one in run.report["boxes"].items()}
     assert sorted(kinds.values()) == ["fast-six", "fast-six", "plain-six", "plain-six"]
@@ -520,9 +520,9 @@
         'retry = { attempts = 1 }\n[[route]]\nname = "rest"\n'
         'retry = { attempts = 2, backoff = "20ms", budget = { share = 0.05, burst = 2.0 } }\n'
     )
-    trouble = {"kind": "box-errors", "part": 1.0, "share": 0.5}
-    plain = Run(small(trouble, seconds=8.0))
-    run = Run(small(trouble, seconds=8.0, nodes={"count": 2, "service": str(service)}))
+    fault = {"kind": "box-errors", "part": 1.0, "share": 0.5}
+    plain = Run(small(fault, seconds=8.0))
+    run = Run(small(fault, seconds=8.0, nodes={"count": 2, "service": str(service)}))
     assert plain.kept() and run.kept()
     first, further = (run.report["verdict"][key] for key in ("first_attempts", "further_attempts"))
     assert further.get("paid-live", 0) == 0 < plain.report["verdict"]["further_attempts"]["paid-live"]
--- a/tests/rehearsal/test_scenarios.py
+++ b/tests/rehearsal/test_scenarios.py
@@ -25,10 +25,10 @@
     path = tmp_path / "mine.toml"
     path.write_text(
         'version = 1\nname = "mine"\nseconds = 12\n[load]\nrate = 100\n'
-        '[[trouble]]\nkind = "slow-boxes"\nat_s = 3\nboxes = 2\n'
+        '[[fault]]\nkind = "slow-boxes"\nat_s = 3\nboxes = 2\n'
     )
     found = load(str(path))
-    assert (found.name, found.load.rate, found.troubles[0].for_s) == ("mine", 100, 10)
+    assert (found.name, found.load.rate, found.faults[0].for_s) == ("mine", 100, 10)
     assert [one.name for one in classes(found)] == ["paid-live", "track-fetch", "seek-chunk", "full-render"]
     assert [one.name for one in kinds(found)] == ["fast-six", "plain-six"]
 
@@ -39,12 +39,12 @@
     found = load(str(path), {"nodes": {"count": 7}})
     base = load("slow-boxes")
     assert found.load == base.load.model_copy(update={"keys": 9})
-    assert found.troubles == base.troubles
+    assert found.faults == base.faults
     assert found.nodes.count == 7
 
 
-def trouble(**keys: object) -> dict[str, object]:
-    return {"version": 1, "trouble": [{"at_s": 1, **keys}]}
+def fault(**keys: object) -> dict[str, object]:
+    return {"version": 1, "fault": [{"at_s": 1, **keys}]}
 
 
 @pytest.mark.parametrize(
@@ -77,24 +77,24 @@
          "f: phase[0].at_s: 99 is not before the end, 30"),
         ({"version": 1, "phase": [{"name": "a", "at_s": 1, "shares": {"paidlive": 2}}]},
          "f: phase[0].shares.paidlive: no such class (did you mean 'paid-live'?)"),
-        (trouble(), "f: trouble[0].kind: is missing; there are slow-boxes,"),
-        (trouble(kind="slow-box"),
-         "f: trouble[0].kind: no such trouble: 'slow-box' (did you mean 'slow-boxes'?)"),
-        (trouble(kind="slow-boxes", boxes=1, tmes=2),
-         "f: trouble[0].tmes: no such key (did you mean 'times'?)"),
-        (trouble(kind="slow-boxes", boxes=13), "f: trouble[0].boxes: 13 of 12 boxes can't be chosen"),
-        (trouble(kind="slow-boxes", boxes=["s-99"]),
-         "f: trouble[0].boxes: no such box: 's-99'; there are s-01 to s-12"),
-        (trouble(kind="slow-boxes", boxes=1.5), "f: trouble[0].boxes: wants how many, or a list of names"),
-        (trouble(kind="slow-boxes"), "f: trouble[0].boxes: give either boxes (how many, or names) or part"),
-        (trouble(kind="slow-boxes", part=0.1, of_kind="fast"),
-         "f: trouble[0].of_kind: no such kind of box: 'fast' (did you mean 'fast-six'?)"),
-        (trouble(kind="node-dies", nodes=4), "f: trouble[0].nodes: 4 of 3 nodes can't be chosen"),
-        (trouble(kind="node-dies", nodes=["n9"]),
-         "f: trouble[0].nodes: no such node: 'n9'; there are n0 to n2"),
-        (trouble(kind="surge", of_class="x"), "f: trouble[0].of_class: no such class: 'x'"),
-        (trouble(kind="list-outage", at_s=31), "f: trouble[0].at_s: 31 is not before the end"),
-        (trouble(kind="list-moves") | {"list": {"mode": "pushed"}}, "f: trouble[0].kind: a pushed list"),
+        (fault(), "f: fault[0].kind: is missing; there are slow-boxes,"),
+        (fault(kind="slow-box"),
+         "f: fault[0].kind: no such fault: 'slow-box' (did you mean 'slow-boxes'?)"),
+        (fault(kind="slow-boxes", boxes=1, tmes=2),
+         "f: fault[0].tmes: no such key (did you mean 'times'?)"),
+        (fault(kind="slow-boxes", boxes=13), "f: fault[0].boxes: 13 of 12 boxes can't be chosen"),
+        (fault(kind="slow-boxes", boxes=["s-99"]),
+         "f: fault[0].boxes: no such box: 's-99'; there are s-01 to s-12"),
+        (fault(kind="slow-boxes", boxes=1.5), "f: fault[0].boxes: wants how many, or a list of names"),
+        (fault(kind="slow-boxes"), "f: fault[0].boxes: give either boxes (how many, or names) or part"),
+        (fault(kind="slow-boxes", part=0.1, of_kind="fast"),
+         "f: fault[0].of_kind: no such kind of box: 'fast' (did you mean 'fast-six'?)"),
+        (fault(kind="node-dies", nodes=4), "f: fault[0].nodes: 4 of 3 nodes can't be chosen"),
+        (fault(kind="node-dies", nodes=["n9"]),
+         "f: fault[0].nodes: no such node: 'n9'; there are n0 to n2"),
+        (fault(kind="surge", of_class="x"), "f: fault[0].of_class: no such class: 'x'"),
+        (fault(kind="list-outage", at_s=31), "f: fault[0].at_s: 31 is not before the end"),
+        (fault(kind="list-moves") | {"list": {"mode": "pushed"}}, "f: fault[0].kind: a pushed list"),
     ],
 )  # fmt: skip
 def test_a_bad_file_is_one_line_with_file_key_and_why(tree: dict[str, object], line: str) -> None:
@@ -116,3 +116,21 @@
     bad.write_text('extends = "clam"')
     with pytest.raises(ScenarioError, match="extends: 'clam' is no shipped scenario"):
         load(str(bad))
+
+
+def test_the_old_name_of_a_table_is_read_with_a_warning(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    path = tmp_path / "mine.toml"
+    path.write_text('extends = "slow-boxes"\n[[trouble]]\nkind = "list-outage"\nat_s = 1\n')
+    found = load(str(path))
+    assert [fault.kind for fault in found.faults] == ["list-outage"]
+    assert "trouble: is named fault now" in caplog.text
+
+
+def test_both_names_of_a_table_in_one_file_are_refused(tmp_path: Path) -> None:
+    path = tmp_path / "mine.toml"
+    fault = 'kind = "list-outage"\nat_s = 1\n'
+    path.write_text(f"version = 1\n[[trouble]]\n{fault}[[fault]]\n{fault}")
+    with pytest.raises(ScenarioError, match="trouble: is named fault now, and the file has both"):
+        load(str(path))
--- a/tests/rehearsal/test_worst_days.py
+++ b/tests/rehearsal/test_worst_days.py
@@ -70,8 +70,8 @@
 
 
 def test_broken_connections_lose_answers_and_no_request() -> None:
-    trouble = {"kind": "broken-connections", "part": 1.0, "reset": 0.3, "swallowed": 0.2}
-    run = Run(small(trouble))
+    fault = {"kind": "broken-connections", "part": 1.0, "reset": 0.3, "swallowed": 0.2}
+    run = Run(small(fault))
     assert run.kept()
     ran = len(run.seen(wire.Ran, 2.0, 4.0))
     assert ran > 50 and run.service < 1.0
--- a/tests/tier/fleet.py
+++ b/tests/tier/fleet.py
@@ -46,7 +46,7 @@
         self.folder = folder
         self.count = count
         self.links = Links(seed=7)
-        self.troubles: list[Span] = []
+        self.faults: list[Span] = []
         self.desk = ""  # where operators call node 0, if they do
         self.lines: dict[int, list[str]] = {}
         self.ready: dict[int, tuple[str, int]] = {}
@@ -55,7 +55,7 @@
         self._held = ports.udp(count)
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._readers: list[asyncio.Task[None]] = []
-        self._lasting: dict[tuple[str, int], int] = {}  # troubles: what befell whom, and since when
+        self._lasting: dict[tuple[str, int], int] = {}  # faults: what befell whom, and since when
         self.histories = folder / "histories"
         self.histories.mkdir()
         self._following = Following(self.histories)
@@ -132,7 +132,7 @@
         for number in numbers:
             begin = self._lasting.pop((what, number), None)
             if begin is not None:
-                self.troubles.append(Span(number, begin, time.monotonic_ns(), what == "down"))
+                self.faults.append(Span(number, begin, time.monotonic_ns(), what == "down"))
 
     async def kill(self, *numbers: int) -> None:
         self._begin("down", *numbers)
@@ -178,7 +178,7 @@
         lasting = [
             Span(number, begin, now + 1, what == "down") for (what, number), begin in self._lasting.items()
         ]
-        return Story(self._following.processes(), self.troubles + lasting, now)
+        return Story(self._following.processes(), self.faults + lasting, now)
 
     def events(self) -> list[dict[str, Any]]:
         """Of all histories."""
--- a/tests/tier/test_other_detectors.py
+++ b/tests/tier/test_other_detectors.py
@@ -79,12 +79,12 @@
 
 
 def judged(
-    change: Callable[[list[list[dict[str, object]]]], None], *troubles: Span, until: float = 60.0
+    change: Callable[[list[list[dict[str, object]]]], None], *faults: Span, until: float = 60.0
 ) -> set[str]:
     histories = sound()
     change(histories)
     found: list[Process] = [one for events in histories for one in processes(events)]
-    return {one.rule for one in check(Story(found, list(troubles), int(until * SECOND)), BOUNDS)}
+    return {one.rule for one in check(Story(found, list(faults), int(until * SECOND)), BOUNDS)}
 
 
 def down(node: int, begin: float, end: float) -> Span:
--- a/tests/tier/test_owner_checks.py
+++ b/tests/tier/test_owner_checks.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize(
-    ("more", "troubles", "rules"),
+    ("more", "faults", "rules"),
     [
         ([event(1, "lost", 5, 10), event(2, "own", 6, 11)], [], []),
         ([event(1, "lost", 5, 10), event(2, "own", 6, 9)], [], ["a token does not rise"]),
@@ -43,9 +43,9 @@
     ],
 )
 def test_tokens_rise_and_owners_do_not_overlap(
-    more: list[dict[str, Any]], troubles: list[Span], rules: list[str]
+    more: list[dict[str, Any]], faults: list[Span], rules: list[str]
 ) -> None:
-    found = check([*FIRST, *more], Story([], troubles))
+    found = check([*FIRST, *more], Story([], faults))
     assert [one.rule for one in found] == rules
 
 
--- a/tests/tier/test_tier_rehearsals.py
+++ b/tests/tier/test_tier_rehearsals.py
@@ -168,7 +168,7 @@
 @pytest.mark.parametrize(
     ("tree", "why"),
     [
-        ({"trouble": [{"kind": "links", "at_s": 1}]}, "nodes send each other nothing without a table"),
+        ({"fault": [{"kind": "links", "at_s": 1}]}, "nodes send each other nothing without a table"),
         ({"nodes": {"tier": {"perod_ms": 3}}}, "nodes.tier.perod_ms: no such key"),
         ({"nodes": {"tier": {"period_ms": 1}}}, "nodes.tier.period_ms"),
         ({"nodes": {"tier": {"admitted": {"per_s": -1}}}}, "nodes.tier.admitted.per_s"),
@@ -176,11 +176,11 @@
         ({"nodes": {"tier": {"liars": ["n1"]}}}, "nobody listens without judge = true"),
         ({"nodes": {"tier": {"retries": {"per_s": 0.5, "burst_s": 1}}}}, "burst_s: a node alone never has"),
         ({"nodes": {"service": "x", "tier": {"retries": {"per_s": 9}}}}, "stands in nodes.service"),
-        ({"nodes": {"tier": {}}, "trouble": [{"kind": "links", "at_s": 1, "senders": ["n9"]}]},
-         "trouble[0].senders: no such node: 'n9'"),
-        ({"nodes": {"tier": {}}, "trouble": [{"kind": "links", "at_s": 1, "receivers": 9}]},
-         "trouble[0].receivers: 9 of 3 nodes can't be chosen"),
-        ({"nodes": {"tier": {}}, "trouble": [{"kind": "links", "at_s": 1, "loss": 2}]}, "trouble[0].loss"),
+        ({"nodes": {"tier": {}}, "fault": [{"kind": "links", "at_s": 1, "senders": ["n9"]}]},
+         "fault[0].senders: no such node: 'n9'"),
+        ({"nodes": {"tier": {}}, "fault": [{"kind": "links", "at_s": 1, "receivers": 9}]},
+         "fault[0].receivers: 9 of 3 nodes can't be chosen"),
+        ({"nodes": {"tier": {}}, "fault": [{"kind": "links", "at_s": 1, "loss": 2}]}, "fault[0].loss"),
     ],
 )  # fmt: skip
 def test_what_can_t_be_played_is_refused(tree: dict[str, Any], why: str) -> None:
