The connection of a watch in a module of its own

Need: configuration is watched in the form that discovery's list has; dial, silence and last look exist once, inside discovery. Change: driftstair/net/watch.py holds them (Watcher, WatchConnection), discovery derives from it; its bounds, log lines and behaviour are as before. A test names LAST_LOOK by its new module.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Callable
-from typing import cast
-
-import httptools
 
 from driftstair.hosts import HostList, ListError, parse_list
 from driftstair.net.documents import TEXT_MOST, Documents
 from driftstair.net.system import System
+from driftstair.net.watch import WatchConnection, Watcher
 
 log = logging.getLogger(__name__)
 
@@ -22,10 +19,9 @@
 ANSWER = 3.5  # s to the first line of a call: discovery works through them in turn, for up to 3 s
 ANSWER_PUSHED = 0.5  # s, where it is an agent on this machine, which answers at once or not at all
 DIAL = 2.0  # s until the connection is up
-LAST_LOOK = 0.01  # s for what has come while the loop stood still to be read, before a watch counts as silent
 
 
-class Discovery:
+class Discovery(Watcher):
     """Keeps one watch at most, opened when it is told to. Each watch that ends is reported once."""
 
     def __init__(
@@ -37,20 +33,12 @@
         on_failed: Callable[[], None],
         system: System,
     ) -> None:
-        self._system = system
-        self._address = address
+        super().__init__(address, system, log)
         self.version = version
         self.answer_within = answer_within
+        self._documents = Documents()  # of the watch that stands
         self._on_list = on_list
         self._on_failed = on_failed
-        self._watch: _Watch | None = None
-        self._opening: asyncio.Task[None] | None = None
-
-    def watch(self) -> None:
-        if self._watch is not None:
-            return  # it stands or is being opened, and will tell of its end: a second one is load
-        self._watch = _Watch(self)
-        self._opening = asyncio.get_running_loop().create_task(self._open(self._watch))
 
     def move(self, address: tuple[str, int]) -> None:
         """Watch at another address from now on. The end of the old watch is no failure and is not told.
@@ -62,34 +50,21 @@
         self.close()
         self.watch()
 
-    def close(self) -> None:
-        watch, self._watch = self._watch, None
-        if self._opening is not None:
-            self._opening.cancel()
-            self._opening = None
-        if watch is not None:
-            watch.close()
-
     def request(self) -> bytes:
         host, port = self._address
         target = f"/discovery/hosts?watch=1&from={self.version}"
         return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
 
-    async def _open(self, watch: _Watch) -> None:
-        try:
-            async with asyncio.timeout(DIAL):
-                await self._system.dial(lambda: watch, self._address)
-        except (OSError, TimeoutError) as problem:
-            self.failed(watch, f"no connection: {problem!r}")
+    def connection(self) -> WatchConnection:
+        self._documents = Documents()
+        return WatchConnection(self, self.answer_within, SILENCE, TEXT_MOST)
 
-    def is_current(self, watch: _Watch) -> bool:
-        return watch is self._watch
+    def dial_within(self) -> float:
+        return DIAL
 
-    def received(self, watch: _Watch, line: bytes) -> None:
-        if watch is not self._watch:
-            return
+    def on_line(self, watch: WatchConnection, line: bytes) -> None:
         try:
-            updates = [parse_list(document) for document in watch.documents.add(line)]
+            updates = [parse_list(document) for document in self._documents.add(line)]
             # Changes build on the list that is held; one from before it would undo what was told since.
             for update in updates:
                 if not update.full and update.version < self.version:
@@ -102,103 +77,5 @@
             self.version = update.version
             self._on_list(update)
 
-    def silent(self, watch: _Watch) -> None:
-        """Its connection is dead, though nothing may ever say so. One that had been answered is opened anew
-        at once: the connection failed, not discovery, and no call is being spared."""
-        if watch is self._watch and watch.answered:
-            log.warning("watch fell silent: opened anew")
-            self.close()
-            self.watch()
-        else:
-            self.failed(watch, "no answer")
-
-    def failed(self, watch: _Watch, why: str) -> None:
-        """The watch has ended; a second report of the same one is passed over."""
-        if watch is not self._watch:
-            return
-        self._watch = None
-        watch.close()
-        log.warning("watch ended: %s", why)
+    def on_ended(self) -> None:
         self._on_failed()
-
-
-class _Watch(asyncio.Protocol):
-    """The connection of one watch: bytes to lines."""
-
-    def __init__(self, owner: Discovery) -> None:
-        self._owner = owner
-        self._transport: asyncio.Transport | None = None
-        self._parser: httptools.HttpResponseParser | None = None  # while it is up: the two hold each other
-        self._rest = bytearray()
-        self.documents = Documents()
-        self.answered = False  # a line, or a part of one, has come
-        loop = asyncio.get_running_loop()
-        self._heard = loop.time()
-        self._timer = loop.call_later(owner.answer_within, self._check)
-
-    def close(self) -> None:
-        self._timer.cancel()
-        if self._transport is not None:
-            self._transport.abort()
-
-    def _fail(self, why: str) -> None:
-        self._owner.failed(self, why)
-        self.close()
-
-    def _check(self, looked: bool = False) -> None:
-        loop = asyncio.get_running_loop()
-        left = self._heard + (SILENCE if self.answered else self._owner.answer_within) - loop.time()
-        if left > 0:
-            self._timer = loop.call_later(left, self._check)
-        elif looked:
-            self._owner.silent(self)
-        else:
-            # Timers run before sockets are read. Guards against a node that stood still: what discovery sent
-            # meanwhile is with the kernel, and it would call again, with all others that stood still.
-            self._timer = loop.call_later(LAST_LOOK, self._check, True)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        if self._owner.is_current(self):
-            self._parser = httptools.HttpResponseParser(self)
-            transport.write(self._owner.request())
-        else:  # given up while it was dialed: a watch that nobody reads is load for discovery
-            transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        self._heard = asyncio.get_running_loop().time()
-        if self._parser is None:
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
-            self._fail(f"unreadable: {problem!r}")
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._timer.cancel()
-        self._parser = None
-        self._owner.failed(self, f"connection ended: {exc!r}")
-
-    # What the parser finds.
-
-    def on_headers_complete(self) -> None:
-        assert self._parser is not None  # it is what calls
-        status = self._parser.get_status_code()
-        if status != 200:
-            self._fail(f"status {status}")
-
-    def on_body(self, data: bytes) -> None:
-        self._rest += data
-        if not self.answered:
-            self.answered = True
-            # Until now the time for an answer counted, which is another one.
-            self._timer.cancel()
-            self._timer = asyncio.get_running_loop().call_later(SILENCE, self._check)
-        *lines, self._rest = self._rest.split(b"\n")
-        for line in lines:
-            self._owner.received(self, bytes(line))
-        if len(self._rest) > TEXT_MOST:
-            self._fail("a line without end")
-
-    def on_message_complete(self) -> None:
-        self._fail("answer ended")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,6 +14,7 @@
 from driftstair.hosts import parse_address
 from driftstair.net import discovery, node
 from driftstair.net.node import digest
+from driftstair.net.watch import LAST_LOOK
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
 
@@ -248,7 +249,7 @@
     assert told > discovery.SILENCE + discovery.DIAL  # a silent watch, and the call after it
     for call in (0.0, discovery.DIAL, discovery.ANSWER_PUSHED):
         assert told > call + node.WATCH_PAUSE_MOST + discovery.DIAL + discovery.ANSWER_PUSHED
-    assert beat + discovery.LAST_LOOK < discovery.SILENCE
+    assert beat + LAST_LOOK < discovery.SILENCE
     # What an agent has counts as told at once: a call that is mute as it comes back, and the pause after it,
     # are shorter than the second that the platform usually gives a node to stop sending.
     assert discovery.ANSWER_PUSHED + node.WATCH_PAUSE_MOST < 1.0
