--- /dev/null
+++ b/driftstair/control/replication/messages.py
@@ -0,0 +1,181 @@
+"""What replicas send each other: one JSON object a message, the kind under `type`.
+
+Tokens are the ballots of leaders: whole numbers that only rise. Revisions are places in the log, from 1.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from driftstair.configuration.change_sets import ChangeSet, LoggedChangeSet
+from driftstair.configuration.resources import Resource
+
+MESSAGE_BYTES_MAX = 1 << 20  # a batch of entries or a part of a snapshot, with room
+APPEND_BYTES_MAX = 384 << 10  # contents in one Append, unless one change set is longer
+SNAPSHOT_PART_BYTES_MAX = 128 << 10  # contents in one part, unless one resource is longer
+REPLICAS_MAX = 7
+NUMBER_MAX = (1 << 64) - 1
+
+Number = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class ReplicationMessageError(Exception):
+    """Bytes that are no message; the text says what and where, in one line."""
+
+
+class LogPosition(NamedTuple):
+    """The place of a log's last entry. Positions order logs by how recent they are (Raft, 5.4.1)."""
+
+    token: Number
+    revision: Number
+
+
+START = LogPosition(0, 0)  # before the first entry
+
+
+class LogEntry(msgspec.Struct, frozen=True):
+    """A change set at its place in the log, and the token of the leader that put it there."""
+
+    revision: Number
+    token: Number
+    change_set: ChangeSet
+
+    @property
+    def position(self) -> LogPosition:
+        return LogPosition(self.token, self.revision)
+
+    def logged(self) -> LoggedChangeSet:
+        """As watchers get it: they know nothing of tokens."""
+        return LoggedChangeSet(self.revision, self.change_set)
+
+
+class Prepare(msgspec.Struct, frozen=True, tag="prepare"):
+    """Wants to lead with this token: no lower one is to be followed from now on."""
+
+    token: Number
+
+
+class Promise(msgspec.Struct, frozen=True, tag="promise"):
+    """The promise is on the disk. `last`: of this replica's log; `followed`: the greatest token whose leader
+    changed this log."""
+
+    token: Number
+    last: LogPosition
+    followed: Number
+
+
+class Append(msgspec.Struct, frozen=True, tag="append"):
+    """The entries after `previous`, none for a heartbeat. `number` counts what this leader sent to this
+    replica. `acknowledged`: up to where the leader knows each replica's disk, by the replica's number."""
+
+    token: Number
+    number: Number
+    previous: LogPosition
+    entries: tuple[LogEntry, ...]
+    committed: Number
+    acknowledged: tuple[LogPosition, ...] = ()
+
+
+class Appended(msgspec.Struct, frozen=True, tag="appended"):
+    """Up to `revision` the log on this replica's disk is the leader's."""
+
+    token: Number
+    number: Number
+    revision: Number
+
+
+class Mismatch(msgspec.Struct, frozen=True, tag="mismatch"):
+    """The log differs at the `previous` of an Append. Up to `revision` it may be the same."""
+
+    token: Number
+    number: Number
+    revision: Number
+
+
+class Refusal(msgspec.Struct, frozen=True, tag="refusal"):
+    """The token asked with is lower than the one promised."""
+
+    token: Number
+    promised: Number
+
+
+class SnapshotPart(msgspec.Struct, frozen=True, tag="snapshot"):
+    """A part of the state at `position`, for a replica whose log ends before the leader's begins. `part`
+    counts from 0. The ids come with the last part."""
+
+    token: Number
+    number: Number
+    position: LogPosition
+    part: Number
+    is_last: bool
+    resources: tuple[Resource, ...]
+    recent_ids: tuple[tuple[str, Number], ...] = ()
+
+
+class SnapshotProgress(msgspec.Struct, frozen=True, tag="snapshot_progress"):
+    """The parts before `wanted_part` are here (not yet on the disk)."""
+
+    token: Number
+    number: Number
+    position: LogPosition
+    wanted_part: Number
+
+
+class LeaseMessage(msgspec.Struct, frozen=True, tag="lease"):
+    """A message of the lease, as `driftstair.tier.ownership.wire` writes it."""
+
+    generation: Number  # of the sender's process
+    item: tuple[int, ...]
+
+
+class Alive(msgspec.Struct, frozen=True, tag="alive"):
+    """Sent now and then, so that replicas know who could lead."""
+
+
+ReplicationMessage = (
+    Prepare | Promise | Append | Appended | Mismatch | Refusal | SnapshotPart | SnapshotProgress
+    | LeaseMessage | Alive
+)  # fmt: skip
+
+_decoder: msgspec.json.Decoder[ReplicationMessage] = msgspec.json.Decoder(ReplicationMessage)
+
+
+def encode(message: ReplicationMessage) -> bytes:
+    return msgspec.json.encode(message)
+
+
+def decode(document: bytes) -> ReplicationMessage:
+    """Raises ReplicationMessageError."""
+    if len(document) > MESSAGE_BYTES_MAX:
+        raise ReplicationMessageError(f"$: longer than {MESSAGE_BYTES_MAX:,} bytes")
+    try:
+        message = _decoder.decode(document)
+    except RecursionError:
+        raise ReplicationMessageError("$: nested too deeply") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        raise ReplicationMessageError(str(problem).replace("\n", " ")[:200]) from None
+    _check(message)
+    return message
+
+
+def _check(message: ReplicationMessage) -> None:
+    """What the types can't say. Raises ReplicationMessageError."""
+    match message:
+        case Append(entries=entries, previous=previous, acknowledged=acknowledged):
+            if len(acknowledged) > REPLICAS_MAX:
+                raise ReplicationMessageError(f"$.acknowledged: more than {REPLICAS_MAX} replicas")
+            _check_entries(previous, message.token, entries)
+        case LeaseMessage(item=item) if len(item) > 16 or any(abs(number) > NUMBER_MAX for number in item):
+            raise ReplicationMessageError("$.item: no message of a lease")
+
+
+def _check_entries(previous: LogPosition, token: int, entries: tuple[LogEntry, ...]) -> None:
+    for index, entry in enumerate(entries):
+        where = f"$.entries[{index}]"
+        if entry.revision != previous.revision + 1:
+            raise ReplicationMessageError(f"{where}.revision: {entry.revision} after {previous.revision}")
+        if not previous.token <= entry.token <= token:
+            raise ReplicationMessageError(f"{where}.token: {entry.token} is out of order")
+        previous = entry.position
