Routes, drains and a call beside the file's and the operators': what configuration needs of a node

Need: one changed route of 21,000 may not make the states of all anew, and servers can be drained by configuration without an operator's call. Change: Limited counts routes that are added beside the file's from their first request on and changes one state alone; latencies are held by routes that were asked; the roster knows drains of the configuration beside the orders; GET /control/configuration (404 where none is watched). Measured: tests/limits and tests/operations/test_orders.py passed, four new tests among them.

--- a/driftstair/limits/latency.py
+++ b/driftstair/limits/latency.py
@@ -16,10 +16,12 @@
     __slots__ = ("_counts", "_total")
 
     def __init__(self) -> None:
-        self._counts = [0.0] * BUCKETS
+        self._counts: list[float] = []  # made with the first: most routes of many never ask for them
         self._total = 0.0
 
     def add(self, ns: int) -> None:
+        if not self._counts:
+            self._counts = [0.0] * BUCKETS
         index = int(log(ns / LEAST) / GROWTH) + 1 if ns > LEAST else 0
         self._counts[min(index, BUCKETS - 1)] += 1.0
         self._total += 1.0
--- a/driftstair/limits/limited.py
+++ b/driftstair/limits/limited.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from heapq import heappop, heappush
 
 from driftstair.limits.budgets import Bucket, Tokens
@@ -17,6 +17,7 @@
 from lichenspring.interface import Result
 
 COPY_TOKEN = 1 << 20  # of this layer's timers; the module's own are small
+ADDED_FIRST = 1 << 20  # the routes beside the file's have numbers from here on; a file has fewer
 TENANTS_MOST = 10_000  # buckets of one route: names that clients make up shall not fill the memory
 
 
@@ -34,11 +35,16 @@
         self.in_flight = True
 
 
+NONE_ADDED: Mapping[int, Rules] = {}
+
+
 class Limited:
     def __init__(
         self, module: api.Module, settings: api.Settings, rules: Sequence[Rules],
-        fleet: Callable[[str], Tokens] = no_fleet,
+        fleet: Callable[[str], Tokens] = no_fleet, added: Mapping[int, Rules] = NONE_ADDED,
     ) -> None:  # fmt: skip
+        """`added`: the routes beside the file's as they are now, by number from ADDED_FIRST on. What is
+        counted of one is made with its first request, and changed with the first one after its change."""
         self._module = module
         self._settings = settings
         self._entries: dict[int, _Entry] = {}
@@ -46,6 +52,8 @@
         self._states: list[State] = []
         self._rules = list(rules)
         self._fleet = fleet
+        self._added = added
+        self._added_states: dict[int, State] = {}
 
     def start(self, now: int) -> list[api.Action]:
         self._states = [State(rules, now, self._fleet) for rules in self._rules]
@@ -66,7 +74,22 @@
             entry.state = moved.get(id(entry.state), entry.state)
 
     def state(self, route: int) -> State:
-        return self._states[route]
+        return self._states[route] if route < ADDED_FIRST else self._added_states[route]
+
+    def forget(self, route: int) -> None:
+        """An added route is gone. Requests that are open on it keep what they came with."""
+        self._added_states.pop(route, None)
+
+    def _state_of(self, now: int, route: int) -> State:
+        if route < ADDED_FIRST:
+            return self._states[route]
+        rules = self._added[route]
+        state = self._added_states.get(route)
+        if state is None:
+            state = self._added_states[route] = State(rules, now, self._fleet)
+        elif state.rules is not rules:
+            state.change(rules, now, self._fleet)
+        return state
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if isinstance(event, api.Request):
@@ -85,7 +108,7 @@
     def _request(self, now: int, request: api.Request) -> list[api.Action]:
         if request.limits is None:
             return self._passed(now, self._module.handle(now, request))
-        state = self._states[request.limits.route]
+        state = self._state_of(now, request.limits.route)
         rules = state.rules
         if rules.in_flight and state.in_flight >= rules.in_flight:
             return self._refuse(request, 0)
--- a/driftstair/limits/narrow.py
+++ b/driftstair/limits/narrow.py
@@ -84,6 +84,13 @@
         self.copies = _tokens(rules.copy_budget, now, fleet)
         self.rate = fleet(rules.rate.fleet) if rules.rate is not None and rules.rate.fleet else None
 
+    def change(self, rules: Rules, now: int, fleet: Callable[[str], Tokens] = no_fleet) -> None:
+        """Other figures for the same route, for whoever counts here already too."""
+        changed = State(rules, now, fleet)
+        changed.take_over(self, now)
+        self.rules, self.rate, self.rates = rules, changed.rate, changed.rates
+        self.retries, self.copies = changed.retries, changed.copies
+
     def take_over(self, old: State, now: int) -> None:
         """A reload is no new burst, and forgets neither who is in flight nor how long answers take."""
         self.in_flight = old.in_flight
--- a/driftstair/operations/calls.py
+++ b/driftstair/operations/calls.py
@@ -16,6 +16,7 @@
     READY = b"ready"
     COUNTERS = b"counters"
     TIER = b"tier"
+    CONFIGURATION = b"configuration"
     NODE_OUT = b"out-of-service"
     NODE_IN = b"in-service"
     SERVER_OUT = b"offline"
@@ -25,7 +26,7 @@
     RELEASE = b"release"
 
 
-READS = frozenset((Order.READY, Order.COUNTERS, Order.TIER))
+READS = frozenset((Order.READY, Order.COUNTERS, Order.TIER, Order.CONFIGURATION))
 OF_A_SERVER = frozenset((Order.SERVER_OUT, Order.SERVER_IN))
 OF_THE_TIER = frozenset((Order.PERMIT, Order.HAND_OVER, Order.RELEASE))
 _PLAIN = {order.value: order for order in Order if order not in OF_A_SERVER | OF_THE_TIER}
--- a/driftstair/operations/roster.py
+++ b/driftstair/operations/roster.py
@@ -43,6 +43,7 @@
 
     def __init__(self, orders: Orders | None = None) -> None:
         self.orders = orders or Orders()
+        self.configured = Orders()  # drains of the configuration, beside the operators' own
         self.hosts: dict[str, Host] = {}
 
     def holds(self, server: str) -> bool:
@@ -60,7 +61,8 @@
             else:
                 self.hosts[host.id] = host
         if full:  # what nobody names any more can't come back warm
-            self.orders.back = {one: at for one, at in self.orders.back.items() if one in self.hosts}
+            for orders in (self.orders, self.configured):
+                orders.back = {one: at for one, at in orders.back.items() if one in self.hosts}
         return tuple(self.shown(host) for host in hosts)
 
     def order(self, orders: Orders) -> tuple[Host, ...]:
@@ -70,14 +72,26 @@
         after = self.listed()
         return after if after != before else ()
 
+    def configure(self, drained: Iterable[str], now: int) -> tuple[Host, ...]:
+        """The servers that the configuration drains, all of them: the whole list as it is to be shown now;
+        nothing if it is as before. `now` in ms, Unix time."""
+        before = self.listed()
+        wanted = set(drained)
+        for server in wanted - self.configured.out.keys():
+            self.configured.take_out(server, now)
+        for server in self.configured.out.keys() - wanted:
+            host = self.hosts.get(server)
+            self.configured.put_back(server, now, 0 if host is None else host.started_ms)
+        after = self.listed()
+        return after if after != before else ()
+
     def listed(self) -> tuple[Host, ...]:
         return tuple(self.shown(host) for host in self.hosts.values())
 
     def shown(self, host: Host) -> Host:
-        out = self.orders.out.get(host.id)
-        if out is not None:
+        if host.id in self.orders.out or host.id in self.configured.out:
             return host._replace(state=ServerState.DRAINING) if host.state is ServerState.READY else host
-        back = self.orders.back.get(host.id)
+        back = max(self.orders.back.get(host.id, 0), self.configured.back.get(host.id, 0))
         # Kept even once the list tells of the start itself, which was earlier: a start that seems to change
         # would have its connections closed.
-        return host if back is None else host._replace(started_ms=max(host.started_ms, back))
+        return host if not back else host._replace(started_ms=max(host.started_ms, back))
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -46,6 +46,7 @@
         self._link: Link | None = None
         self._settling: asyncio.Task[None] | None = None
         self.tier: Tier | None = None  # what is told of the other nodes
+        self.configuration: Callable[[], object] | None = None  # what a call is told of it
         state = State()
         if self._store is not None:
             self._predecessor = find_predecessor(self._store)
@@ -131,6 +132,10 @@
             if self.tier is None:
                 return 404, {"error": "this node is in no tier"}
             return 200, self.tier.report(self.roster.hosts)
+        if call.order is Order.CONFIGURATION:
+            if self.configuration is None:
+                return 404, {"error": "this node watches no configuration"}
+            return 200, self.configuration()
         if call.order in OF_THE_TIER:
             from driftstair.tier.ordered import obey
 
--- a/tests/limits/test_limited.py
+++ b/tests/limits/test_limited.py
@@ -7,7 +7,8 @@
 
 from platform_of_tests import MS, SETTINGS, S
 
-from driftstair.limits.limited import COPY_TOKEN, Limited
+from driftstair.limits.limited import ADDED_FIRST, COPY_TOKEN, Limited
+from driftstair.limits.narrow import Rules
 from driftstair.limits.table import Table
 from driftstair.service.load import parse
 from lichenspring import Balancer
@@ -32,7 +33,8 @@
     def __init__(self, *routes: str, boxes: int = 5, settings: api.Settings = ONE_NODE) -> None:
         self.table = table(*routes, settings=settings)
         self.now = CALM
-        self.limited = Limited(Balancer(settings, 1), settings, self.table.rules)
+        self.added: dict[int, Rules] = {}
+        self.limited = Limited(Balancer(settings, 1), settings, self.table.rules, added=self.added)
         self.timers: list[tuple[int, int]] = []
         self.sent: dict[int, list[api.Send]] = {}
         self.final: dict[int, api.Action] = {}
@@ -56,6 +58,14 @@
     def tell(self, event: api.Event) -> list[api.Action]:
         return self._take(self.limited.handle(self.now, event))
 
+    def add(self, route: int, text: str) -> None:
+        """A route beside the file's is as this from now on."""
+        rules = table(text).rules[0]
+        self.added[route] = replace(rules, handed=rules.handed._replace(route=route))
+
+    def ask_added(self, number: int, route: int) -> None:
+        self.tell(api.Request(number, S, 0, 0, 0, False, self.added[route].handed))
+
     def ask(
         self, number: int, route: int = 0, tenant: int = 0, kind: int = 0, left: int = S
     ) -> list[api.Action]:
@@ -358,6 +368,44 @@
     assert world.limited._entries == {}
 
 
+def test_an_added_route_is_counted_from_its_first_request_and_a_change_is_no_new_burst() -> None:
+    """Changing one of thousands of routes may not make what is counted of all the others anew."""
+    world = World("admit = { in_flight = 1 }")
+    route, other = ADDED_FIRST, ADDED_FIRST + 7
+    world.add(route, "admit = { in_flight = 2, rate = { per_s = 0.001, burst = 3.0 } }")
+    world.add(other, "admit = { in_flight = 1 }")
+    assert world.limited._added_states == {}
+    world.ask(1)
+    world.ask_added(2, route)
+    world.ask_added(3, route)
+    world.ask_added(4, other)
+    untouched = world.limited.state(other)
+    assert not world.final
+    world.add(route, "admit = { in_flight = 3, rate = { per_s = 0.001, burst = 9.0 } }")
+    world.ask_added(5, route)  # the third in flight, and the last token of the three
+    assert 5 in world.sent and world.limited.state(route).in_flight == 3
+    for number in (2, 3, 5):
+        world.end(number, Result.OK)
+    assert world.limited.state(route).in_flight == 0
+    world.ask_added(6, route)
+    assert 6 in world.final  # no token, though nine would be a new burst
+    assert world.limited.state(other) is untouched and untouched.in_flight == 1
+
+
+def test_an_added_route_outlives_a_reload_and_may_go_while_it_has_requests() -> None:
+    world = World("")
+    route = ADDED_FIRST + 1
+    world.add(route, "admit = { in_flight = 1 }")
+    world.ask_added(1, route)
+    world.limited.replace(world.now, world.table.rules)
+    world.ask_added(2, route)
+    assert 2 in world.final
+    world.limited.forget(route)
+    del world.added[route]
+    world.end(1, Result.OK)
+    assert world.limited._entries == {} and world.limited._added_states == {}
+
+
 def test_tenants_that_clients_make_up_fill_no_memory(monkeypatch: Any) -> None:
     monkeypatch.setattr("driftstair.limits.limited.TENANTS_MOST", 10)
     world = World('admit = { rate = { per_s = 1.0, by = "tenant" } }')
--- a/tests/operations/test_orders.py
+++ b/tests/operations/test_orders.py
@@ -21,6 +21,7 @@
 @pytest.mark.parametrize(("method", "target", "call"), [
     (b"GET", b"/control/ready", Call(Order.READY)),
     (b"GET", b"/control/ready?verbose=1", Call(Order.READY)),
+    (b"GET", b"/control/configuration", Call(Order.CONFIGURATION)),
     (b"POST", b"/control/out-of-service", Call(Order.NODE_OUT)),
     (b"POST", b"/control/in-service", Call(Order.NODE_IN)),
     (b"POST", b"/control/servers/s-1/offline", Call(Order.SERVER_OUT, "s-1")),
@@ -31,6 +32,7 @@
 
 
 @pytest.mark.parametrize(("method", "target", "status"), [
+    (b"POST", b"/control/configuration", 405),
     (b"POST", b"/control/ready", 405), (b"GET", b"/control/in-service", 405),
     (b"GET", b"/control/servers/s-1/offline", 405), (b"POST", b"/control/servers//offline", 404),
     (b"POST", b"/control/servers/s-1/ready", 404), (b"POST", b"/control/servers/s-1", 404),
@@ -78,6 +80,29 @@
     assert not roster.holds("a") and roster.orders.back == {}
 
 
+def test_a_server_that_the_configuration_drains_is_shown_so_beside_the_operators_orders() -> None:
+    roster = Roster()
+    roster.follow(True, [host("a", started=50), host("b"), host("c", GONE)])
+    assert [one.state for one in roster.configure(["a", "elsewhere"], 100)] == [DRAINING, READY]
+    assert roster.configure(["a", "elsewhere"], 110) == ()
+    orders = roster.orders.copy()
+    orders.take_out("a", 120)
+    assert roster.order(orders) == ()  # as it is
+    assert roster.configure([], 130) == ()  # the operators' order stands
+    back = orders.copy()
+    back.put_back("a", 140, 50)
+    shown = roster.order(back)
+    assert [(one.state, one.started_ms) for one in shown] == [(READY, 140), (READY, 0)]
+
+
+def test_a_server_whose_configured_drain_ends_is_cold_until_the_list_tells_more() -> None:
+    roster = Roster()
+    roster.follow(True, [host("a", started=50)])
+    roster.configure(["a"], 100)
+    assert [one.started_ms for one in roster.configure([], 200)] == [200]
+    assert [one.started_ms for one in roster.follow(False, [host("a", started=300)])] == [300]
+
+
 @pytest.mark.parametrize(("rests", "age", "since", "way"), [
     (Rests.IDLE, 9.0, 0.4, Way.STAY), (Rests.IDLE, 9.0, 0.6, Way.CLOSE),
     (Rests.SILENT, 0.1, 0.6, Way.STAY), (Rests.SILENT, 0.5, 0.6, Way.CLOSE),
