--- a/driftstair/configuration/messages.py
+++ b/driftstair/configuration/messages.py
@@ -43,6 +43,7 @@
 
     revision: int  # the greatest that it knows to be committed
     age_ms: int  # since it last heard from a leader with a majority; 0 while it does
+    digest: str = ""  # of its state at that revision, 16 hexadecimal digits; left out: it is not told
 
 
 WatchMessage = Changes | SnapshotPart | Freshness
--- a/driftstair/net/backoff.py
+++ b/driftstair/net/backoff.py
@@ -9,10 +9,12 @@
 
 
 class Backoff:
-    def __init__(self, first: float, most: float, seed: int) -> None:
-        """`first`: the longest first pause, and `most` the longest of all, in s."""
+    def __init__(self, first: float, most: float, seed: int, jitter: float = JITTER) -> None:
+        """`first`: the longest first pause, and `most` the longest of all, in s. `jitter`: the part of a
+        pause that is left to chance; 1: all of it (full jitter)."""
         self._first = first
         self._most = most
+        self._jitter = jitter
         self._random = Random(seed)
         self._failures = 0
 
@@ -20,7 +22,7 @@
         """After another failure, in s."""
         longest = min(self._most, self._first * 2.0 ** min(self._failures, 32))
         self._failures += 1
-        return longest * self._random.uniform(1.0 - JITTER, 1.0)
+        return longest * self._random.uniform(1.0 - self._jitter, 1.0)
 
     def succeeded(self) -> None:
         self._failures = 0
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -27,6 +27,7 @@
     from driftstair.ledger.keeper import Counted, Keeper
     from driftstair.limits.routes import Asked
     from driftstair.limits.table import Table
+    from driftstair.node_configuration.tenant_limits import TenantLimits, TenantUse
     from driftstair.operations.roster import Roster
 
 log = logging.getLogger(__name__)
@@ -49,6 +50,11 @@
     return int.from_bytes(digest(key), "little") or 1
 
 
+def _retry_after(wait: int) -> list[tuple[bytes, bytes]]:
+    """`wait` in ns; 0: nothing is said."""
+    return [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else []
+
+
 class Client(Protocol):
     """Who asked: gets one answer."""
 
@@ -86,6 +92,7 @@
     may_have_run: bool = False  # one of those that have ended
     out: dict[int, Attempt] = field(default_factory=dict)
     counted: Counted | None = None  # in the ledger, where one is kept
+    tenant: TenantUse | None = None  # whose requests in flight it is one of, where tenants have limits
 
 
 class Node:
@@ -98,6 +105,7 @@
         self.limits = limits  # routes of the service file
         self._roster = roster  # what operators have ordered of servers, where they can
         self.ledger: Keeper | None = None
+        self.tenants: TenantLimits | None = None  # of the configuration
         self.told = asyncio.Event()  # a list or a change of it has come from discovery
         self._config = config
         self._now = system.monotonic_ns
@@ -258,6 +266,10 @@
             call.client.answer(503, [], b"")
         elif rules is not None and 0 < rules.body < (size(call.body) or 0):
             call.client.answer(413, [], b"")
+        elif self.tenants is not None and call.asked is not None and (
+            (wait := self.tenants.admit(now, request, call.asked.tenant)) is not None
+        ):  # fmt: skip
+            self._turn_away(call, wait)
         else:
             self._open[request.number] = request
             self._identities.add(call.identity)
@@ -326,10 +338,19 @@
             self._finish(request)
 
     def _refuse(self, number: int, wait: int) -> None:
-        self._answer(number, 503, [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else [])
+        self._answer(number, 503, _retry_after(wait))
+
+    def _turn_away(self, call: Call, wait: int) -> None:
+        """Over a limit of its tenant, before anything is done for it; refused as over a route's. `wait`: ns
+        until it may pass; 0: nobody knows."""
+        settings = self._config.settings
+        told = min(wait or settings.classes[call.class_index].aim, settings.max_retry_after)
+        call.client.answer(503, _retry_after(told if settings.retry_after else 0), b"")
 
     def _finish(self, request: Open) -> None:
         request.answered = True
+        if request.tenant is not None:
+            request.tenant.leave()
         if request.watchdog is not None:
             request.watchdog.cancel()
         self._forget_if_done(request)
--- a/driftstair/net/watch.py
+++ b/driftstair/net/watch.py
@@ -108,6 +108,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None  # while it is up: the two hold each other
         self._rest = bytearray()
+        self._paused = False
         self.answered = False  # a line, or a part of one, has come
         loop = asyncio.get_running_loop()
         self._heard = loop.time()
@@ -118,6 +119,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def pause_reading(self) -> None:
+        """What comes stays with the kernel; silence does not count meanwhile."""
+        if self._transport is not None and not self._paused and not self._transport.is_closing():
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        if self._transport is not None and self._paused and not self._transport.is_closing():
+            self._paused = False
+            self._heard = asyncio.get_running_loop().time()
+            self._transport.resume_reading()
+
     def _fail(self, why: str) -> None:
         self._owner.failed(self, why)
         self.close()
@@ -125,7 +138,9 @@
     def _check(self, looked: bool = False) -> None:
         loop = asyncio.get_running_loop()
         left = self._heard + (self._silence if self.answered else self._answer_within) - loop.time()
-        if left > 0:
+        if self._paused:
+            self._timer = loop.call_later(self._silence, self._check)
+        elif left > 0:
             self._timer = loop.call_later(left, self._check)
         elif looked:
             self._owner.silent(self)
