A node whose caps are shut tries again within 2.5 s

Cause: where fewer than half of all attempts are answered the brake takes the caps to 0, and what is always let in (LEAST_PER_SERVER) is a fraction of a request for one node of many. So the one attempt that is out at a server that hangs counts until its deadline, for its aim beyond that, and until its mean in flight has faded. Ruled out: ejected servers (a quarter of the list at most), a choice that finds none, key turns. Change: the newest attempt's time is kept; 2.5 s after it a request is admitted whatever the caps say.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -29,6 +29,7 @@
 TOLD_LOW = 0.2  # of it: what little is in use tells little of how much more would be
 CARRIED_WEIGHT = 0.25  # part of a window in the mean of requests in flight that late reports belong to
 LEAST_PER_SERVER = 0.3  # of a class, likewise, are always let in: without samples no cap could rise again
+TRY_AGAIN = 5 * SECOND // 2  # without an attempt, whatever the caps say: only one tells of better servers
 UNANSWERED_WEIGHT = 0.08  # part of the newest attempt in the share that goes unanswered: the last dozen or so
 WORTH_ABOVE = 1.2  # times the worth for its work: a class whose threshold binds the lesser ones too
 WORTH_MORE = 2.0  # times the worth for its work: a class that the lesser ones leave room for
@@ -206,6 +207,7 @@
         self._open: dict[int, Open] = {}
         self._caps = [0.0] * len(settings.classes)  # requests in flight at which a class is refused
         self._in_flight = InFlight()
+        self._last_sent = 0  # when the newest attempt was made
         self._carried = 0.0  # its mean over the time that reports tell of
         self._told, self._reports = 0.0, 0  # mean part of cores in use, by reports of late, and their number
         self._arrivals = 0  # of all tenants
@@ -331,6 +333,8 @@
         part = OVER_SHARE_PART if self._is_over_share(request.tenant) else 1.0
         if request.limits is not None:
             part *= request.limits.admitted
+        if now - self._last_sent >= TRY_AGAIN:
+            return True
         return self._has_room(now, request, part * RESUBMITTED_PART if request.resubmitted else part)
 
     def _has_room(self, now: int, request: api.Request, part: float = 1.0) -> bool:
@@ -382,6 +386,7 @@
 
     def _send(self, now: int, entry: Open, backend: Backend) -> None:
         within = entry.repeats_dropped_for(now)
+        self._last_sent = now
         entry.attempts.append(Attempt(backend, now, self._connect(now, backend)))
         backend.in_flight += 1
         backend.trial = backend.ejected_until > 0
