A node that has met no warm server sends a cold one a request now and then

A process that had met them warm served on. Cause: a cold server's budget is earned at the rate that warm ones were sent; it is 0 before there was one. Change: such a process sends one request in 2.5 s to the server whose budget is least overdrawn. Each has its own phase.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -236,7 +236,8 @@
 
     def start(self, now: int) -> list[api.Action]:
         """First actions; the cached list follows as an event."""
-        # Nodes that start together would cut together: each has its own phase.
+        # Nodes that start together would cut together, and try together: each has its own phase.
+        self._last_sent = now - self._jittered(TRY_AGAIN, 0.0)
         actions: list[api.Action] = [api.SetTimer(now + self._jittered(PERIOD, 0.0), TICK_TOKEN)]
         if self._settings.list_mode is ListMode.ON_REQUEST:
             spread = min(ASK_SPREAD_MOST, int(self._settings.ask_within * ASK_SPREAD))
@@ -376,7 +377,7 @@
             self._refuse(entry)
 
     def _send_first(self, now: int, entry: Open) -> bool:
-        backend = self._pick(now, entry)
+        backend = self._pick(now, entry) or self._pick_untold(now)
         if backend is None:
             return False
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
@@ -602,6 +603,15 @@
                 break
         return min(pair or full, key=partial(self._load, now, entry.request.class_index), default=None)
 
+    def _pick_untold(self, now: int) -> Backend | None:
+        """For a node that has met no warm server, so that nothing tells what a cold one can do: now and then
+        the one whose budget is least overdrawn. Guards against a fleet that starts together with all of its
+        servers, and sends them nothing until they are warm."""
+        if self._rate or now - self._last_sent < TRY_AGAIN:
+            return None
+        able = [one for one in (*self._ready, *self._others) if not one.ejected_until]
+        return max(able, key=lambda one: one.tokens) if able else None
+
     def _candidates(self, entry: Open) -> Iterator[Backend]:
         """Servers in the order of this request's preference; some come more than once."""
         if table := self._table:
--- a/tests/acceptance/test_turned_away.py
+++ b/tests/acceptance/test_turned_away.py
@@ -5,12 +5,13 @@
 
 import asyncio
 from itertools import pairwise
+from math import sqrt
 from random import Random
 
 import pytest
 from fleet_of_modules import NEVER, SERVES, Reply, Servers, SoleNode
 from rig import PATIENCE, Client, Message, Rig, Server, configuration, grade, request, run, status
-from world import MS, SECOND, server, settings, whole
+from world import BASE, FALL_MULTIPLE, FALL_TIME, MS, SECOND, START, server, settings, whole
 
 from driftstair.net.node import Node
 from lichenspring import interface as api
@@ -98,3 +99,35 @@
                     assert turned_away < COUNTED or until - since < LONGEST
 
     run(test())
+
+
+NODES, SERVERS, RATE = 24, 12, 8.0  # requests a second at each node, all of which warm servers can just do
+
+
+def fresh_fleet() -> list[SoleNode]:
+    """Nodes that start together with all of the servers that they know."""
+    kind = api.RequestClass(500 * MS, 1.0, 0.0, api.Repeat.SAFE)
+    fleet = []
+    for number in range(NODES):
+        told = settings(classes=(kind,), nodes=NODES, number=number, fall_multiple=FALL_MULTIPLE)
+        node = SoleNode(told, number + 1, RATE, lambda at, send: SERVES, SECOND)
+        node.tell(whole(*(server(one, started=node.now) for one in range(SERVERS))))
+        node.play(20.0)
+        fleet.append(node)
+    return fleet
+
+
+def test_nodes_that_start_together_with_all_their_servers_serve_before_these_are_warm() -> None:
+    """They have met no warm server to tell them what a cold one can do, and sent nothing for 20 s. What they
+    send now stays far below what makes a cold server fall, over all of them."""
+    fleet = fresh_fleet()
+    assert max(node.longest_spell(COUNTED) for node in fleet) < LONGEST
+    warm_rate = NODES * RATE / SERVERS
+    for one in range(SERVERS):
+        arrivals = sorted(at for node in fleet for at, to in node.sent if to == server(one).id)
+        for last, at in enumerate(arrivals):
+            age = max(0, at - FALL_TIME // 2 - START) / BASE.cold_time
+            warmth = BASE.cold_share + (1.0 - BASE.cold_share) * age
+            allowed = FALL_MULTIPLE * warmth * warm_rate * FALL_TIME / SECOND
+            within = sum(earlier > at - FALL_TIME for earlier in arrivals[: last + 1])
+            assert within <= allowed + 2.0 * sqrt(allowed) + 2.0
