--- a/driftstair/configuration/state.py
+++ b/driftstair/configuration/state.py
@@ -65,6 +65,13 @@
             stored = StoredResource(resource.revision, pack(content))
             self._tables[resource.kind].put(resource.name, stored)
 
+    def unload(self, key: ResourceKey) -> None:
+        """Takes a resource out as `load` brings one in: the state's revision stays."""
+        for _ in self.settling():
+            pass
+        self._add_to_digest(self._digest_difference(key, 0, None))
+        self._tables[key.kind].delete(key.name)
+
     def finish_restore(self, revision: int, recent_ids: Iterable[tuple[str, int]] = ()) -> None:
         """All resources are loaded. Raises ValueError."""
         if not 0 <= revision <= REVISION_MAX:
