[control]: a node watches its configuration, beside its service file's own routes

Need: a change in force on a node without its own file and a SIGHUP; off by default. Change: [control] in the service file (servers, folder); routes of the file first, then those of the configuration, compiled when first used and numbered by name; tenants' limits; budgets to the cluster beside the file's; drains to the module without the operators' listener; SIGHUP judges by the platform and file as they are; GET /control/configuration shows revision, digest, server and refused sets. Without a file nothing of it, msgspec or pydantic is loaded; with one without [control] nothing of it or msgspec.

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -19,7 +19,8 @@
 from driftstair.settings import Config
 
 if TYPE_CHECKING:
-    from driftstair.limits.table import Table
+    from driftstair.limits.table import RequestTable
+    from driftstair.node_configuration.service import NodeConfiguration
     from driftstair.operations.roster import Roster
     from driftstair.operations.service import Operations
     from driftstair.service.use import ServiceFile
@@ -46,7 +47,10 @@
 
 
 def assemble(
-    config: Config, system: System = SOCKETS, limits: Table | None = None, roster: Roster | None = None
+    config: Config,
+    system: System = SOCKETS,
+    limits: RequestTable | None = None,
+    roster: Roster | None = None,
 ) -> tuple[Node, Front]:
     clients, servers = shares(config)
     pools = Pools(servers, config.dial_timeout, config.idle_close, system)
@@ -75,8 +79,9 @@
 
 
 def follow_files(
-    node: Node, config: Config, reread: Callable[[], Config], service: ServiceFile | None, tier: Tier | None
-) -> None:
+    node: Node, config: Config, reread: Callable[[], Config], service: ServiceFile | None, tier: Tier | None,
+    configuration: NodeConfiguration | None = None,
+) -> None:  # fmt: skip
     """SIGHUP: files have been replaced. Whatever is wrong with one, the node serves on as before."""
     try:
         config = reread()
@@ -90,10 +95,13 @@
         from driftstair.service.load import ServiceError
 
         try:
-            node.limit(service.table(config, shares(config)[0]))
+            table = service.table(config, shares(config)[0])
+            node.limit(table if configuration is None else configuration.combined(table))
         except ServiceError as problem:
             for one in problem.problems:
                 log.error("the new service file is not used: %s", one)
+        if configuration is not None:
+            configuration.reload(*service.circumstances(config, shares(config)[0]))
 
 
 async def serve(
@@ -103,7 +111,7 @@
     """The node's life; its exit status. `reread`: the configuration as it is told now, or ConfigError;
     `ready` is called once clients are served; `service`: what the platform does not tell. Raises ServiceError
     if that can't be used at the start."""
-    limits = None if service is None else service.table(config, shares(config)[0])
+    table = None if service is None else service.table(config, shares(config)[0])
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -112,11 +120,19 @@
     if operations is not None:
         config = operations.config
     tier = None if service is None else service.tier(config, system)
-    if limits is not None and tier is not None:
-        limits.fleet, limits.around = tier.tokens, tier.around
-    node, front = assemble(config, system, limits, None if operations is None else operations.roster)
+    if table is not None and tier is not None:
+        table.fleet, table.around = tier.tokens, tier.around
+    configuration = None if service is None else service.configuration(config, shares(config)[0], system)
+    roster = None if operations is None else operations.roster
+    limits: RequestTable | None = table
+    if configuration is not None and table is not None:
+        roster = configuration.share(tier, roster)
+        limits = configuration.combined(table)
+    node, front = assemble(config, system, limits, roster)
     # Guards against the default, which ends the process and all that it holds.
-    loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier)
+    loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier, configuration)
+    if configuration is not None:
+        await configuration.start(node)
     try:
         if operations is None:
             address = front.listen()
@@ -138,6 +154,7 @@
             print(f"driftstair: BALANCER_OPS can't be used: {problem.strerror}", file=sys.stderr)
             return 2
         operations.tier = tier
+        operations.configuration = None if configuration is None else configuration.shown
     if tier is not None:
         tier.start()
     ready()
@@ -149,6 +166,8 @@
     await front.stop(*plan_end(config))
     if tier is not None:
         await tier.close()
+    if configuration is not None:
+        await configuration.close()
     if kept is not None:
         ended.set()
         await committing
--- a/driftstair/limits/table.py
+++ b/driftstair/limits/table.py
@@ -5,10 +5,10 @@
 import json
 import logging
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, Protocol
 
 from driftstair.limits.budgets import Tokens
-from driftstair.limits.limited import Limited
+from driftstair.limits.limited import NONE_ADDED, Limited
 from driftstair.limits.narrow import Rules, no_fleet, rules_of
 from driftstair.limits.routes import Asked, Pattern, Routes
 from driftstair.service.schema import Service
@@ -17,6 +17,22 @@
 log = logging.getLogger(__name__)
 
 
+class RequestTable(Protocol):
+    """What a node asks of routes."""
+
+    kind: type[Limited]
+    source: str  # of the file, for the log
+    rules: list[Rules]  # of the file, by number
+
+    def asked(self, method: bytes, path: bytes, fields: Mapping[bytes, bytes]) -> Asked: ...
+
+    def find(self, asked: Asked) -> Rules | None: ...
+
+    def serves(self, path: bytes) -> bool: ...
+
+    def limited(self, module: api.Module, settings: api.Settings, clock: Callable[[], int]) -> Limited: ...
+
+
 def _as_it_is(module: api.Module) -> api.Module:
     return module
 
@@ -52,8 +68,12 @@
     def serves(self, path: bytes) -> bool:
         return self.routes.serves(path.decode("latin-1"))
 
-    def limited(self, module: api.Module, settings: api.Settings, clock: Callable[[], int]) -> Limited:
-        """`clock`: Unix time in ns, which lines of the log from several nodes are put together by."""
+    def limited(
+        self, module: api.Module, settings: api.Settings, clock: Callable[[], int],
+        added: Mapping[int, Rules] = NONE_ADDED,
+    ) -> Limited:  # fmt: skip
+        """`clock`: Unix time in ns, which lines of the log from several nodes are put together by; `added`:
+        routes beside the file's."""
         module = self.around(module)
         if self._tally_every:
             from driftstair.tally.tally import Tally
@@ -62,4 +82,4 @@
                 log.info("tally %s", json.dumps({"at_ms": clock() // 1_000_000, **line}))
 
             module = Tally(module, settings, self._tally_every, say)
-        return Limited(module, settings, self.rules, self.fleet)
+        return Limited(module, settings, self.rules, self.fleet, added)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from driftstair.ledger.keeper import Counted, Keeper
     from driftstair.limits.routes import Asked
-    from driftstair.limits.table import Table
+    from driftstair.limits.table import RequestTable
     from driftstair.node_configuration.tenant_limits import TenantLimits, TenantUse
     from driftstair.operations.roster import Roster
 
@@ -99,7 +99,7 @@
     """Owns the balancer; it sees one event at a time, each once all actions on the one before are done."""
 
     def __init__(
-        self, config: Config, pools: Pools, system: System = SOCKETS, limits: Table | None = None,
+        self, config: Config, pools: Pools, system: System = SOCKETS, limits: RequestTable | None = None,
         roster: Roster | None = None,
     ) -> None:  # fmt: skip
         self.limits = limits  # routes of the service file
@@ -153,7 +153,7 @@
         self._config = replace(self._config, discovery=config.discovery)
         self._discovery.move(config.discovery)
 
-    def limit(self, limits: Table) -> None:
+    def limit(self, limits: RequestTable) -> None:
         """Other routes, for requests from now on. Only where there were some from the start."""
         assert isinstance(self._balancer, limits.kind)
         self._balancer.replace(self._now(), limits.rules)
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -153,6 +153,13 @@
     budgets: Annotated[dict[Name, FleetBudget], Field(min_length=1, max_length=32)] | None = None
 
 
+class Control(Table):
+    """Configuration by the change, watched at control servers."""
+
+    servers: Annotated[tuple[Annotated[str, Field(min_length=1)], ...], Field(min_length=1, max_length=7)]
+    folder: Annotated[str, Field(min_length=1)] | None = None  # outlives the process: the last applied state
+
+
 class Service(Table):
     version: Version
     route: tuple[Route, ...] = ()
@@ -160,3 +167,4 @@
     tally: Tally | None = None
     ledger: Ledger | None = None
     tier: Tier | None = None
+    control: Control | None = None
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -13,11 +13,13 @@
 from driftstair.limits.proof import Platform, prove
 from driftstair.limits.table import Table
 from driftstair.service.load import Loaded, Problem, ServiceError, parse, read
+from driftstair.service.schema import Control, FleetBudget, Service
 from driftstair.settings import Config
 
 if TYPE_CHECKING:
     from driftstair.ledger.keeper import Keeper
     from driftstair.net.system import System
+    from driftstair.node_configuration.service import NodeConfiguration
     from driftstair.tier.ownership.permits import Rules
     from driftstair.tier.service import Tier
     from driftstair.tier.shared.budget import Spec
@@ -81,6 +83,19 @@
     return Rules(wanted.at_once, wanted.term)
 
 
+def _control_servers(loaded: Loaded, wanted: Control) -> list[tuple[str, int]]:
+    """Raises ServiceError."""
+    addresses = []
+    for index, text in enumerate(wanted.servers):
+        try:
+            addresses.append(parse_address(text))
+        except ListError:
+            why = f"{text[:60]!r} is no address"
+            path = ("control", "servers", index)
+            raise ServiceError([loaded.problem(path, why, instead='"10.0.0.9:7400"')]) from None
+    return addresses
+
+
 class ServiceFile:
     """A file, or a text in its place."""
 
@@ -88,7 +103,10 @@
         self.file = file
         self._text = text
         self._in_tier: Tier | None = None  # once the process has begun
+        self._budgets: tuple[Spec, ...] = ()  # of the fleet, as the file in use names them
+        self._configured: tuple[Spec, ...] = ()  # and as the configuration does
         self._begun = False
+        self._service: Service | None = None  # in use
 
     def load(self) -> Loaded:
         return read(self.file) if self._text is None else parse(self._text, self.file)
@@ -99,6 +117,7 @@
         table, warnings = checked(loaded, config, clients_most)
         if self._begun:
             self._follow(loaded, config)
+        self._service = loaded.service
         for one in warnings:
             log.warning("%s", one)
         return table
@@ -112,7 +131,22 @@
                 raise ServiceError([loaded.problem(path, why)])
         if shares and self._in_tier is not None and specs_of(loaded):
             self._enough(loaded, self._in_tier.nodes())
-            self._in_tier.respec(specs_of(loaded))
+            self._budgets = specs_of(loaded)
+            self._respec()
+
+    def _respec(self) -> None:
+        """The file's budgets go first."""
+        if self._in_tier is not None and self._in_tier.sharing is not None:
+            names = {spec.name for spec in self._budgets}
+            more = (spec for spec in self._configured if spec.name not in names)
+            self._in_tier.respec((*self._budgets, *more))
+
+    def configure_budgets(self, budgets: dict[str, FleetBudget]) -> None:
+        """The configuration names these, beside the file's."""
+        from driftstair.tier.shared.budget import Spec
+
+        self._configured = tuple(Spec(name, one.per_s, one.burst) for name, one in budgets.items())
+        self._respec()
 
     def _enough(self, loaded: Loaded, count: int) -> None:
         """Raises ServiceError for a budget of which a node alone never gets one token together."""
@@ -156,9 +190,40 @@
         """This node's part in the tier that the file asks for, not yet started. Raises ServiceError."""
         loaded = self.load()
         self._begun = True
+        self._budgets = specs_of(loaded)
         self._in_tier = self._tier(loaded, config, system)
         return self._in_tier
 
+    def configuration(self, config: Config, clients_most: int, system: System) -> NodeConfiguration | None:
+        """This node's part in the configuration that the file has it watch, not yet started. Raises
+        ServiceError."""
+        loaded = self.load()
+        wanted = loaded.service.control
+        if wanted is None:
+            return None
+        if not config.name:
+            why = "this node has no name to report by; BALANCER_NAME would do"
+            raise ServiceError([loaded.problem(("control",), why)])
+        try:
+            from driftstair.node_configuration.service import NodeConfiguration, Wanted
+        except ModuleNotFoundError as problem:
+            why = f"wants {problem.name}: pip install 'driftstair[tier]'"
+            raise ServiceError([loaded.problem(("control",), why)]) from None
+        folder = None if wanted.folder is None else Path(wanted.folder)
+        if folder is not None and not folder.is_dir():
+            why = f"{folder} is no folder; one that outlives the process would do"
+            raise ServiceError([loaded.problem(("control", "folder"), why)])
+        platform = platform_of(config, clients_most)
+        return NodeConfiguration(
+            config, Wanted(_control_servers(loaded, wanted), folder), platform, loaded.service, system,
+            self.configure_budgets,
+        )  # fmt: skip
+
+    def circumstances(self, config: Config, clients_most: int) -> tuple[Platform, Service]:
+        """What the configuration is judged by after a SIGHUP: the file that is in use, good or not."""
+        assert self._service is not None
+        return platform_of(config, clients_most), self._service
+
     def _tier(self, loaded: Loaded, config: Config, system: System) -> Tier | None:
         wanted = loaded.service.tier
         if wanted is None:
@@ -190,5 +255,5 @@
             raise ServiceError([loaded.problem(("tier", "history"), str(problem))]) from None
         return Tier(
             config, peers, wanted.period, key, history, folder, system, specs_of(loaded), wanted.judge,
-            _collect(loaded), _permits(loaded),
+            _collect(loaded), _permits(loaded), loaded.service.control is not None,
         )  # fmt: skip
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -52,12 +52,14 @@
 class Tier:
     """One process of the tier. `folder`: where its list of members outlives it; `budgets`: of the fleet;
     `judges`: whether judgements on servers are shared; `collect`: the folder of all ledgers, and where the
-    billing side is; `permits`: to be out. Without any of these nothing of shared state is loaded."""
+    billing side is; `permits`: to be out; `shares`: budgets may come later. Without any of these nothing of
+    shared state is loaded."""
 
     def __init__(
         self, config: Config, peers: told.Told, period: int, key: bytes, history: History | None,
         folder: Path | None, system: System, budgets: Sequence[Spec] = (), judges: bool = False,
         collect: tuple[Path, tuple[str, int]] | None = None, permits: Rules | None = None,
+        shares: bool = False,
     ) -> None:  # fmt: skip
         self._told = peers
         self._system = system
@@ -81,7 +83,7 @@
         self._bytes_in = self._bytes_out = self._datagrams_in = 0
         self._thrown_all: Counter[str] = Counter()
         self._numbers = {address: number for number, address in enumerate(peers.peers)}
-        shares = bool(budgets or judges or collect or permits)
+        shares = shares or bool(budgets or judges or collect or permits)
         supports = wire.MEMBERSHIP | (wire.SHARED if shares else 0)
         self.core = Membership(
             peers.own, len(peers.peers), life_at(system.time_ns()),
@@ -155,6 +157,9 @@
             raise KeyError(name)
         return self.sharing.tokens(name)
 
+    def shares_budgets(self) -> bool:
+        return self.sharing is not None
+
     def nodes(self) -> int:
         return len(self._told.peers)
 
