A node's look-ups by the configuration's bounded tables of compiled routes and tenants

Need: a compiled route takes some 2 KB, so that a node can't hold 21,000 of them. Change: RequestTables goes by CompiledRoutes and TenantTable; Limited tells which added routes are idle.

--- a/driftstair/limits/limited.py
+++ b/driftstair/limits/limited.py
@@ -76,6 +76,11 @@
     def state(self, route: int) -> State:
         return self._states[route] if route < ADDED_FIRST else self._added_states[route]
 
+    def is_idle(self, route: int) -> bool:
+        """Whether no request is in flight on an added route."""
+        state = self._added_states.get(route)
+        return state is None or not state.in_flight
+
     def forget(self, route: int) -> None:
         """An added route is gone. Requests that are open on it keep what they came with."""
         self._added_states.pop(route, None)
--- a/driftstair/node_configuration/effects.py
+++ b/driftstair/node_configuration/effects.py
@@ -35,13 +35,11 @@
 
 
 class Compiled(Protocol):
-    """What was made of routes for requests, see `request_tables.RequestTables`."""
+    """What was made of resources of one kind for requests (`CompiledRoutes`, `TenantTable`)."""
 
-    def drop(self, name: str) -> None: ...
+    def on_change(self, name: str) -> None: ...
 
-    def drop_all(self) -> None: ...
-
-    def forget_gone(self, name: str) -> None: ...
+    def on_change_of_all(self) -> None: ...
 
 
 class ClusterEffects:
@@ -49,11 +47,11 @@
     something is in force otherwise than before."""
 
     def __init__(
-        self, tables: Compiled, respec: Callable[[dict[str, FleetBudget]], None],
+        self, routes: Compiled, tenants: Compiled, respec: Callable[[dict[str, FleetBudget]], None],
         drain: Callable[[list[str]], None], changed: Callable[[], None],
     ) -> None:  # fmt: skip
         self.cluster: Cluster | None = None
-        self._tables = tables
+        self._compiled = {ResourceKind.ROUTE: routes, ResourceKind.TENANT: tenants}
         self._respec = respec
         self._drain = drain
         self._tell = changed
@@ -62,18 +60,18 @@
 
     def on_switched(self, keys: Sequence[ResourceKey]) -> None:
         for key in keys:
-            if key.kind is ResourceKind.ROUTE:
-                self._tables.drop(key.name)
+            compiled = self._compiled.get(key.kind)
+            if compiled is not None:
+                compiled.on_change(key.name)
 
     def on_changed(self, keys: Sequence[ResourceKey]) -> None:
         for key in keys:
-            if key.kind is ResourceKind.ROUTE:
-                self._tables.forget_gone(key.name)
             self._budgets_changed |= key.kind is ResourceKind.BUDGET
             self._drains_changed |= key.kind is ResourceKind.DRAIN
 
     def on_replaced(self) -> None:
-        self._tables.drop_all()
+        for compiled in self._compiled.values():
+            compiled.on_change_of_all()
         self._budgets_changed = self._drains_changed = True
 
     def on_watch(self) -> None:
--- a/driftstair/node_configuration/request_tables.py
+++ b/driftstair/node_configuration/request_tables.py
@@ -2,109 +2,57 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable
 
-from driftstair.configuration.resources import ResourceKey, ResourceKind
-from driftstair.configuration.schema import ContentError, parse_route, parse_tenant
+from driftstair.configuration.resources import ResourceKey
+from driftstair.configuration.route_table import CompiledRoutes
+from driftstair.configuration.schema import BURST, TenantLimits
+from driftstair.configuration.tenant_table import TenantTable
 from driftstair.limits.limited import ADDED_FIRST, Limited
-from driftstair.limits.narrow import Rules, rules_of
+from driftstair.limits.narrow import Rules
 from driftstair.limits.routes import Asked
 from driftstair.limits.table import Table
 from driftstair.node_configuration.in_force import ConfigurationInForce
 from driftstair.node_configuration.tenant_limits import TenantLimit
 from lichenspring import interface as api
 
-TENANT_BURST = 10.0  # requests, where a tenant's limit names none; as a route's rate
-PARSED_TENANTS_MAX = 4_096  # contents that are remembered as figures: tenants have few plans
 
+def figures_of(limits: TenantLimits) -> TenantLimit:
+    """A tenant's limits as a request goes by them."""
+    burst = BURST if limits.burst is None else limits.burst
+    return TenantLimit(limits.per_s or 0.0, burst if limits.per_s else 0.0, limits.in_flight or 0)
 
-class RequestTables(Mapping[int, Rules]):
-    """Routes of the configuration by request; and by number, for `Limited`. Compiled when first used.
 
-    A route keeps its number while it is there, so that what is counted of it outlives its changes.
-    """
+class RequestTables:
+    """Routes and tenants of the configuration. `current`: what is in force now."""
 
-    def __init__(self, current: Callable[[], ConfigurationInForce], attempts_most: int) -> None:
-        """`current`: what is in force now."""
+    def __init__(self, current: Callable[[], ConfigurationInForce], attempts_max: int) -> None:
         self.limited: Limited | None = None  # which counts by these routes
         self._current = current
-        self._attempts_most = attempts_most
-        self._rules: dict[str, Rules] = {}  # compiled, by name
-        self._by_number: dict[int, Rules] = {}
-        self._numbers: dict[str, int] = {}  # of routes that were ever used
-        self._next_number = ADDED_FIRST
-        self._tenants: dict[bytes, TenantLimit] = {}  # by content
-
-    def __getitem__(self, number: int) -> Rules:
-        return self._by_number[number]
-
-    def __iter__(self) -> Iterator[int]:
-        return iter(self._by_number)
-
-    def __len__(self) -> int:
-        return len(self._by_number)
+        self.routes = CompiledRoutes(
+            self._content, attempts_max, ADDED_FIRST, self._has_none_open, self._forget
+        )  # fmt: skip
+        self.tenants: TenantTable[TenantLimit] = TenantTable(self._content, figures_of)
 
     def find(self, asked: Asked) -> Rules | None:
         name = self._current().find_route(asked)
-        if name is None:
-            return None
-        return self._rules.get(name) or self._compile(name)
+        return None if name is None else self.routes.rules(name)
 
     def serves(self, path: str) -> bool:
         return self._current().serves(path)
 
     def tenant(self, name: str) -> TenantLimit | None:
-        content = self._current().state.content(ResourceKey(ResourceKind.TENANT, name)) if name else None
-        if content is None:
-            return None
-        return self._tenants.get(content) or self._parse_tenant(content)
-
-    def drop(self, name: str) -> None:
-        """A route has changed: it is compiled anew when it is next used."""
-        self._rules.pop(name, None)
-
-    def drop_all(self) -> None:
-        """Another whole configuration is in force. Numbers stay: most of its routes are the same ones."""
-        self._rules.clear()
-        self._tenants.clear()
-
-    def forget_gone(self, name: str) -> None:
-        """What is counted of a route ends where it is there no more."""
-        if name not in self._numbers:
-            return
-        if self._current().state.content(ResourceKey(ResourceKind.ROUTE, name)) is None:
-            number = self._numbers.pop(name)
-            del self._by_number[number]
-            if self.limited is not None:
-                self.limited.forget(number)
-
-    def _compile(self, name: str) -> Rules | None:
-        content = self._current().state.content(ResourceKey(ResourceKind.ROUTE, name))
-        if content is None:
-            return None
-        try:
-            route = parse_route(name, content)
-        except ContentError:
-            return None  # nothing that was proved
-        number = self._numbers.get(name)
-        if number is None:
-            number = self._numbers[name] = self._next_number
-            self._next_number += 1
-        rules = rules_of(route, number, self._attempts_most)
-        self._rules[name] = self._by_number[number] = rules
-        return rules
-
-    def _parse_tenant(self, content: bytes) -> TenantLimit | None:
-        try:
-            told = parse_tenant(content)
-        except ContentError:
-            return None  # nothing that was proved
-        burst = TENANT_BURST if told.burst is None else told.burst
-        limit = TenantLimit(told.per_s or 0.0, burst if told.per_s else 0.0, told.in_flight or 0)
-        if len(self._tenants) >= PARSED_TENANTS_MAX:
-            self._tenants.clear()
-        self._tenants[content] = limit
-        return limit
+        return self.tenants.find(name) if name else None
+
+    def _content(self, key: ResourceKey) -> bytes | None:
+        return self._current().state.content(key)
+
+    def _has_none_open(self, number: int) -> bool:
+        return self.limited is None or self.limited.is_idle(number)
+
+    def _forget(self, number: int) -> None:
+        if self.limited is not None:
+            self.limited.forget(number)
 
 
 class CombinedTable:
@@ -127,6 +75,6 @@
         return self._file.serves(path) or self._configured.serves(path.decode("latin-1"))
 
     def limited(self, module: api.Module, settings: api.Settings, clock: Callable[[], int]) -> Limited:
-        limited = self._file.limited(module, settings, clock, self._configured)
+        limited = self._file.limited(module, settings, clock, self._configured.routes)
         self._configured.limited = limited
         return limited
--- a/driftstair/node_configuration/service.py
+++ b/driftstair/node_configuration/service.py
@@ -55,7 +55,9 @@
         self._generation = system.time_ns() // 1_000_000
         self._node: Node | None = None
         self.tables = RequestTables(lambda: self.application.current, config.settings.max_attempts)
-        self._effects = ClusterEffects(self.tables, respec, self._show_drained, self._report_soon)
+        self._effects = ClusterEffects(
+            self.tables.routes, self.tables.tenants, respec, self._show_drained, self._report_soon
+        )
         self._store = (
             None
             if wanted.folder is None
--- a/tests/limits/test_limited.py
+++ b/tests/limits/test_limited.py
@@ -400,6 +400,7 @@
     world.limited.replace(world.now, world.table.rules)
     world.ask_added(2, route)
     assert 2 in world.final
+    assert not world.limited.is_idle(route) and world.limited.is_idle(route + 1)
     world.limited.forget(route)
     del world.added[route]
     world.end(1, Result.OK)
