--- a/driftstair/node_configuration/application.py
+++ b/driftstair/node_configuration/application.py
@@ -28,7 +28,7 @@
 from driftstair.node_configuration.in_force import Applied, Circumstances, ConfigurationInForce, KeptContent
 from driftstair.node_configuration.loaded_file import LoadedFile
 from driftstair.node_configuration.persistence import ConfigurationStore
-from driftstair.node_configuration.reception import SnapshotCollector, check_order, checked_entry
+from driftstair.node_configuration.reception import SnapshotCollector, check_order, checking_entry
 from driftstair.node_configuration.records import (
     FORMAT,
     Header,
@@ -156,6 +156,7 @@
         assert self.watch is not None
         try:
             message = decode_watch_message(line)
+            await self.slices.after_step()
             if isinstance(message, Changes):
                 await self._on_changes(message)
             elif isinstance(message, SnapshotPart):
@@ -189,7 +190,7 @@
         check_order(changes, self._received_revision)
         self._received_revision += len(changes.change_sets)
         for logged in changes.change_sets:
-            entry = checked_entry(logged)
+            entry = await self._steps(checking_entry(logged))
             if collector is None:
                 await self._apply(entry)
             else:
@@ -237,6 +238,7 @@
         collector.check_part(part)
         if part.resources:
             collector.after = part.resources[-1].key
+        await self.slices.after_step()
         for resource in part.resources:
             collector.load(resource)
             await self.slices.after_step()
--- a/driftstair/node_configuration/loaded_file.py
+++ b/driftstair/node_configuration/loaded_file.py
@@ -43,7 +43,7 @@
 
     def _apply(self, changes: Changes) -> Iterator[None]:
         for logged in changes.change_sets:
-            self._state.apply(logged)
+            yield from self._state.applying(logged)
             yield
 
     def _end(self, end: SnapshotEnd) -> None:
--- a/driftstair/node_configuration/reception.py
+++ b/driftstair/node_configuration/reception.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from driftstair.configuration.change_sets import ChangeSetError, LoggedChangeSet, checked
+from collections.abc import Generator
+
+from driftstair.configuration.change_sets import (
+    CHANGES_MAX,
+    Change,
+    ChangeSet,
+    ChangeSetError,
+    LoggedChangeSet,
+    checked,
+)
 from driftstair.configuration.messages import Changes, MessageError, SnapshotPart
 from driftstair.configuration.resources import CONTENT_BYTES_MAX, NAME_BYTES_MAX, Resource, ResourceKey
 from driftstair.configuration.state import ConfigurationState
@@ -18,12 +27,20 @@
             raise MessageError(f"revision {logged.revision} came where {revision + offset} is the next")
 
 
-def checked_entry(logged: LoggedChangeSet) -> LoggedChangeSet:
-    """With canonical contents. Raises MessageError."""
+def checking_entry(logged: LoggedChangeSet) -> Generator[None, None, LoggedChangeSet]:
+    """Returns it with canonical contents; a change a step. Raises MessageError."""
+    given = logged.change_set
+    changes: dict[ResourceKey, Change] = {}
     try:
-        return LoggedChangeSet(logged.revision, checked(logged.change_set))
+        checked(ChangeSet(given.id))
+        for change in given.changes:
+            changes[change.key] = checked(ChangeSet(given.id, (change,))).changes[0]
+            yield
     except ChangeSetError as problem:
         raise MessageError(f"revision {logged.revision}: {problem}") from None
+    if len(changes) < len(given.changes) or len(changes) > CHANGES_MAX:
+        raise MessageError(f"revision {logged.revision}: a resource is changed twice, or too many are")
+    return LoggedChangeSet(logged.revision, ChangeSet(given.id, tuple(changes.values()), given.created_ms))
 
 
 class SnapshotCollector:
