--- a/tests/node_configuration/test_in_the_daemon.py
+++ b/tests/node_configuration/test_in_the_daemon.py
@@ -280,6 +280,54 @@
     run(test())
 
 
+def in_a_cluster(document: dict[str, Any]) -> dict[str, Any]:
+    """A cluster of this one node."""
+    found: dict[str, Any] = json.loads(json.dumps(document))
+    found["settings"] |= {"SelfIndex": 0, "PeersTotal": 1, "MyZone": 0}
+    found["settings"]["Limits"]["Peers"] = True
+    own = f"127.0.0.1:{free_port()}"
+    return found | {"peer_listen": own, "peers": [own]}
+
+
+def test_budgets_of_the_configuration_go_to_the_cluster_beside_the_files_and_outlive_its_reload(
+    tmp_path: Path,
+) -> None:
+    key = tmp_path / "key"
+    key.write_text("the key of a cluster of tests")
+    key.chmod(0o600)
+    cluster = f'[tier]\nkey = "{key}"\nperiod = "200ms"\n'
+    paced = {"match": {"class": ["page"]}, "admit": {"rate": {"fleet": "all"}}}
+
+    async def test() -> None:
+        log = Log()
+        log.put(change(BUDGET, "all", {"per_s": 0.01, "burst": "300s"}), change(ROUTE, "pages", paced))
+        log.put(change(BUDGET, "small", {"per_s": 0.01, "burst": "1s"}))
+        async with ControlServer() as control, Server("s-1") as server:
+            control.begin = [log.changes(), log.freshness()]
+            env = environment(tmp_path, service(control, more=cluster))
+            document = in_a_cluster(configuration(server))
+            async with program(document, tmp_path, env=env) as node:
+                await in_force(control, 2)
+                (refused,) = control.reports[-1].refused
+                assert refused.resource == "budget/small" and "never has one" in refused.reason
+                client = await node.client()
+                found = [await asked(client) for _ in range(6)]
+                assert 503 in found and found.count(200) <= 4, found
+                log.put(change(BUDGET, "all", {"per_s": 1000.0, "burst": "1s"}))
+                control.say(log.changes(2))
+                await in_force(control, 3)
+                while await asked(client) != 200:  # until enough is saved up
+                    await asyncio.sleep(0.01)
+                own = cluster + "[tier.budgets.own]\nper_s = 5.0\n"
+                environment(tmp_path, service(control, more=own))
+                node.process.send_signal(signal.SIGHUP)
+                await lines_until(node, "limits of")
+                await asyncio.sleep(0.05)  # what is saved up
+                assert [await asked(client) for _ in range(10)] == [200] * 10
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("table", "words"),
     [
