Bounds of one configured route: headers, letters and parts of its path

Cause: no step of a check may be long, and a template of 1,500 parts beside another one would have ended in a RecursionError: the walk goes one call a part. Change: 16 headers, 1,024 letters, 32 parts at most; budgets of a set are parsed in steps.

--- a/driftstair/configuration/assessment.py
+++ b/driftstair/configuration/assessment.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -13,9 +13,13 @@
 from driftstair.configuration.route_overlap import RouteView
 from driftstair.configuration.schema import ContentError, parse_content
 from driftstair.limits.findings import Circumstances, Finding
-from driftstair.service.schema import FleetBudget, Route, Table
+from driftstair.service.schema import FleetBudget, Match, Route, Table
 
-CELLS_MAX = 64  # combinations of class, tenant and method of one route: each is a line of the index
+# Of one route, so that no step of a check is long. Each combination is a line of the index.
+CELLS_MAX = 64  # combinations of class, tenant and method
+HEADERS_MAX = 16
+PATH_LETTERS_MAX = 1_024
+PATH_PARTS_MAX = 32
 
 
 class Violation(NamedTuple):
@@ -75,13 +79,10 @@
 
     def facts(self, key: ResourceKey, route: Route, given: Circumstances) -> RouteFacts | None:
         """Of a route that can be indexed; what stands in the way is a violation."""
-        cells = 1
-        for names in (route.match.classes, route.match.tenant, route.match.method):
-            cells *= max(1, len(set(names or ())))
-        if cells > CELLS_MAX:
-            why = f"names {cells} combinations of class, tenant and method; several routes of {CELLS_MAX}"
-            self.violate(key, "match", f"{why} would do")
-            return None
+        for where, count, most, what in _sizes(route.match):
+            if count > most:
+                self.violate(key, where, f"names {count:,} {what}; {most:,} at most would do")
+                return None
         try:
             return RouteFacts.of(route, given)
         except ValueError as problem:
@@ -89,6 +90,18 @@
             return None
 
 
+def _sizes(match: Match) -> Iterator[tuple[str, int, int, str]]:
+    """What of a match makes its lines in the index more or longer: where, how many, how many may be."""
+    cells = 1
+    for names in (match.classes, match.tenant, match.method):
+        cells *= max(1, len(set(names or ())))
+    yield "match", cells, CELLS_MAX, "combinations of class, tenant and method"
+    yield "match.header", len(match.header), HEADERS_MAX, "headers"
+    path = match.path or ""
+    yield "match.path", len(path), PATH_LETTERS_MAX, "letters"
+    yield "match.path", path.count("/"), PATH_PARTS_MAX, "parts"
+
+
 def explained(finding: Finding) -> str:
     """A finding in one line, without its path."""
     rule = f" (would break: {finding.rule})" if finding.rule else ""
--- a/driftstair/configuration/validation.py
+++ b/driftstair/configuration/validation.py
@@ -73,7 +73,7 @@
     def assessing(self, change_set: ChangeSet, judge: bool = True) -> Generator[None, None, Assessment]:
         """`check` in steps of under a millisecond. Nothing may be applied in between."""
         assessment = Assessment.of(change_set, self.routes, self.budgets)
-        self._stage_budgets(assessment)
+        yield from self._stage_budgets(assessment)
         for change in change_set.changes:
             if judge and change.key in self._own_names and not change.deletes:
                 assessment.violate(change.key, WHOLE, "the node's own service file has one of this name")
@@ -107,7 +107,7 @@
 
     # Staging.
 
-    def _stage_budgets(self, assessment: Assessment) -> None:
+    def _stage_budgets(self, assessment: Assessment) -> Generator[None, None, None]:
         for change in assessment.change_set.changes:
             if change.kind is not ResourceKind.BUDGET:
                 continue
@@ -115,6 +115,7 @@
             budget = None if change.deletes else assessment.parse(change)
             if isinstance(budget, FleetBudget):
                 assessment.budgets[change.name] = budget
+            yield
 
     def _stage_route(
         self, assessment: Assessment, change: Change, judge: bool
--- a/tests/configuration/test_validation.py
+++ b/tests/configuration/test_validation.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from limits.platform_of_tests import PLATFORM
 
-from driftstair.configuration.assessment import CELLS_MAX
+from driftstair.configuration.assessment import CELLS_MAX, HEADERS_MAX, PATH_PARTS_MAX
 from driftstair.configuration.change_sets import Change, ChangeSet
 from driftstair.configuration.resources import ResourceKey, ResourceKind, canonical
 from driftstair.configuration.validation import BUDGETS_MAX, IncrementalValidator, Violation, run
@@ -305,6 +305,9 @@
         (ROUTE, "r1", {"match": {"path": "a"}}, "match.path", "does not begin with /"),
         (ROUTE, "r1", {"match": {"class": []}}, "match.class", "at least 1 item"),
         (ROUTE, "r1", {"match": {"tenant": [str(n) for n in range(65)]}}, "match", "65 combinations"),
+        (ROUTE, "r1", {"match": {"header": {str(n): "1" for n in range(17)}}}, "match.header", "17 headers"),
+        (ROUTE, "r1", {"match": {"path": "/{x}" * 33}}, "match.path", "33 parts"),
+        (ROUTE, "r1", {"match": {"path": "/" + "x" * 1_024}}, "match.path", "1,025 letters"),
         (BUDGET, "b1", {}, "per_s", "is missing"),
         (BUDGET, "b1", {"per_s": 1.0, "burst": "1ms"}, "burst", "greater than or equal"),
         (BUDGET, "b/1", {"per_s": 1.0}, "$", "is no name"),
@@ -331,6 +334,18 @@
         assert len(found) == 1
 
 
+def test_a_route_of_the_greatest_size_is_judged_beside_others_of_it() -> None:
+    def match(number: int) -> dict[str, Any]:
+        header = {f"x-{place}": f"{number}" for place in range(HEADERS_MAX)}
+        tenants = [f"t{place}" for place in range(CELLS_MAX // 2)]
+        path = "/{x}/" + "/".join(f"{place}" for place in range(PATH_PARTS_MAX - 1))
+        return {"match": {"header": header, "tenant": tenants, "method": ["GET", "POST"], "path": path}}
+
+    validator = applied(*((ROUTE, f"r{number}", match(number)) for number in range(5)))
+    assert violations_of(validator, (ROUTE, "r9", match(9))) == []
+    assert violations_of(validator, (ROUTE, "r9", match(3))) != []
+
+
 def test_contents_of_all_kinds_that_are_right() -> None:
     assert CELLS_MAX == 64
     tenants = [str(number) for number in range(CELLS_MAX)]
