A validator over somebody else's state reads that state, also while it is empty

Cause: 'contents or ...' took an empty state for none, as it has a length of 0, and read another one for ever: on a node no replaced or deleted route left the index, nor the sums. Change: tested for None; a route that was applied unchecked and is too large for the index is left out of the sums when it goes, too.

--- a/driftstair/configuration/assessment.py
+++ b/driftstair/configuration/assessment.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -11,7 +11,7 @@
 from driftstair.configuration.route_facts import RouteFacts, RouteSums
 from driftstair.configuration.route_index import RouteIndex
 from driftstair.configuration.route_overlap import RouteView
-from driftstair.configuration.schema import ContentError, parse_content
+from driftstair.configuration.schema import ContentError, Fault, parse_content
 from driftstair.limits.findings import Circumstances, Finding
 from driftstair.service.schema import FleetBudget, Match, Route, Table
 
@@ -79,10 +79,10 @@
 
     def facts(self, key: ResourceKey, route: Route, given: Circumstances) -> RouteFacts | None:
         """Of a route that can be indexed; what stands in the way is a violation."""
-        for where, count, most, what in _sizes(route.match):
-            if count > most:
-                self.violate(key, where, f"names {count:,} {what}; {most:,} at most would do")
-                return None
+        fault = oversize(route.match)
+        if fault is not None:
+            self.violate(key, fault.where, fault.why)
+            return None
         try:
             return RouteFacts.of(route, given)
         except ValueError as problem:
@@ -90,16 +90,21 @@
             return None
 
 
-def _sizes(match: Match) -> Iterator[tuple[str, int, int, str]]:
-    """What of a match makes its lines in the index more or longer: where, how many, how many may be."""
+def oversize(match: Match) -> Fault | None:
+    """What of a match would make too many or too long lines in the index."""
     cells = 1
     for names in (match.classes, match.tenant, match.method):
         cells *= max(1, len(set(names or ())))
-    yield "match", cells, CELLS_MAX, "combinations of class, tenant and method"
-    yield "match.header", len(match.header), HEADERS_MAX, "headers"
     path = match.path or ""
-    yield "match.path", len(path), PATH_LETTERS_MAX, "letters"
-    yield "match.path", path.count("/"), PATH_PARTS_MAX, "parts"
+    for where, count, most, what in (
+        ("match", cells, CELLS_MAX, "combinations of class, tenant and method"),
+        ("match.header", len(match.header), HEADERS_MAX, "headers"),
+        ("match.path", len(path), PATH_LETTERS_MAX, "letters"),
+        ("match.path", path.count("/"), PATH_PARTS_MAX, "parts"),
+    ):
+        if count > most:
+            return Fault(where, f"names {count:,} {what}; {most:,} at most would do")
+    return None
 
 
 def explained(finding: Finding) -> str:
--- a/driftstair/configuration/validation.py
+++ b/driftstair/configuration/validation.py
@@ -10,7 +10,7 @@
 from collections.abc import Generator, Iterator, Mapping
 from typing import Protocol, TypeVar
 
-from driftstair.configuration.assessment import Assessment, RouteChange, Violation, explained
+from driftstair.configuration.assessment import Assessment, RouteChange, Violation, explained, oversize
 from driftstair.configuration.change_sets import Change, ChangeSet, LoggedChangeSet
 from driftstair.configuration.resources import ResourceKey, ResourceKind
 from driftstair.configuration.route_facts import RouteFacts, RouteSums
@@ -25,9 +25,6 @@
 __all__ = ["Contents", "IncrementalValidator", "Violation", "run"]
 
 BUDGETS_MAX = 32  # of the fleet; as [tier.budgets] holds
-CELLS_MAX = (
-    64  # combinations of class, tenant and method that one route may name: each is a line of the index
-)
 NO_SERVICE = Service(version=1)
 
 Result = TypeVar("Result")
@@ -51,8 +48,9 @@
         self.budgets: dict[str, FleetBudget] = {}
         self._platform = platform
         self._own = own
-        self._kept = ConfigurationState() if contents is None else None
-        self._contents: Contents = contents or ConfigurationState() if self._kept is None else self._kept
+        self._kept = ConfigurationState()  # stays empty where somebody else keeps them
+        self._keeps = contents is None
+        self._contents: Contents = self._kept if contents is None else contents
         self._sums = RouteSums()
         self._own_names = {
             *(ResourceKey(ResourceKind.ROUTE, route.name) for route in own.route),
@@ -101,7 +99,7 @@
             if change.after is not None:
                 self.routes.add(name, change.after.pattern)
             yield
-        if self._kept is not None:
+        if self._keeps:
             logged = LoggedChangeSet(self._kept.revision + 1, assessment.change_set)
             yield from self._kept.applying(logged)
 
@@ -146,7 +144,8 @@
         if content is None:
             return None
         try:
-            return RouteFacts.of(parse_route(key.name, content), given)
+            route = parse_route(key.name, content)
+            return None if oversize(route.match) else RouteFacts.of(route, given)
         except (ContentError, ValueError):
             return None  # never in the indexes either, see `apply`
 
