--- a/tests/configuration/test_validation.py
+++ b/tests/configuration/test_validation.py
@@ -302,6 +302,21 @@
     assert violations_of(validator, (ROUTE, "r3", rate(0.5))) != []
 
 
+def test_rates_that_are_a_budget_of_the_fleet_count_for_each_route() -> None:
+    def rate(path: str) -> dict[str, Any]:
+        return {"match": {"path": path}, "admit": {"rate": {"fleet": "b1"}}}
+
+    budget = (BUDGET, "b1", {"per_s": 40.0})
+    own = Service(version=1, fleet=FLEET)
+    validator = applied(budget, (ROUTE, "r1", rate("/1")), (ROUTE, "r2", rate("/2")), own=own)
+    (route,) = violations_of(validator, (ROUTE, "r3", rate("/3")))
+    assert route.resource == ResourceKey(ROUTE, "r3") and "120 requests a second" in route.why
+    (grown,) = violations_of(validator, (BUDGET, "b1", {"per_s": 64.0}))
+    assert (grown.resource, grown.where) == (ResourceKey(BUDGET, "b1"), "per_s")
+    assert violations_of(validator, (BUDGET, "b1", {"per_s": 64.0}), (ROUTE, "r1", None)) == []
+    assert violations_of(validator, (BUDGET, "b1", {"per_s": 20.0}), (ROUTE, "r3", rate("/3"))) == []
+
+
 def test_names_of_the_nodes_own_file_are_taken_and_its_promises_count() -> None:
     tree = {
         "version": 1, "fleet": {"per_s": 100.0}, "tier": {"key": "k", "budgets": {"mine": {"per_s": 5.0}}},
