Hollow nodes start over a whole period, and each turn of their control is timed

Nodes started in one turn of a loop had all their periods and rounds at one time: bursts of some hundred ms a worker (1,600 nodes, dilation 16: timers late by 21 ms at the median, 0.4 s at worst). Now they are spread over a second. A node's traffic over its end was counted in one second (222 KB in a rolling restart): its meter now goes on.

--- a/benchmarks/scale/hollow/cluster.py
+++ b/benchmarks/scale/hollow/cluster.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import tempfile
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -17,10 +16,9 @@
 from benchmarks.scale.hollow.plan import Address, Plan
 from benchmarks.scale.hollow.record import Held
 from benchmarks.scale.hollow.record import read as read_records
-from benchmarks.scale.rows import ROOT
+from benchmarks.scale.worker_process import WorkerProcess
 
 MEMORY_MOST = 10 << 30  # bytes of all workers: under half of a machine of 23 GB
-ANSWER_WITHIN = 300.0  # s: only a worker that has failed takes so long
 LOOK = 0.5  # s between two looks at the memory, real time
 
 
@@ -28,45 +26,6 @@
     """The workers took more than MEMORY_MOST."""
 
 
-class WorkerProcess:
-    """One worker, and its orders one after the other."""
-
-    def __init__(self, process: asyncio.subprocess.Process) -> None:
-        self._process = process
-        self._decode = msgspec.json.Decoder[orders.Answer](orders.Answer).decode
-
-    @classmethod
-    async def launch(cls, dilation: float) -> WorkerProcess:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "benchmarks.scale.hollow.worker", str(dilation), cwd=ROOT,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=16 << 20,
-        )  # fmt: skip
-        return cls(process)
-
-    async def ask(self, order: orders.Order) -> orders.Answer:
-        """Raises RuntimeError where the worker has ended, TimeoutError where it does not answer."""
-        assert self._process.stdin is not None and self._process.stdout is not None
-        self._process.stdin.write(msgspec.json.encode(order) + b"\n")
-        line = await asyncio.wait_for(self._process.stdout.readline(), ANSWER_WITHIN)
-        if not line:
-            raise RuntimeError("a worker has ended")
-        return self._decode(line)
-
-    def resident(self) -> int:
-        """Bytes in memory."""
-        try:
-            text = Path(f"/proc/{self._process.pid}/status").read_text()
-        except OSError:
-            return 0
-        return next((int(line.split()[1]) << 10 for line in text.splitlines() if line.startswith("VmRSS")), 0)
-
-    async def end(self) -> None:
-        """Whatever it does."""
-        if self._process.returncode is None:
-            self._process.kill()
-        await self._process.wait()
-
-
 class Totals(msgspec.Struct, frozen=True):
     """Of all nodes, over some seconds of their clock; rates are a node's mean."""
 
@@ -89,6 +48,9 @@
     thrown: dict[str, int]
     held_back: int
     spent: float  # tokens a second of all
+    steps: int
+    long_steps: int
+    longest_step: float  # s
 
 
 def total(parts: list[orders.Figures], empty: list[int]) -> Totals:
@@ -118,7 +80,8 @@
         sum(part.deaths for part in parts), sum(part.unsent for part in parts),
         sum(part.facts * part.nodes for part in parts) / nodes, sum(part.dropped for part in parts),
         dict(thrown), sum(part.held_back for part in parts),
-        sum(part.spent for part in parts) / seconds,
+        sum(part.spent for part in parts) / seconds, sum(part.steps for part in parts),
+        sum(part.long_steps for part in parts), max(part.longest_step for part in parts),
     )  # fmt: skip
 
 
@@ -127,14 +90,19 @@
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
-        self._workers: list[WorkerProcess] = []
+        self._workers: list[WorkerProcess[orders.Answer]] = []
         self._empty: list[int] = []
         self._addresses: list[Address] = []
         self._folder = tempfile.TemporaryDirectory()
 
     async def __aenter__(self) -> Cluster:
+        decoder = msgspec.json.Decoder[orders.Answer](orders.Answer)
         for _ in range(self.plan.processes):
-            self._workers.append(await WorkerProcess.launch(self.plan.dilation))
+            self._workers.append(
+                await WorkerProcess.launch(
+                    "benchmarks.scale.hollow.worker", str(self.plan.dilation), answers=decoder.decode
+                )
+            )
         bound = await asyncio.gather(*(
             worker.ask(orders.Prepare(self.plan, index, self._folder.name))
             for index, worker in enumerate(self._workers)
--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -19,6 +19,7 @@
     zone_of,
 )
 from benchmarks.scale.hollow.record import RecordedHistory, Records
+from benchmarks.scale.hollow.steps import Steps, TimedTier
 from benchmarks.scale.hollow.system import HollowSystem, Links, Meter
 from driftstair import config
 from driftstair.rehearsal import load, platform
@@ -26,7 +27,7 @@
 from driftstair.tier import kept, wire
 from driftstair.tier.membership.members import Claim, State, Traits
 from driftstair.tier.ownership.permits import Rules
-from driftstair.tier.service import Tier, life_at
+from driftstair.tier.service import life_at
 from driftstair.tier.shared.budget import Spec
 from driftstair.tier.told import Told
 
@@ -61,14 +62,17 @@
 class HollowNode:
     """Process after process of one node's number."""
 
-    def __init__(self, number: int, plan: Plan, folder: Path, links: Links, records: Records) -> None:
+    def __init__(
+        self, number: int, plan: Plan, folder: Path, links: Links, records: Records, steps: Steps
+    ) -> None:
         self.number = number
-        self.tier: Tier | None = None
+        self.tier: TimedTier | None = None
         self.spent = 0  # tokens of the shared budget
         self._plan = plan
         self._folder = folder
         self._links = links
         self._records = records
+        self._steps = steps
         self._generation = 0
         self._system: HollowSystem | None = None
         self._past = Meter()  # of earlier processes
@@ -82,12 +86,13 @@
         told = Told(peers[self.number], peers, self.number, zone_of(self.number))
         seed = plan.seed << 32 | self._generation << 16 | self.number
         self._system = system
-        self.tier = Tier(
+        self.tier = TimedTier(
             replace(base_config(), name=f"n{self.number}", seed=seed), told, plan.period, KEY,
             RecordedHistory(self._records, plan.notes(self.number)), self._folder, system,
             (Spec(BUDGET, PER_S * plan.count, BURST),) if plan.budgets else (), plan.judge, None,
             Rules() if plan.permits else None,
         )  # fmt: skip
+        self.tier.steps = self._steps
         self.tier.start()
         self._generation += 1
 
@@ -115,10 +120,10 @@
     async def _end(self) -> None:
         tier, system = self.tier, self._system
         assert tier is not None and system is not None
-        self.tier = self._system = None
+        self.tier = None
         system.writes = True
         await tier.close()
-        self._past = self.meter_with(system.meter)
+        self._past, self._system = self.meter(), None
 
     def meter_with(self, latest: Meter) -> Meter:
         past = self._past
--- a/benchmarks/scale/hollow/orders.py
+++ b/benchmarks/scale/hollow/orders.py
@@ -98,6 +98,9 @@
     thrown: dict[str, int]
     held_back: int  # nodes that hold the failing server back
     spent: int  # tokens of the shared budget
+    steps: int  # timers and datagrams that nodes handled
+    long_steps: int  # that took over 2 ms of processor time
+    longest_step: float  # s
 
 
 class Pairs(msgspec.Struct, tag=True):
--- a/benchmarks/scale/hollow/worker.py
+++ b/benchmarks/scale/hollow/worker.py
@@ -22,12 +22,14 @@
 from benchmarks.scale.hollow.node import FEEDS_PER_S, HollowNode, base_config, write_member_list
 from benchmarks.scale.hollow.plan import FAILING, Address, Plan, host_of
 from benchmarks.scale.hollow.record import Records
+from benchmarks.scale.hollow.steps import Steps
 from benchmarks.scale.hollow.system import Links
 from driftstair.tier.membership.members import Member, State
 
 LINE_MOST = 16 << 20  # bytes of an order
 TICK = 0.05  # s of the nodes' clock
 TICKS_PER_S = round(1 / TICK)
+START_SPREAD = 1.0  # s over which nodes are started: all phases of a period
 LEAVING = 1.0  # s between the word of a planned end and the end: a drain
 DOWN = 1.0  # s until the next process of the node starts
 
@@ -74,9 +76,10 @@
         self._records = Records()
         self._record_file = folder / f"records-{worker}"
         self._links = Links()
+        self._steps = Steps()
         self._addresses: list[Address] = []
         self.nodes = [
-            HollowNode(number, plan, folder, self._links, self._records)
+            HollowNode(number, plan, folder, self._links, self._records, self._steps)
             for number in plan.numbers_of(worker)
         ]  # fmt: skip
         self._by_number = {node.number: node for node in self.nodes}
@@ -98,16 +101,20 @@
 
     # Orders.
 
-    def start(self, addresses: list[Address]) -> None:
+    async def start(self, held: list[socket.socket], addresses: list[Address]) -> None:
+        """One node after the other: nodes of a cluster don't have their periods at one time, as those that
+        are started in one turn of a loop would."""
         self._addresses = addresses
         self._links.numbers = {(one.host, one.port): number for number, one in enumerate(addresses)}
-        logging.disable(logging.INFO)  # a line for each member of a list that is known anyway
-        for node in self.nodes:
+        for node, own in zip(self.nodes, held, strict=True):
             if self._plan.persisted:
                 write_member_list(node.member_list(), self._plan, node.number)
+            own.close()
+            logging.disable(logging.INFO)  # a line for each member of a list that is known anyway
             node.start(addresses)
+            logging.disable(logging.NOTSET)
             node.member_list().unlink(missing_ok=True)
-        logging.disable(logging.NOTSET)
+            await asyncio.sleep(START_SPREAD / len(self.nodes))
         gc.collect()
         gc.freeze()  # as the daemon does once it serves
         self._spawn(self._tick())
@@ -171,6 +178,7 @@
             dropped=sum(one._facts.dropped for one in judges),
             thrown={why: number for why, number in thrown.items() if number},
             held_back=sum(FAILING in one.out for one in judges), spent=spent["tokens"],
+            steps=self._steps.count, long_steps=self._steps.long, longest_step=self._steps.longest / 1e9,
         )  # fmt: skip
         self._begin_anew()
         return out
@@ -178,6 +186,7 @@
     def _begin_anew(self) -> None:
         self._traffic.begin_anew()
         self._late.clear()
+        self._steps.begin_anew()
         self._records.stood_still = self._records.suspicions = self._records.deaths = 0
         self._began, self._cpu, self._before = time.monotonic(), time.process_time(), self._totals()
 
@@ -225,10 +234,8 @@
 
 
 async def carry_out(worker: Worker, order: orders.Order, dilation: float) -> orders.Answer:
-    """Any order but the first and the last."""
+    """Any order to nodes that run."""
     match order:
-        case orders.Start(addresses):
-            worker.start(addresses)
         case orders.Kill(numbers):
             await worker.kill(numbers)
         case orders.Revive(numbers):
@@ -270,9 +277,10 @@
         if isinstance(order, orders.Stop):
             break
         if isinstance(order, orders.Start):
-            for one in held:
-                one.close()
-        _say(await carry_out(worker, order, dilation))
+            await worker.start(held, order.addresses)
+            _say(orders.Done(dilated_ns(dilation)))
+        else:
+            _say(await carry_out(worker, order, dilation))
     await worker.close()
 
 
--- a/benchmarks/scale/steady.py
+++ b/benchmarks/scale/steady.py
@@ -95,7 +95,8 @@
         "late_worst_ms": round(totals.late[2] * 1e3, 1), "stood_still": totals.stood_still,
         "suspicions": totals.suspicions, "false_deaths": totals.deaths, "unsent": totals.unsent,
         "facts": round(totals.facts, 1), "facts_dropped": totals.dropped, "held_back_by": totals.held_back,
-        "tokens_s": round(totals.spent, 1),
+        "tokens_s": round(totals.spent, 1), "longest_step_ms": round(totals.longest_step * 1e3, 2),
+        "long_steps_per_million": round(1e6 * totals.long_steps / max(1, totals.steps), 1),
         "thrown": " ".join(f"{why}:{number}" for why, number in sorted(totals.thrown.items())) or "-",
     }  # fmt: skip
 
