--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -29,6 +29,7 @@
 TOLD_LOW = 0.2  # of it: what little is in use tells little of how much more would be
 CARRIED_WEIGHT = 0.25  # part of a window in the mean of requests in flight that late reports belong to
 LEAST_PER_SERVER = 0.3  # of a class, likewise, are always let in: without samples no cap could rise again
+TRY_AGAIN = 5 * SECOND // 2  # without an attempt, whatever the caps say: only one tells of better servers
 UNANSWERED_WEIGHT = 0.08  # part of the newest attempt in the share that goes unanswered: the last dozen or so
 WORTH_ABOVE = 1.2  # times the worth for its work: a class whose threshold binds the lesser ones too
 WORTH_MORE = 2.0  # times the worth for its work: a class that the lesser ones leave room for
@@ -206,6 +207,7 @@
         self._open: dict[int, Open] = {}
         self._caps = [0.0] * len(settings.classes)  # requests in flight at which a class is refused
         self._in_flight = InFlight()
+        self._last_sent = 0  # when the newest attempt was made
         self._carried = 0.0  # its mean over the time that reports tell of
         self._told, self._reports = 0.0, 0  # mean part of cores in use, by reports of late, and their number
         self._arrivals = 0  # of all tenants
@@ -234,7 +236,8 @@
 
     def start(self, now: int) -> list[api.Action]:
         """First actions; the cached list follows as an event."""
-        # Nodes that start together would cut together: each has its own phase.
+        # Nodes that start together would cut together, and try together: each has its own phase.
+        self._last_sent = now - self._jittered(TRY_AGAIN, 0.0)
         actions: list[api.Action] = [api.SetTimer(now + self._jittered(PERIOD, 0.0), TICK_TOKEN)]
         if self._settings.list_mode is ListMode.ON_REQUEST:
             spread = min(ASK_SPREAD_MOST, int(self._settings.ask_within * ASK_SPREAD))
@@ -331,6 +334,8 @@
         part = OVER_SHARE_PART if self._is_over_share(request.tenant) else 1.0
         if request.limits is not None:
             part *= request.limits.admitted
+        if now - self._last_sent >= TRY_AGAIN:
+            return True
         return self._has_room(now, request, part * RESUBMITTED_PART if request.resubmitted else part)
 
     def _has_room(self, now: int, request: api.Request, part: float = 1.0) -> bool:
@@ -372,7 +377,7 @@
             self._refuse(entry)
 
     def _send_first(self, now: int, entry: Open) -> bool:
-        backend = self._pick(now, entry)
+        backend = self._pick(now, entry) or self._pick_untold(now)
         if backend is None:
             return False
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
@@ -382,6 +387,7 @@
 
     def _send(self, now: int, entry: Open, backend: Backend) -> None:
         within = entry.repeats_dropped_for(now)
+        self._last_sent = now
         entry.attempts.append(Attempt(backend, now, self._connect(now, backend)))
         backend.in_flight += 1
         backend.trial = backend.ejected_until > 0
@@ -597,6 +603,15 @@
                 break
         return min(pair or full, key=partial(self._load, now, entry.request.class_index), default=None)
 
+    def _pick_untold(self, now: int) -> Backend | None:
+        """For a node that has met no warm server, so that nothing tells what a cold one can do: now and then
+        the one whose budget is least overdrawn. Guards against a fleet that starts together with all of its
+        servers, and sends them nothing until they are warm."""
+        if self._rate or now - self._last_sent < TRY_AGAIN:
+            return None
+        able = [one for one in (*self._ready, *self._others) if not one.ejected_until]
+        return max(able, key=lambda one: one.tokens) if able else None
+
     def _candidates(self, entry: Open) -> Iterator[Backend]:
         """Servers in the order of this request's preference; some come more than once."""
         if table := self._table:
