Replicated log: no work over uncommitted entries where nothing is cut or due

A leader without a majority took 13.5 s for 4,096 proposals in a test: each append looked through all unsynced writes, and each deadline was searched for.

--- a/driftstair/control/replication/proposals.py
+++ b/driftstair/control/replication/proposals.py
@@ -28,7 +28,7 @@
         self._state = state
         self._revisions: dict[str, int] = {}  # of uncommitted sets by id
         self._changes: dict[ResourceKey, _LastChange] = {}  # by uncommitted entries
-        self._deadlines: dict[str, int] = {}  # ns, by id: who is to be answered
+        self._deadlines: dict[str, int] = {}  # ns, by id: who is to be answered; the earliest first
         for entry in uncommitted:
             self.add(entry)
 
@@ -77,7 +77,11 @@
 
     def expired(self, now_ns: int) -> list[str]:
         """Those who waited too long; they may come again."""
-        ids = [id_ for id_, deadline in self._deadlines.items() if deadline <= now_ns]
+        ids = []
+        for id_, deadline in self._deadlines.items():
+            if deadline > now_ns:
+                break
+            ids.append(id_)
         for id_ in ids:
             del self._deadlines[id_]
         return ids
@@ -89,4 +93,4 @@
 
     @property
     def next_deadline_ns(self) -> int | None:
-        return min(self._deadlines.values(), default=None)
+        return next(iter(self._deadlines.values()), None)
--- a/driftstair/control/replication/replica.py
+++ b/driftstair/control/replication/replica.py
@@ -234,6 +234,8 @@
         return persist
 
     def _cut_after(self, revision: int) -> None:
+        if revision == self.log.last.revision:
+            return
         self.log.cut_after(revision)
         self.synced_revision = min(self.synced_revision, revision)
         self._unsynced = [Unsynced(one.sequence, min(one.revision, revision)) for one in self._unsynced]
