--- /dev/null
+++ b/tests/control/test_replication_messages.py
@@ -0,0 +1,103 @@
+"""Messages between replicas: what is written is read, and anything else is one line and nothing more."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+import pytest
+from cluster import change_set
+
+from driftstair.configuration.resources import Resource, ResourceKind
+from driftstair.control.replication.messages import (
+    MESSAGE_BYTES_MAX,
+    START,
+    Alive,
+    Append,
+    Appended,
+    LeaseMessage,
+    LogEntry,
+    LogPosition,
+    Mismatch,
+    Prepare,
+    Promise,
+    Refusal,
+    ReplicationMessage,
+    ReplicationMessageError,
+    SnapshotPart,
+    SnapshotProgress,
+    decode,
+    encode,
+)
+
+TOKEN = (1 << 63) + 12_345  # tokens take 64 bits
+ENTRIES = (LogEntry(4, 7, change_set("a", "t", 1)), LogEntry(5, TOKEN, change_set("b")))
+RESOURCE = Resource(ResourceKind.ROUTE, "r", 3, msgspec.Raw(b'{"path":"/x"}'))
+MESSAGES: list[ReplicationMessage] = [
+    Prepare(TOKEN),
+    Promise(TOKEN, LogPosition(7, 3), 7),
+    Append(TOKEN, 1, LogPosition(7, 3), ENTRIES, 3, (START, LogPosition(7, 3), START)),
+    Append(TOKEN, 2, START, (), 0),
+    Appended(TOKEN, 1, 5),
+    Mismatch(TOKEN, 1, 2),
+    Refusal(7, TOKEN),
+    SnapshotPart(TOKEN, 1, LogPosition(7, 3), 0, True, (RESOURCE,), (("a", 1),)),
+    SnapshotProgress(TOKEN, 1, LogPosition(7, 3), 2),
+    LeaseMessage(12, (20, 99, TOKEN)),
+    Alive(),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda message: type(message).__name__)
+def test_each_message_is_read_as_it_was_written(message: ReplicationMessage) -> None:
+    assert decode(encode(message)) == message
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda message: type(message).__name__)
+def test_a_message_cut_off_anywhere_is_an_error(message: ReplicationMessage) -> None:
+    document = encode(message)
+    for size in range(len(document)):
+        with pytest.raises(ReplicationMessageError) as problem:
+            decode(document[:size])
+        assert "\n" not in str(problem.value)
+
+
+@pytest.mark.parametrize(
+    ("document", "where"),
+    [
+        (b'{"type":"other"}', "type"),
+        (b'{"type":"prepare","token":-1}', "token"),
+        (b'{"type":"prepare","token":"1"}', "token"),
+        (b'{"type":"promise","token":1,"last":[1],"followed":0}', "last"),
+        (b"[]", "array"),
+        (b"\xff\xfe", ""),
+        (b" " * (MESSAGE_BYTES_MAX + 1), "longer than"),
+        (b"[" * 100_000, ""),
+        (encode(Append(9, 1, START, ENTRIES[:1], 0)), r"entries\[0\].revision: 4 after 0"),
+        (encode(Append(6, 1, LogPosition(7, 3), ENTRIES[:1], 0)), r"entries\[0\].token: 7 is out of order"),
+        (encode(Append(9, 1, LogPosition(8, 3), ENTRIES[:1], 0)), r"entries\[0\].token: 7 is out of order"),
+        (encode(Append(9, 1, START, (), 0, (START,) * 8)), "more than 7"),
+        (encode(LeaseMessage(1, (1 << 65,))), "item"),
+        (encode(LeaseMessage(1, (1,) * 17)), "item"),
+        (
+            encode(Append(9, 1, LogPosition(7, 3), ENTRIES[:1], 0)).replace(b'"tenant"', b'"planet"'),
+            r"entries.*kind",
+        ),
+    ],
+)  # fmt: skip
+def test_what_is_no_message_is_told_in_one_line(document: bytes, where: str) -> None:
+    with pytest.raises(ReplicationMessageError, match=where) as problem:
+        decode(document)
+    assert "\n" not in str(problem.value) and len(str(problem.value)) < 300
+
+
+def test_garbled_messages_raise_nothing_else() -> None:
+    random = Random(1)
+    for _ in range(3_000):
+        document = bytearray(encode(random.choice(MESSAGES)))
+        for _ in range(random.randrange(1, 4)):
+            document[random.randrange(len(document))] = random.randrange(256)
+        try:
+            decode(bytes(document))
+        except ReplicationMessageError as problem:
+            assert "\n" not in str(problem)
