A replica refuses a generation that its tokens have no room for

Milliseconds as generation give tokens above 64 bits, which no message of the lease carries: nobody would ever lead, and nothing would say why.

--- a/driftstair/control/replication/core.py
+++ b/driftstair/control/replication/core.py
@@ -18,6 +18,7 @@
 )
 from driftstair.control.replication.replica import restored_state
 
+GENERATIONS = 1 << 32  # 32 of a token's 64 bits; the others count attempts and name the replica
 ALIVE_NS = 1_000_000_000  # between two messages that say this replica could lead
 COMMIT_ON_DISK_NS = 1_000_000_000  # until a commit that no other write took along is written by itself
 
@@ -35,6 +36,8 @@
     ) -> None:  # fmt: skip
         if not 0 <= own < count <= REPLICAS_MAX:
             raise ValueError(f"replica {own} of {count}; up to {REPLICAS_MAX}, counted from 0, would do")
+        if not 0 < generation < GENERATIONS:
+            raise ValueError(f"generation {generation}: 1 to {GENERATIONS - 1} would do, as Unix seconds")
         self._own = own
         self._count = count
         self._consensus = Consensus(own, count, now_ns, stored, restored_state(stored), kept_entries)
--- a/tests/control/test_replication_replica.py
+++ b/tests/control/test_replication_replica.py
@@ -431,6 +431,13 @@
         ControlReplica(own, count, 1, 0, Random(1), StoredLog())
 
 
+@pytest.mark.parametrize("generation", [0, 1 << 32, 1_760_000_000_000])
+def test_a_generation_that_tokens_have_no_room_for_is_refused(generation: int) -> None:
+    """Milliseconds would give tokens that no message carries, and nobody would ever lead."""
+    with pytest.raises(ValueError, match="Unix seconds"):
+        ControlReplica(0, 3, generation, 0, Random(1), StoredLog())
+
+
 def test_messages_of_nobody_and_of_itself_are_passed_over() -> None:
     one = ControlReplica(0, 3, 1, 0, Random(1), StoredLog())
     for sender in (-1, 0, 3):
