--- /dev/null
+++ b/driftstair/node_configuration/request_tables.py
@@ -0,0 +1,80 @@
+"""The look-ups of a request: the service file's routes first, then those of the configuration in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from driftstair.configuration.resources import ResourceKey
+from driftstair.configuration.route_table import CompiledRoutes
+from driftstair.configuration.schema import BURST, TenantLimits
+from driftstair.configuration.tenant_table import TenantTable
+from driftstair.limits.limited import ADDED_FIRST, Limited
+from driftstair.limits.narrow import Rules
+from driftstair.limits.routes import Asked
+from driftstair.limits.table import Table
+from driftstair.node_configuration.in_force import ConfigurationInForce
+from driftstair.node_configuration.tenant_limits import TenantLimit
+from lichenspring import interface as api
+
+
+def figures_of(limits: TenantLimits) -> TenantLimit:
+    """A tenant's limits as a request goes by them."""
+    burst = BURST if limits.burst is None else limits.burst
+    return TenantLimit(limits.per_s or 0.0, burst if limits.per_s else 0.0, limits.in_flight or 0)
+
+
+class RequestTables:
+    """Routes and tenants of the configuration. `current`: what is in force now."""
+
+    def __init__(self, current: Callable[[], ConfigurationInForce], attempts_max: int) -> None:
+        self.limited: Limited | None = None  # which counts by these routes
+        self._current = current
+        self.routes = CompiledRoutes(
+            self._content, attempts_max, ADDED_FIRST, self._has_none_open, self._forget
+        )  # fmt: skip
+        self.tenants: TenantTable[TenantLimit] = TenantTable(self._content, figures_of)
+
+    def find(self, asked: Asked) -> Rules | None:
+        name = self._current().find_route(asked)
+        return None if name is None else self.routes.rules(name)
+
+    def serves(self, path: str) -> bool:
+        return self._current().serves(path)
+
+    def tenant(self, name: str) -> TenantLimit | None:
+        return self.tenants.find(name) if name else None
+
+    def _content(self, key: ResourceKey) -> bytes | None:
+        return self._current().state.content(key)
+
+    def _has_none_open(self, number: int) -> bool:
+        return self.limited is None or self.limited.is_idle(number)
+
+    def _forget(self, number: int) -> None:
+        if self.limited is not None:
+            self.limited.forget(number)
+
+
+class CombinedTable:
+    """What a node asks, in the place of the file's `Table`."""
+
+    kind = Limited
+    asked = staticmethod(Table.asked)
+
+    def __init__(self, file: Table, configured: RequestTables) -> None:
+        self.source = file.source
+        self.rules = file.rules
+        self._file = file
+        self._configured = configured
+
+    def find(self, asked: Asked) -> Rules | None:
+        index = self._file.routes.find(asked) if self.rules else None
+        return self._configured.find(asked) if index is None else self.rules[index]
+
+    def serves(self, path: bytes) -> bool:
+        return self._file.serves(path) or self._configured.serves(path.decode("latin-1"))
+
+    def limited(self, module: api.Module, settings: api.Settings, clock: Callable[[], int]) -> Limited:
+        limited = self._file.limited(module, settings, clock, self._configured.routes)
+        self._configured.limited = limited
+        return limited
