--- a/benchmarks/scale/load.py
+++ b/benchmarks/scale/load.py
@@ -109,7 +109,9 @@
             self._ended(number, served=False)
 
     def _ended(self, number: int, served: bool) -> None:
-        due = self._waiting.pop(number)
+        due = self._waiting.pop(number, None)
+        if due is None:
+            return  # given up before
         self.answers.append(Timed(due, perf_counter() - due, served))
 
     def give_up(self) -> None:
--- a/benchmarks/scale/series.py
+++ b/benchmarks/scale/series.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from benchmarks.scale import billing, coordination, documents, peers, routes, servers, tenants
+from benchmarks.scale import billing, coordination, documents, in_force, peers, routes, servers, tenants
 
 Probe = Callable[[int, Path], dict[str, float]]
 
@@ -59,6 +59,18 @@
         "server", SERVER_SIZES, documents.SERVERS_EACH, servers.measure_request, servers.prepare
     ),
     "peers": Series("peer", PEER_SIZES, documents.NODES_EACH, peers.measure, peers.prepare),
+    "in-force-routes": Series(
+        "route", ROUTE_SIZES, documents.ROUTES_EACH, in_force.measure_routes, in_force.prepare
+    ),
+    "in-force-tenants": Series(
+        "tenant", TENANT_SIZES, documents.TENANTS_EACH, in_force.measure_tenants, in_force.prepare
+    ),
+    "in-force-look-up": Series(
+        "route", ROUTE_SIZES, documents.ROUTES_EACH, in_force.measure_look_up, in_force.prepare
+    ),
+    "in-force-snapshot": Series(
+        "route", ROUTE_SIZES, documents.ROUTES_EACH, in_force.measure_snapshot, in_force.prepare
+    ),
     "operator-report": Series(
         "peer", PEER_SIZES, documents.NODES_EACH, coordination.measure_report, coordination.prepare_report
     ),
