--- a/driftstair/control/replication/messages.py
+++ b/driftstair/control/replication/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from driftstair.configuration.change_sets import ChangeSet, LoggedChangeSet
+from driftstair.configuration.resource_table import REVISION_MAX
 from driftstair.configuration.resources import Resource
 
 MESSAGE_BYTES_MAX = 1 << 20  # a batch of entries or a part of a snapshot, with room
@@ -19,6 +20,7 @@
 NUMBER_MAX = (1 << 64) - 1
 
 Number = Annotated[int, msgspec.Meta(ge=0)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=REVISION_MAX)]
 
 
 class ReplicationMessageError(Exception):
@@ -29,7 +31,7 @@
     """The place of a log's last entry. Positions order logs by how recent they are (Raft, 5.4.1)."""
 
     token: Number
-    revision: Number
+    revision: Revision
 
 
 START = LogPosition(0, 0)  # before the first entry
@@ -38,7 +40,7 @@
 class LogEntry(msgspec.Struct, frozen=True):
     """A change set at its place in the log, and the token of the leader that put it there."""
 
-    revision: Number
+    revision: Revision
     token: Number
     change_set: ChangeSet
 
@@ -74,7 +76,7 @@
     number: Number
     previous: LogPosition
     entries: tuple[LogEntry, ...]
-    committed: Number
+    committed: Revision
     acknowledged: tuple[LogPosition, ...] = ()
 
 
@@ -83,7 +85,7 @@
 
     token: Number
     number: Number
-    revision: Number
+    revision: Revision
 
 
 class Mismatch(msgspec.Struct, frozen=True, tag="mismatch"):
@@ -91,7 +93,7 @@
 
     token: Number
     number: Number
-    revision: Number
+    revision: Revision
 
 
 class Refusal(msgspec.Struct, frozen=True, tag="refusal"):
@@ -111,7 +113,7 @@
     part: Number
     is_last: bool
     resources: tuple[Resource, ...]
-    recent_ids: tuple[tuple[str, Number], ...] = ()
+    recent_ids: tuple[tuple[str, Revision], ...] = ()
 
 
 class SnapshotProgress(msgspec.Struct, frozen=True, tag="snapshot_progress"):
@@ -167,6 +169,11 @@
             if len(acknowledged) > REPLICAS_MAX:
                 raise ReplicationMessageError(f"$.acknowledged: more than {REPLICAS_MAX} replicas")
             _check_entries(previous, message.token, entries)
+        case SnapshotPart(resources=resources, position=position):
+            for index, resource in enumerate(resources):
+                if not 0 <= resource.revision <= position.revision:
+                    why = f"{resource.revision} in a snapshot of {position.revision}"
+                    raise ReplicationMessageError(f"$.resources[{index}].revision: {why}")
         case LeaseMessage(item=item) if len(item) > 16 or any(abs(number) > NUMBER_MAX for number in item):
             raise ReplicationMessageError("$.item: no message of a lease")
 
--- a/driftstair/control/replication/replica.py
+++ b/driftstair/control/replication/replica.py
@@ -42,6 +42,8 @@
 )
 from driftstair.control.replication.snapshots import IncomingSnapshot
 
+RESOURCES_PER_ENTRY = 16  # in a snapshot, for each entry that is cut with it
+
 
 class ReplicationFaultError(Exception):
     """What can't happen while a majority's disks keep what they synced: this replica has to stop."""
@@ -258,8 +260,9 @@
         return Snapshot(position, tuple(self.state.resources()), self.state.recent_ids())
 
     def compact(self, kept: int) -> list[Action]:
-        """Cuts the log to the last `kept` committed entries once twice as many are there."""
-        if self.committed - self.log.base.revision < 2 * kept:
+        """Cuts the log to the last `kept` committed entries once there are twice as many, and more of a
+        great state, so that a snapshot's cost stays small beside that of the changes it stands for."""
+        if self.committed - self.log.base.revision < 2 * kept + len(self.state) // RESOURCES_PER_ENTRY:
             return []
         snapshot = self.take_snapshot()
         base = self.log.position_at(self.committed - kept)
@@ -282,20 +285,21 @@
             self._incoming = None
             return actions + self._reply(sender, Appended(token, number, self.committed))
         if self._incoming is None or not self._incoming.is_of(token, position):
-            self._incoming = IncomingSnapshot(token, position)
-        whole = self._incoming.add(message)
+            self._incoming = IncomingSnapshot(token, position, type(self.state)())
+        incoming = self._incoming
+        whole = incoming.add(message)
         if whole is None:
-            progress = SnapshotProgress(token, number, position, self._incoming.wanted_part)
+            progress = SnapshotProgress(token, number, position, incoming.wanted_part)
             return actions + self._reply(sender, progress)
         self._incoming = None
-        actions += self._install(token, whole)
+        actions += self._install(token, whole, incoming.state)
         return actions + self._reply(sender, Appended(token, number, position.revision))
 
-    def _install(self, token: int, snapshot: Snapshot) -> list[Action]:
+    def _install(self, token: int, snapshot: Snapshot, state: ConfigurationState) -> list[Action]:
         """What is behind the snapshot's position stays only where that very entry is in the log."""
         position = snapshot.position
         self.log.compact_to(position)
-        self.state = type(self.state).restore(position.revision, snapshot.resources, snapshot.recent_ids)
+        self.state = state
         self.followed = max(self.followed, token)
         self.synced_revision, self._unsynced = 0, []
         persist = self.persist(ReplaceRecord(self._to_store(snapshot)))
--- a/driftstair/control/replication/snapshots.py
+++ b/driftstair/control/replication/snapshots.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from driftstair.configuration.resources import Resource
+from driftstair.configuration.state import ConfigurationState
 from driftstair.control.replication.actions import Snapshot
 from driftstair.control.replication.messages import SNAPSHOT_PART_BYTES_MAX, LogPosition, SnapshotPart
 
@@ -46,11 +47,12 @@
 
 
 class IncomingSnapshot:
-    """What came so far."""
+    """What came so far. `state` is loaded part by part: all at once would stop a replica for seconds."""
 
-    def __init__(self, token: int, position: LogPosition) -> None:
+    def __init__(self, token: int, position: LogPosition, state: ConfigurationState) -> None:
         self.token = token
         self.position = position
+        self.state = state
         self.wanted_part = 0
         self._resources: list[Resource] = []
 
@@ -59,11 +61,14 @@
         return (self.token, self.position) == (token, position)
 
     def add(self, message: SnapshotPart) -> Snapshot | None:
-        """The snapshot, once it is whole. A part that isn't the wanted one changes nothing."""
+        """The snapshot, once it is whole and `state` with it. A part that isn't the wanted one changes
+        nothing."""
         if message.part != self.wanted_part:
             return None
+        self.state.load(message.resources)
         self._resources += message.resources
         self.wanted_part += 1
         if not message.is_last:
             return None
+        self.state.finish_restore(self.position.revision, message.recent_ids)
         return Snapshot(self.position, tuple(self._resources), message.recent_ids)
--- a/tests/control/small_world.py
+++ b/tests/control/small_world.py
@@ -16,7 +16,9 @@
 
 import copy
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
+from random import Random
 from typing import Any, NamedTuple
 
 from driftstair.configuration.change_sets import ChangeSet, LoggedChangeSet
@@ -65,11 +67,14 @@
     def __init__(self, revision: int = 0, ids: tuple[tuple[str, int], ...] = ()) -> None:
         self.revision, self.ids = revision, ids
 
-    @staticmethod
-    def restore(
-        revision: int, resources: tuple[Resource, ...], recent_ids: tuple[tuple[str, int], ...] = ()
-    ) -> TinyState:
-        return TinyState(revision, tuple(recent_ids))
+    def load(self, resources: tuple[Resource, ...]) -> None:
+        assert not resources
+
+    def finish_restore(self, revision: int, recent_ids: tuple[tuple[str, int], ...]) -> None:
+        self.revision, self.ids = revision, tuple(recent_ids)
+
+    def __len__(self) -> int:
+        return 0
 
     def apply(self, logged: LoggedChangeSet) -> None:
         assert logged.revision == self.revision + 1
@@ -530,13 +535,20 @@
 
 def explore(bounds: Bounds, states_most: int) -> Search:
     """All worlds within the bounds, nearest first, until there are so many."""
+    with bounded(bounds):
+        return _explore(Universe(bounds), states_most)
+
+
+@contextmanager
+def bounded(bounds: Bounds) -> Iterator[None]:
+    """What of the bounds is set in the log itself."""
     # In one Append goes as much as the bounds say, so that a follower can have a part of it.
     entries_most, followers.APPEND_ENTRIES_MAX = followers.APPEND_ENTRIES_MAX, bounds.entries_most
     tell = Leader.acknowledged
     if not bounds.tells_acknowledged:
         Leader.acknowledged = lambda self: ()  # type: ignore
     try:
-        return _explore(Universe(bounds), states_most)
+        yield
     finally:
         followers.APPEND_ENTRIES_MAX = entries_most
         Leader.acknowledged = tell  # type: ignore
@@ -574,3 +586,29 @@
         is_letter = step[0] in ("deliver", "repeat")
         steps.append(f"{step[0]} {universe.letters[step[1]]}" if is_letter else " ".join(map(str, step)))
     return tuple(reversed(steps))
+
+
+def walk(bounds: Bounds, seeds: range, steps_most: int) -> Search:
+    """Orders by chance, deeper than a search comes: the states met in all of them."""
+    with bounded(bounds):
+        universe = Universe(bounds)
+        seen: set[int] = set()
+        most_committed = 0
+        for seed in seeds:
+            random = Random(seed)
+            world, path = universe.start(), None
+            for _ in range(steps_most):
+                # Letters in the order in which they were first sent: sets have none that lasts.
+                steps = sorted(universe.steps(world), key=lambda step: tuple(map(str, step)))
+                if not steps:
+                    break
+                step = random.choice(steps)
+                path = (step, path)
+                try:
+                    world = universe.after(world, step)
+                except Violation as problem:
+                    found = _unrolled(universe, path)
+                    return Search(len(seen), False, most_committed, universe.regressions, str(problem), found)
+                seen.add(hash(world.key()))
+            most_committed = max(most_committed, len(world.committed))
+        return Search(len(seen), False, most_committed, universe.regressions, "", ())
--- a/tests/control/test_replication_every_order.py
+++ b/tests/control/test_replication_every_order.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 import pytest
-from small_world import Bounds, Search, explore
+from small_world import Bounds, Search, explore, walk
 
 from driftstair.control.replication.actions import Action, Send
 from driftstair.control.replication.leader import Leader
@@ -52,6 +52,28 @@
     print(f"{name}: {found.states:,} states")
 
 
+THREE_EACH = ((1, 3, 5), (2, 4, 6))
+DEEP = {
+    "one entry at a time": Bounds(
+        tokens=THREE_EACH, puts=("a", "a", "b", "c"), crashes=3, repeats=2, resends=8, kept_entries=2,
+        tells_acknowledged=True,
+    ),
+    "two entries at a time": Bounds(
+        tokens=THREE_EACH, puts=("a", "a", "b", "c"), crashes=3, repeats=2, resends=8, kept_entries=2,
+        entries_most=2,
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", DEEP)
+def test_no_deep_order_by_chance_does(name: str) -> None:
+    """Six leaderships, crashes, messages sent again, compaction and snapshots: too much to be searched."""
+    found = walk(DEEP[name], range(300), 200)
+    assert found.violation == "", found.path
+    assert found.states > 5_000 and found.most_committed >= 4
+    print(f"{name}: {found.states:,} states")
+
+
 # Defects. Found by what follows of them: the check of disks at each commitment is off.
 
 
--- a/tests/control/test_replication_messages.py
+++ b/tests/control/test_replication_messages.py
@@ -77,6 +77,8 @@
         (encode(Append(6, 1, LogPosition(7, 3), ENTRIES[:1], 0)), r"entries\[0\].token: 7 is out of order"),
         (encode(Append(9, 1, LogPosition(8, 3), ENTRIES[:1], 0)), r"entries\[0\].token: 7 is out of order"),
         (encode(Append(9, 1, START, (), 0, (START,) * 8)), "more than 7"),
+        (encode(Appended(9, 1, 1 << 63)), "revision"),
+        (encode(SnapshotPart(9, 1, LogPosition(7, 2), 0, True, (RESOURCE,))), r"resources\[0\].*: 3 in"),
         (encode(LeaseMessage(1, (1 << 65,))), "item"),
         (encode(LeaseMessage(1, (1,) * 17)), "item"),
         (
--- a/tests/control/test_replication_replica.py
+++ b/tests/control/test_replication_replica.py
@@ -10,7 +10,7 @@
 from cluster import SECOND, change_set
 
 from driftstair.configuration.change_sets import Change, ChangeSet
-from driftstair.configuration.resources import ResourceKey, ResourceKind
+from driftstair.configuration.resources import Resource, ResourceKey, ResourceKind
 from driftstair.configuration.state import ConfigurationState
 from driftstair.control.replication.actions import (
     Action,
@@ -23,6 +23,7 @@
     ReplicaRegressed,
     Restored,
     Send,
+    Snapshot,
     StoredLog,
 )
 from driftstair.control.replication.consensus import Consensus
@@ -46,7 +47,11 @@
     encode,
 )
 from driftstair.control.replication.proposals import PROPOSAL_TIMEOUT_NS, UNCOMMITTED_MAX, Proposals
-from driftstair.control.replication.replica import ReplicationFaultError, restored_state
+from driftstair.control.replication.replica import (
+    RESOURCES_PER_ENTRY,
+    ReplicationFaultError,
+    restored_state,
+)
 from driftstair.control.replication.snapshots import cut_snapshot
 
 
@@ -422,6 +427,20 @@
     assert again.replica.state.recent_ids() == one.replica.state.recent_ids()
 
 
+def test_a_great_state_is_compacted_after_more_entries() -> None:
+    """A snapshot costs by what it holds: beside a handful of changes each it would stop a busy leader."""
+    many = tuple(Resource(ResourceKind.TENANT, f"t{index:04}", 1, msgspec.Raw(b"{}")) for index in range(800))
+    snapshot = Snapshot(LogPosition(3, 1), many)
+    one = consensus(StoredLog(committed=1, base=LogPosition(3, 1), snapshot=snapshot), kept=3)
+    replaced = []
+    for revision in range(2, 60):
+        message = Append(5, revision, one.replica.log.last, (entry(revision, 5),), revision)
+        for action in one.on_message(0, 0, message):
+            if isinstance(action, Persist) and isinstance(action.records[0], ReplaceRecord):
+                replaced.append(revision)
+    assert replaced == [1 + 2 * 3 + 800 // RESOURCES_PER_ENTRY]
+
+
 # The whole replica.
 
 
