A leader whose disk lags 1,024 entries behind what others commit hands the lease on

While its disk is full its followers go on committing, and what its own disk is to take later would grow without end. The follower with the most recent log is its heir. A test of three replicas with the bound at 20 shows it.

--- a/driftstair/control/replication/core.py
+++ b/driftstair/control/replication/core.py
@@ -16,7 +16,7 @@
     LeaseMessage,
     ReplicationMessage,
 )
-from driftstair.control.replication.replica import restored_state
+from driftstair.control.replication.stored import restored_state
 
 GENERATIONS = 1 << 32  # 32 of a token's 64 bits; the others count attempts and name the replica
 ALIVE_NS = 1_000_000_000  # between two messages that say this replica could lead
--- a/driftstair/control/replication/leader.py
+++ b/driftstair/control/replication/leader.py
@@ -32,6 +32,7 @@
 from driftstair.control.replication.snapshots import OutgoingSnapshot, cut_snapshot
 
 PREPARE_TIMEOUT_NS = 3_000_000_000  # without promises of a majority another one may try
+DISK_LAG_ENTRIES_MAX = 1_024  # committed by others while its own disk is full or slow: then one of them leads
 NEVER_NS = 1 << 62
 
 
@@ -238,8 +239,13 @@
         for entry in replica.log.after(revision - len(actions), len(actions)):
             if self.proposals.on_committed(entry.change_set.id, replica.log.last.revision):
                 actions.append(ProposalCommitted(entry.change_set.id, entry.revision))
+        if replica.committed - replica.synced_revision > DISK_LAG_ENTRIES_MAX:
+            return actions + self.resign(self._most_recent_follower())
         return actions + self._replicate(now_ns)
 
+    def _most_recent_follower(self) -> int:
+        return max(self.followers, key=lambda number: self.followers[number].acknowledged)
+
     def _majority_revision(self) -> int:
         """The greatest revision that a majority has on the disk."""
         revisions = [follower.acknowledged.revision for follower in self.followers.values()]
--- a/driftstair/control/replication/replica.py
+++ b/driftstair/control/replication/replica.py
@@ -63,20 +63,6 @@
     revision: int
 
 
-def restored_state(stored: StoredLog) -> ConfigurationState:
-    """The state at the revision that a disk knows to be committed."""
-    state = ConfigurationState()
-    if stored.snapshot is not None:
-        snapshot = stored.snapshot
-        state = ConfigurationState.restore(
-            snapshot.position.revision, snapshot.resources, snapshot.recent_ids
-        )
-    for entry in stored.entries:
-        if state.revision < entry.revision <= stored.committed:
-            state.apply(entry.logged())
-    return state
-
-
 class Replica:
     """`state` is at the revision known to be committed."""
 
--- a/driftstair/control/replication/stored.py
+++ b/driftstair/control/replication/stored.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from driftstair.configuration.resources import Resource
+from driftstair.configuration.state import ConfigurationState
 from driftstair.control.replication.actions import (
     CommitRecord,
     EntriesRecord,
@@ -96,3 +97,17 @@
             tuple(log.entries),
             snapshot,
         )
+
+
+def restored_state(stored: StoredLog) -> ConfigurationState:
+    """The state at the revision that a disk knows to be committed."""
+    state = ConfigurationState()
+    if stored.snapshot is not None:
+        snapshot = stored.snapshot
+        state = ConfigurationState.restore(
+            snapshot.position.revision, snapshot.resources, snapshot.recent_ids
+        )
+    for entry in stored.entries:
+        if state.revision < entry.revision <= stored.committed:
+            state.apply(entry.logged())
+    return state
--- a/tests/control/test_replication_cluster.py
+++ b/tests/control/test_replication_cluster.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
 from cluster import SECOND, Cluster, change_set
 
+from driftstair.control.replication import leader as leader_module
 from driftstair.control.replication.actions import (
     Conflict,
     Invalid,
@@ -185,6 +187,20 @@
     cluster.settle()
 
 
+def test_a_leader_whose_disk_is_full_for_long_hands_the_lease_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Others commit without it, and what its own disk is to take would grow without end."""
+    monkeypatch.setattr(leader_module, "DISK_LAG_ENTRIES_MAX", 20)
+    cluster = Cluster(3, 17, kept_entries=1_000)
+    first = cluster.leader()
+    cluster.put(change_set("a"))
+    cluster.nodes[first].is_full = True
+    for index in range(40):
+        cluster.put(change_set(f"b{index}", "t", index))
+    assert cluster.leader() != first
+    assert len(cluster.nodes[first].pending) < 60
+    cluster.settle()
+
+
 def test_an_old_disk_is_told_caught_up_and_does_not_count_until_then() -> None:
     """The hard case: the copy is older than what the replica acknowledged to this leader."""
     cluster = Cluster(3, 15)
--- a/tests/control/test_replication_replica.py
+++ b/tests/control/test_replication_replica.py
@@ -50,9 +50,9 @@
 from driftstair.control.replication.replica import (
     RESOURCES_PER_ENTRY,
     ReplicationFaultError,
-    restored_state,
 )
 from driftstair.control.replication.snapshots import cut_snapshot
+from driftstair.control.replication.stored import restored_state
 
 
 def consensus(stored: StoredLog | None = None, own: int = 2, count: int = 3, kept: int = 100) -> Consensus:
