Of two processes of a node one writes its configuration's file; the disk in a module of its own

Cause: where a process takes over from another both would append at one place of the file. What the application keeps moved to disk.py.

--- a/driftstair/node_configuration/application.py
+++ b/driftstair/node_configuration/application.py
@@ -9,9 +9,8 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Generator, Iterable, Iterator, Sequence
-from itertools import islice
-from typing import Protocol, TypeVar
+from collections.abc import Generator, Iterable
+from typing import TypeVar
 
 from driftstair.configuration.change_sets import LoggedChangeSet
 from driftstair.configuration.messages import (
@@ -21,54 +20,26 @@
     SnapshotPart,
     decode_watch_message,
 )
-from driftstair.configuration.resources import Resource, ResourceKey
+from driftstair.configuration.resources import Resource
 from driftstair.configuration.state import RevisionGapError
 from driftstair.net.system import System
 from driftstair.node_configuration.client import ConfigurationWatch, WatchPosition
-from driftstair.node_configuration.in_force import Applied, Circumstances, ConfigurationInForce, KeptContent
-from driftstair.node_configuration.loaded_file import LoadedFile
+from driftstair.node_configuration.disk import StateOnDisk
+from driftstair.node_configuration.effects import Effects
+from driftstair.node_configuration.in_force import Circumstances, ConfigurationInForce, KeptContent
 from driftstair.node_configuration.persistence import ConfigurationStore
 from driftstair.node_configuration.reception import SnapshotCollector, check_order, checking_entry
-from driftstair.node_configuration.records import (
-    FORMAT,
-    Header,
-    KeptResources,
-    Record,
-    RecordError,
-    SnapshotEnd,
-    StoredResources,
-)
 from driftstair.node_configuration.slices import Slices
 
 log = logging.getLogger(__name__)
 
 INBOX_BYTES_MAX = 256 << 10  # of lines that wait: then the connection is read no further
 STALE_MS = 10_000  # ms since a control server heard from a leader: another one may do better
-STORED_RESOURCES = 32  # in one record of a file: some 0.2 ms to make
 
 
 Result = TypeVar("Result")
 
 
-class Effects(Protocol):
-    """What follows from what is in force, beyond look-ups."""
-
-    def on_switched(self, keys: Sequence[ResourceKey]) -> None:
-        """In this step these come into force: whatever was made of them before is void."""
-
-    def on_changed(self, keys: Sequence[ResourceKey]) -> None:
-        """The change set of these is done with."""
-
-    def on_replaced(self) -> None:
-        """Another whole is in force."""
-
-    def on_watch(self) -> None:
-        """Another server is watched, or the same one anew."""
-
-    def on_turn(self, in_force: ConfigurationInForce) -> None:
-        """All that was said in this turn of the loop is so now."""
-
-
 class Application:
     """Receives the lines of a watch (`client.LineReceiver`); `current` is in force."""
 
@@ -77,13 +48,12 @@
     ) -> None:
         self.current = ConfigurationInForce(given)
         self.slices = Slices(system.monotonic_ns, self._on_turn)
-        self.between_sets = asyncio.Lock()
+        self.disk = StateOnDisk(store, lambda: self.current)
         self.is_loaded = asyncio.Event()  # what the disk held is in force
         self.watch: ConfigurationWatch | None = None
         self._given = given
         self._is_judged = True  # by what is given now
         self._effects = effects
-        self._store = store
         self._inbox: deque[bytes] = deque()
         self._inbox_bytes = 0
         self._is_new_watch = True
@@ -212,23 +182,15 @@
 
     async def _apply(self, logged: LoggedChangeSet) -> None:
         """One change set, in force or refused."""
-        async with self.between_sets:
+        async with self.disk.between_sets:
             applied = await self._steps(self.current.applying(logged, self._effects.on_switched))
             self._changed = True
-            if self._store is not None:
-                self._append_to(self._store, logged, applied)
+            self.disk.on_applied(logged, applied)
         if applied.refusal is None:
             self._effects.on_changed(applied.changed)
         else:
             _say_refused(self.current, [logged.revision])
 
-    def _append_to(self, store: ConfigurationStore, logged: LoggedChangeSet, applied: Applied) -> None:
-        store.append(Changes(logged.revision - 1, (logged,)))
-        if applied.refusal is not None:
-            kept = self.current.kept_resources(change.key for change in logged.change_set.changes)
-            for record in _kept_records(kept):
-                store.append(record)
-
     async def _on_part(self, part: SnapshotPart) -> None:
         if part.first:
             self._begin_collection(part)
@@ -262,11 +224,10 @@
             return
         self._collector = None
         state = collector.state
-        await self._put_in_force(state.resources(), state.revision, self.current.state.resource)
         self._distrusted = None
+        await self._put_in_force(state.resources(), state.revision, self.current.state.resource)
         log.info("a whole configuration is in force: revision %d", self.current.revision)
-        if self._store is not None:
-            self._store.rewrite()
+        self.disk.on_replaced()
 
     async def _put_in_force(self, resources: Iterable[Resource], revision: int, kept: KeptContent) -> None:
         """Builds the whole beside what is in force, then puts it in its place in one step."""
@@ -283,8 +244,7 @@
         before = self.current
         await self._put_in_force(before.received_resources(), before.revision, before.state.resource)
         log.info("revision %d is judged anew: %d sets refused", before.revision, len(self.current.refusals))
-        if self._store is not None:
-            self._store.rewrite()
+        self.disk.on_replaced()
 
     # What the server watched says of itself.
 
@@ -319,49 +279,17 @@
     # The disk.
 
     async def load(self) -> None:
-        """Puts in force what the disk holds. What can't be used is said and passed over."""
-        if self._store is not None:
-            await self._load(self._store)
+        """Puts in force what the disk holds."""
+        loaded = await self.disk.read(self.slices)
+        if loaded is not None:
+            state = loaded.whole()
+            await self._put_in_force(state.resources(), state.revision, loaded.kept.get)
+            self._received_revision = self.current.revision
+            self._on_turn()
+            log.info("revision %d is in force, from the disk", self.current.revision)
+        self.disk.start(is_on_disk=loaded is not None)
         self.is_loaded.set()
 
-    async def _load(self, store: ConfigurationStore) -> None:
-        self.slices.begin()
-        payloads = await store.read()
-        is_used = False
-        if payloads:
-            loaded = LoadedFile()
-            try:
-                for payload in payloads:
-                    for _ in loaded.steps(payload):
-                        await self.slices.after_step()
-                state = loaded.whole()
-            except (RecordError, RevisionGapError, ValueError) as problem:
-                log.warning("%s is passed over: %s", store.path, problem)
-            else:
-                await self._put_in_force(state.resources(), state.revision, loaded.kept.get)
-                self._received_revision = self.current.revision
-                self._on_turn()
-                is_used = True
-                log.info("revision %d is in force, from %s", self.current.revision, store.path)
-        store.start(self, is_used)
-
-    def snapshot_records(self) -> Iterator[Record]:
-        in_force = self.current
-        yield Header(FORMAT, in_force.revision)
-        resources = in_force.received_resources()
-        while found := tuple(islice(resources, STORED_RESOURCES)):
-            yield StoredResources(found)
-
-    def snapshot_end(self) -> list[Record]:
-        in_force = self.current
-        end = SnapshotEnd(in_force.revision, f"{in_force.received_digest():016x}")
-        return [*_kept_records(in_force.kept_resources()), end]
-
-
-def _kept_records(resources: tuple[Resource, ...]) -> Iterator[KeptResources]:
-    for first in range(0, len(resources), STORED_RESOURCES):
-        yield KeptResources(resources[first : first + STORED_RESOURCES])
-
 
 def _say_refused(in_force: ConfigurationInForce, revisions: Iterable[int]) -> None:
     for revision in revisions:
--- a/driftstair/node_configuration/effects.py
+++ b/driftstair/node_configuration/effects.py
@@ -42,6 +42,25 @@
     def on_change_of_all(self) -> None: ...
 
 
+class Effects(Protocol):
+    """What follows from what is in force, beyond look-ups."""
+
+    def on_switched(self, keys: Sequence[ResourceKey]) -> None:
+        """In this step these come into force: whatever was made of them before is void."""
+
+    def on_changed(self, keys: Sequence[ResourceKey]) -> None:
+        """The change set of these is done with."""
+
+    def on_replaced(self) -> None:
+        """Another whole is in force."""
+
+    def on_watch(self) -> None:
+        """Another server is watched, or the same one anew."""
+
+    def on_turn(self, in_force: ConfigurationInForce) -> None:
+        """All that was said in this turn of the loop is so now."""
+
+
 class ClusterEffects:
     """`respec`: the configuration's budgets are these; `drain`: it takes these servers out of use; `changed`:
     something is in force otherwise than before."""
--- a/driftstair/node_configuration/persistence.py
+++ b/driftstair/node_configuration/persistence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import os
 from collections.abc import Iterator
@@ -22,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 SUFFIX = ".configuration"
+LOCK_SUFFIX = ".configuration-lock"
 WRITE_RECORDS = 64  # of a snapshot in one write, up to some 1 MB: each write is synced
 LOG_BYTES_MIN = 1 << 20  # of change sets behind a snapshot, before a new snapshot is worth its writes
 RETRY_FIRST_S, RETRY_MAX_S = 5.0, 60.0  # s between two tries in vain
@@ -56,6 +58,7 @@
         self._pending: list[Record] = []
         self._needs_snapshot = True  # the file does not hold what the pending sets go behind
         self._is_dirty = False  # there is something that the file does not hold
+        self._lock_descriptor = -1
         self._wanted = asyncio.Event()
         self._ended = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -104,6 +107,8 @@
             await self._task
         if self._file is not None:
             self._file.close()
+        if self._lock_descriptor >= 0:
+            os.close(self._lock_descriptor)
 
     def append(self, record: Record) -> None:
         """Something was received; it is written soon."""
@@ -138,6 +143,7 @@
     async def _write(self) -> None:
         if not self._is_dirty:
             return
+        await self._system.aside(self._lock)
         self._is_dirty = False
         if self._needs_snapshot or self._is_log_long():
             await self._write_snapshot()
@@ -145,6 +151,19 @@
         if pending:
             await self._append(pending)
 
+    def _lock(self) -> None:
+        """One process writes at a time: where one takes over from another, the first one goes on until it
+        ends. Raises BlockingIOError."""
+        if self._lock_descriptor >= 0:
+            return
+        descriptor = os.open(self.path.with_suffix(LOCK_SUFFIX), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(descriptor)
+            raise
+        self._lock_descriptor = descriptor
+
     def _is_log_long(self) -> bool:
         if self._file is None:
             return False
@@ -226,6 +245,8 @@
         self.is_behind = self._needs_snapshot = self._is_dirty = True
         is_full = isinstance(problem, RecordWriteError) and problem.is_full
         trouble = "the disk is full" if is_full else str(problem)
+        if isinstance(problem, BlockingIOError):
+            trouble = "another process of this node writes it"
         if trouble != self._trouble:  # not at every try of an evening
             self._trouble = trouble
             log.warning("%s is not written: %s; what is in force stays so", self.path, trouble)
