A validator over a state that is empty yet holds that state

Cause: an empty ConfigurationState is false, so the validator took another one for its contents: a route that moved to another path stayed in the index at the old one, and sums counted it twice. Change: asked by identity.

--- a/driftstair/configuration/validation.py
+++ b/driftstair/configuration/validation.py
@@ -51,8 +51,10 @@
         self.budgets: dict[str, FleetBudget] = {}
         self._platform = platform
         self._own = own
-        self._kept = ConfigurationState() if contents is None else None
-        self._contents: Contents = contents or ConfigurationState() if self._kept is None else self._kept
+        self._kept: ConfigurationState | None = None
+        if contents is None:  # not by its truth: a state without resources is false
+            contents = self._kept = ConfigurationState()
+        self._contents = contents
         self._sums = RouteSums()
         self._own_names = {
             *(ResourceKey(ResourceKind.ROUTE, route.name) for route in own.route),
