--- a/driftstair/service/load.py
+++ b/driftstair/service/load.py
@@ -6,7 +6,7 @@
 import tomllib
 from dataclasses import dataclass
 from difflib import get_close_matches
-from typing import Any, get_args
+from typing import Any, TypeVar, get_args
 
 from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
@@ -15,6 +15,8 @@
 from driftstair.service import locate
 from driftstair.service.schema import Service
 
+Schema = TypeVar("Schema", bound=BaseModel)
+
 
 @dataclass(frozen=True, slots=True)
 class Problem:
@@ -74,6 +76,12 @@
 
 
 def parse(text: str, file: str) -> Loaded:
+    service, lines = validated(text, file, Service)
+    return Loaded(file, service, lines, hashlib.sha256(text.encode()).hexdigest()[:16])
+
+
+def validated(text: str, file: str, schema: type[Schema]) -> tuple[Schema, dict[locate.Path, int]]:
+    """A TOML text by any schema, and the lines on which its keys stand. Raises ServiceError."""
     try:
         tree = parsed(text, tomllib.loads)
     except FileProblem as problem:
@@ -85,19 +93,20 @@
         ) from None
     lines = locate.lines(text)
     try:
-        service = Service.model_validate(tree)
+        return schema.model_validate(tree), lines
     except ValidationError as problem:
-        raise ServiceError([_explained(file, lines, one) for one in problem.errors()]) from None
-    return Loaded(file, service, lines, hashlib.sha256(text.encode()).hexdigest()[:16])
+        raise ServiceError([_explained(file, lines, one, schema) for one in problem.errors()]) from None
 
 
-def _explained(file: str, lines: dict[locate.Path, int], problem: ErrorDetails) -> Problem:
+def _explained(
+    file: str, lines: dict[locate.Path, int], problem: ErrorDetails, schema: type[BaseModel]
+) -> Problem:
     path = tuple(step for step in problem["loc"] if not (isinstance(step, str) and "[" in step))
     why = problem["msg"].removeprefix("Value error, ")
     given = problem["input"]
     instead = ""
     if problem["type"] == "extra_forbidden":
-        known = _keys_at(path[:-1])
+        known = _keys_at(schema, path[:-1])
         near = get_close_matches(str(path[-1]), known, 1)
         why = "no such key" if near else f"no such key; known here: {', '.join(sorted(known))}"
         instead = near[0] if near else ""
@@ -110,9 +119,9 @@
     return Problem(file, locate.line_of(lines, path), shown(path), why, instead=instead)
 
 
-def _keys_at(path: locate.Path) -> list[str]:
+def _keys_at(schema: type[BaseModel], path: locate.Path) -> list[str]:
     """The keys of the table at a path."""
-    model: Any = Service
+    model: Any = schema
     for step in path:
         if isinstance(step, int):
             continue
