Control server: process, replication between servers, puts, reports, status and commands

Need: the replicated log had no process; nobody could change a configuration or see where it is in force. Change: driftstair control serve|put|status|log.

--- a/driftstair/commands.py
+++ b/driftstair/commands.py
@@ -25,6 +25,7 @@
     )
     commands = top.add_subparsers(title="subcommands", metavar="COMMAND", required=True)
 
+    from driftstair.control import options as control
     from driftstair.experiments import options as experiments
     from driftstair.ledger import options as ledger
     from driftstair.model import options as model
@@ -41,6 +42,7 @@
     model.add(commands)
     experiments.add(commands)
     tier.add(commands)
+    control.add(commands)
     return top
 
 
