A list is read once it is whole, though its last line has no end yet

By reading: a text was told to the module at its line's end only; one whose end came later waited for it, and one whose answer ended or was closed behind the last bracket was thrown away. Change: what there is of a line is read as soon as it closes a whole text. Measured: six forced tests (open, ended, closed; on one line and indented) fail without it, each after 20 s.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -101,11 +101,13 @@
     def is_current(self, watch: _Watch) -> bool:
         return watch is self._watch
 
-    def received(self, watch: _Watch, line: bytes) -> None:
+    def received(self, watch: _Watch, line: bytes, ended: bool = True) -> bool:
+        """A line of a watch, or, not `ended`, what there is of one; whether that has been told as it is."""
         if watch is not self._watch and watch not in self._former:
-            return
+            return False
         try:
-            updates = [parse_list(document) for document in watch.documents.add(line)]
+            documents = watch.documents.add(line) if ended else watch.documents.add_unended(line)
+            updates = [parse_list(document) for document in documents]
             # Changes build on the list that is held; one from before it would undo what was told since.
             for update in updates:
                 if not update.full and update.version < watch.version:
@@ -114,7 +116,7 @@
             if watch is self._watch:
                 self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
             self.failed(watch, f"bad line: {problem}")
-            return
+            return False
         for update in updates:
             watch.version = update.version
             if watch is self._watch:
@@ -123,6 +125,7 @@
             self._on_list(update)
             if self._watch is None:
                 self._on_failed()  # a list is taken for news of the new watch, which has failed: once more
+        return bool(updates)
 
     def silent(self, watch: _Watch) -> None:
         """Its connection is dead, though nothing may ever say so. One that had been answered is opened anew
@@ -227,6 +230,8 @@
         *lines, self._rest = self._rest.split(b"\n")
         for line in lines:
             self._owner.received(self, bytes(line))
+        if self._rest and self._owner.received(self, bytes(self._rest), ended=False):
+            self._rest = bytearray()
         if len(self._rest) > TEXT_MOST:
             self._fail("a line without end")
 
--- a/driftstair/net/documents.py
+++ b/driftstair/net/documents.py
@@ -40,5 +40,21 @@
         self._lines.append(line)
         if self._depth:
             return []
-        text, self._lines, self._size = b"\n".join(self._lines), [], 0
+        text = b"\n".join(self._lines)
+        self._forget()
         return [json.loads(text)]
+
+    def add_unended(self, line: bytes) -> list[Any]:
+        """The text that is whole by this line, though its end has not come, if one is. Guards against a
+        sender that writes a line's end later than the line: with its next text, or never."""
+        if not line.rstrip().endswith(b"}"):
+            return []
+        try:
+            texts = [json.loads(b"\n".join([*self._lines, line]))]
+        except (ValueError, RecursionError):
+            return []  # the bracket closed something within it
+        self._forget()
+        return texts
+
+    def _forget(self) -> None:
+        self._lines, self._depth, self._size = [], 0, 0
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -343,6 +343,41 @@
     run(test())
 
 
+@pytest.mark.parametrize("indent", [None, 1], ids=["on one line", "indented"])
+@pytest.mark.parametrize("form", ["open", "ended", "cut"])
+def test_a_list_whose_last_line_has_no_end_is_read(form: str, indent: int | None) -> None:
+    """It was held until its line's end came, and thrown away where that never did: told, and not known."""
+
+    async def test() -> None:
+        async with (
+            Discovery() as source,
+            Server("s-1") as one,
+            Server("s-2") as two,
+            Rig(configuration(one, two, discovery=source.address)) as rig,
+        ):
+            rig.watch()
+            await until(lambda: source.targets)
+            entries = {"version": 8, "full": True, "servers": [one.entry()]}
+            text = json.dumps(entries, indent=indent).encode()
+            inner = text.index(b"}") + 1  # closes an entry, and not the whole
+            source.push_bytes(text[:inner])
+            await asyncio.sleep(0.01)
+            source.push_bytes(text[inner:])
+            if form == "ended":
+                source.push_bytes(b"")
+            elif form == "cut":
+                source.close()
+            await until(lambda: rig.node._ready == {digest("s-1")})
+            if form != "open":
+                return
+            source.push_bytes(b"\n")
+            source.push(9, two)
+            await until(lambda: len(rig.node._ready) == 2)
+            assert not rig.spy.lists(ListKind.FAILED)
+
+    run(test())
+
+
 def test_an_indented_list_is_one_change(monkeypatch: pytest.MonkeyPatch) -> None:
     """It was cut at its line ends, and each watch failed on its first line."""
 
