No attempt is written while news of the servers wait unread in the kernel

By reading and forced tests one way is left from the line's arrival to a write that can take so long: the loop stands still, and then reads requests, or ends dials, in the same turn as the line and before it. Change: an attempt asks whether a watch has something that the loop has not read (poll of one descriptor); if so it waits as dialed ones do, for one turn as a rule and 50 ms at most, so that the list can end it.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -39,6 +39,7 @@
         system: System,
     ) -> None:
         self._system = system
+        self.quiet_of = system.prepare
         self._address = address
         self.version = version
         self.answer_within = answer_within
@@ -98,6 +99,11 @@
         except (OSError, TimeoutError) as problem:
             self.failed(watch, f"no connection: {problem!r}")
 
+    def has_news(self) -> bool:
+        """Whether something of a watch is with the kernel that the loop has not read yet."""
+        watches = self._former if self._watch is None else [self._watch, *self._former]
+        return not all(watch.is_quiet() for watch in watches)
+
     def is_current(self, watch: _Watch) -> bool:
         return watch is self._watch
 
@@ -158,6 +164,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None  # while it is up: the two hold each other
         self._rest = bytearray()
+        self.is_quiet: Callable[[], bool] = lambda: True  # not once it is up
         self.documents = Documents()
         self.version = owner.version  # of the list that its next line builds on
         self.answered = False  # a line, or a part of one, has come
@@ -193,6 +200,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         if self._owner.is_current(self):
+            self.is_quiet = self._owner.quiet_of(transport)
             self._parser = httptools.HttpResponseParser(self)
             transport.write(self._owner.request(self.version))
         else:  # given up while it was dialed: a watch that nobody reads is load for discovery
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -123,6 +123,7 @@
             config.discovery, config.known.version, ANSWER_PUSHED if pushed else ANSWER,
             self._list_came, self._watch_failed, system,
         )  # fmt: skip
+        pools.has_news = self._discovery.has_news
 
     # Start and stop.
 
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -17,6 +17,8 @@
 INTERIM_MOST = 16  # 1xx answers ahead of one
 REST = 5_000_000  # ns that a connection is left alone after an answer: what is behind it may be on its way
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
+NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
+NEWS_LOOKS = 10  # of them: the next turn of the loop reads, so what is unread for longer is none
 UPLOAD_LOOK = 1_000_000_000  # ns between two looks at whether a long body gets on
 IDLE_SWEEPS = 20  # in that time
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
@@ -64,6 +66,38 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
+        if self.pool.pools.has_news():
+            self._wait_for_news()
+        else:
+            self._begin()
+
+    def _wait_for_news(self) -> None:
+        """Parked as one that is dialed, and so ended by the list if that retires its server. Guards against a
+        loop that stood still: a request and the list that came after it are read in one turn, in any order,
+        and the list counts as told since it came."""
+        self.pool.dialing[self] = None
+        self._expires_at(self.expires)
+        self._dial = asyncio.get_running_loop().create_task(self._begin_after_news())
+
+    async def _begin_after_news(self) -> None:
+        for _ in range(NEWS_LOOKS):
+            await asyncio.sleep(NEWS_LOOK)
+            if not self.pool.pools.has_news():
+                break
+        self._dial = None
+        self.pool.dialing.pop(self, None)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._may_not_begin():
+            self.end(Result.NOT_SENT)
+        else:
+            self._begin()
+
+    def _may_not_begin(self) -> bool:
+        """Its client has left meanwhile, or its effect might be a second one."""
+        return self._has_gone() or 0 < self._begin_by <= self.pool.pools.now()
+
+    def _begin(self) -> None:
         connection = self.pool.take()
         if connection is not None:
             self._write(connection)
@@ -96,9 +130,14 @@
             connection.close()
         elif connection.closed:
             self.end(Result.CONNECT_FAILED)
-        elif self._has_gone() or 0 < self._begin_by <= self.pool.pools.now():
+        elif self._may_not_begin():
             self.pool.put(connection)
             self.end(Result.NOT_SENT)
+        elif self.pool.pools.has_news():
+            if self._timer is not None:
+                self._timer.cancel()
+            self.pool.put(connection)
+            self._wait_for_news()
         else:
             if self._timer is not None:
                 self._timer.cancel()
@@ -551,6 +590,7 @@
         self.system = system
         self.now = system.monotonic_ns
         self.sockets = 0  # open or being dialed
+        self.has_news: Callable[[], bool] = bool  # of the servers has come what is not read yet
         self.flows: dict[Connection, None] = {}  # whose answers are passed on as they come
         self.dial_timeout = dial_timeout
         self.idle_limit = int(idle_close * IDLE_PART)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import socket
 from contextlib import ExitStack
@@ -30,10 +31,12 @@
 )
 from test_process import program
 
+from driftstair.net.node import digest
 from driftstair.net.upstream import Connection, Pool
 from lichenspring.interface import Result
 
 MS = 1_000_000
+CROWD = 20  # requests, of which some fall to each of two servers
 
 
 def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() -> None:
@@ -241,3 +244,65 @@
             assert [one.body for one in server.seen] == [b"first"]
 
     run(test())
+
+
+def dialing(rig: Rig) -> int:
+    return sum(len(pool.dialing) for pool in rig.node._pools._pools.values())
+
+
+@pytest.mark.parametrize("connections", ["that stand", "that come up"])
+def test_requests_that_are_read_in_one_turn_with_a_drain_do_not_go_to_that_server(connections: str) -> None:
+    """A list counts as told since it came, however long the loop stood still: requests that had come before
+    it were read first, and those of them that fell to a server that drains were written to it; as were those
+    whose connections had come up."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server("s-1") as drained, Server("s-2") as other:
+            with socket.create_server(("127.0.0.1", 0)) as source, ExitStack() as stack:
+                address = f"127.0.0.1:{source.getsockname()[1]}"
+                async with Rig(configuration(drained, other, discovery=address)) as rig:
+                    clients = []
+                    for _ in range(CROWD):
+                        near = await loop.run_in_executor(None, socket.create_connection, rig.address)
+                        clients.append(stack.enter_context(near))
+
+                    async def answers() -> None:
+                        for one in clients:
+                            one.setblocking(False)
+                            assert (await loop.sock_recv(one, 4096)).startswith(b"HTTP/1.1 200")
+
+                    if connections == "that stand":
+                        for one in clients:
+                            one.sendall(request())
+                        await answers()
+                    rig.watch()
+                    watch = stack.enter_context((await loop.run_in_executor(None, source.accept))[0])
+                    watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+                    await until(lambda: rig.node._discovery._watch and rig.node._discovery._watch.answered)
+                    late = LateDials()
+                    if connections == "that come up":
+                        rig.node._pools.system = late
+                        for one in clients:
+                            one.sendall(request())
+                        await until(lambda: dialing(rig) == CROWD)
+                    drained.state = "Terminating"
+                    line = json.dumps({"version": 8, "full": False, "servers": [drained.entry()]}).encode()
+                    seen = len(drained.seen)
+
+                    def stands_still() -> None:
+                        if connections == "that stand":
+                            for one in clients:
+                                one.sendall(request())
+                        watch.sendall(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+                        sleep(0.02)
+                        late.up.set()
+
+                    near, far = socket.socketpair()
+                    stack.enter_context(far)
+                    await loop.create_connection(lambda: Holds(stands_still), sock=near)
+                    far.send(b"now")
+                    await answers()
+                    assert len(drained.seen) == seen and rig.node._ready == {digest("s-2")}
+
+    run(test())
