--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any, cast
 
 from driftstair.hosts import HostList, ListError, parse_list
 from driftstair.net.documents import TEXT_MOST, Documents
@@ -22,7 +24,8 @@
 
 
 class Discovery(Watcher):
-    """Keeps one watch at most, opened when it is told to. Each watch that ends is reported once."""
+    """Keeps one watch at most, opened when it is told to, and, after a move, those of the places before until
+    the new one has told its list. Each watch that ends is reported once."""
 
     def __init__(
         self,
@@ -36,46 +39,111 @@
         super().__init__(address, system, log)
         self.version = version
         self.answer_within = answer_within
-        self._documents = Documents()  # of the watch that stands
+        self._former: list[DiscoveryConnection] = []  # watches of the places before
         self._on_list = on_list
         self._on_failed = on_failed
 
     def move(self, address: tuple[str, int]) -> None:
-        """Watch at another address from now on. The end of the old watch is no failure and is not told.
-        Versions are the other place's own, so the first line has to be the whole list."""
+        """Watch at another address from now on. Versions are the other place's own, so the first line has to
+        be the whole list. Until that has come the old watch is read on, also one that waits for its answer:
+        what the old place writes counts as told, and its answer may be on its way. Its end is no failure."""
         if address == self._address:
             return
         self._address = address
         self.version = 0
-        self.close()
+        if self._watch is not None and self._watch.is_up():
+            self._former.append(cast(DiscoveryConnection, self._watch))
+            self._watch = None
+            self._opening = None  # it may have a turn left; cancelled in that, it would close the connection
+        self._end_watch()
         self.watch()
 
+    def close(self) -> None:
+        self._end_former()
+        super().close()
+
+    def _end_former(self) -> None:
+        former, self._former = self._former, []
+        for watch in former:
+            watch.close()
+
+    def has_news(self) -> bool:
+        """Whether something of a watch is with the kernel that the loop has not read yet."""
+        current = cast("DiscoveryConnection | None", self._watch)
+        watches = self._former if current is None else [current, *self._former]
+        return not all(watch.is_quiet() for watch in watches)
+
+    # The watch.
+
     def request(self) -> bytes:
         host, port = self._address
         target = f"/discovery/hosts?watch=1&from={self.version}"
         return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
 
     def connection(self) -> WatchConnection:
-        self._documents = Documents()
-        return WatchConnection(self, self.answer_within, SILENCE, TEXT_MOST)
+        return DiscoveryConnection(self, self.version, self._system)
 
     def dial_within(self) -> float:
         return DIAL
 
+    def follows(self, watch: WatchConnection) -> bool:
+        return watch is self._watch or watch in self._former
+
     def on_line(self, watch: WatchConnection, line: bytes) -> None:
+        watch = cast(DiscoveryConnection, watch)
+        self._read(watch, lambda: watch.documents.add(line))
+
+    def on_unended_line(self, watch: WatchConnection, line: bytearray) -> bool:
+        watch = cast(DiscoveryConnection, watch)
+        return self._read(watch, lambda: watch.documents.add_unended(line))
+
+    def _read(self, watch: DiscoveryConnection, documents: Callable[[], list[Any]]) -> bool:
+        """Whether the lists that have become whole, if any, were told."""
         try:
-            updates = [parse_list(document) for document in self._documents.add(line)]
+            updates = [parse_list(document) for document in documents()]
             # Changes build on the list that is held; one from before it would undo what was told since.
             for update in updates:
-                if not update.full and update.version < self.version:
-                    raise ListError(f"version {update.version} comes after {self.version}")
+                if not update.full and update.version < watch.version:
+                    raise ListError(f"version {update.version} comes after {watch.version}")
         except (ValueError, RecursionError, ListError) as problem:
-            self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
+            if watch is self._watch:
+                self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
             self.failed(watch, f"bad line: {problem}")
-            return
+            return False
         for update in updates:
+            self._tell(watch, update)
+        return bool(updates)
+
+    def _tell(self, watch: DiscoveryConnection, update: HostList) -> None:
+        watch.version = update.version
+        if watch is self._watch:
             self.version = update.version
-            self._on_list(update)
+            self._end_former()
+        self._on_list(update)
+        if self._watch is None:
+            self._on_failed()  # a list is taken for news of the new watch, which has failed: once more
+
+    def failed(self, watch: WatchConnection, why: str) -> None:
+        if watch in self._former:
+            self._former.remove(cast(DiscoveryConnection, watch))
+            watch.close()
+        super().failed(watch, why)
 
     def on_ended(self) -> None:
         self._on_failed()
+
+
+class DiscoveryConnection(WatchConnection):
+    """A watch of the list. `version`: of the list that its next line builds on."""
+
+    def __init__(self, owner: Discovery, version: int, system: System) -> None:
+        super().__init__(owner, owner.answer_within, SILENCE, TEXT_MOST)
+        self.version = version
+        self.documents = Documents()
+        self.is_quiet: Callable[[], bool] = lambda: True  # not once it is up
+        self._system = system
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        if self._owner.is_current(self):
+            self.is_quiet = self._system.prepare(cast(asyncio.Transport, transport))
