Rehearsals: fakes, environment and runner in place of stands, ground and director

Need: names of this project's own for what the field calls fakes, an environment to run in and a runner. Change: a rename of packages, modules and classes, texts with them; the key 'ground' of kept reports stays. No other change.

--- a/benchmarks/evenings.py
+++ b/benchmarks/evenings.py
@@ -4,7 +4,7 @@
     python -m benchmarks.evenings seed S         # one, with what befell it
 
 Each draws from its seed 3 to 7 nodes and a dozen faults: kills, planned ends, starts, stalls of up to 8 s,
-cuts of one and of both directions, loss; while clients ask, operators want permits, and a stand-in of the
+cuts of one and of both directions, loss; while clients ask, operators want permits, and a fake of the
 billing side takes the ledgers of nodes that are gone. Judged by histories: owners, tokens, permits, old
 lives; and whether the books hold each entry once, whoever brought it. None of the checks is on time: a busy
 machine makes no finding, but a book that is not whole after a minute does. Seeds from 1000 on.
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,8 +25,8 @@
 
 def measure(job: Job) -> dict[str, Any]:
     from driftstair.rehearsal import wire
-    from driftstair.rehearsal.director import Rehearsal
     from driftstair.rehearsal.load import by_path, load
+    from driftstair.rehearsal.runner import Rehearsal
     from driftstair.rehearsal.virtual import play
 
     nodes, seed, seconds = job
--- a/driftstair/model/clients.py
+++ b/driftstair/model/clients.py
@@ -1,7 +1,7 @@
 """All clients together, and the front that deals their requests out among the nodes.
 
 Arrivals wait for nobody. A try that brings no answer is tried again after a wait, as often as the scenario's
-clients do; its time counts from the first one. The figures are those of the kit's `stands.clients`.
+clients do; its time counts from the first one. The figures are those of the kit's `fakes.clients`.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 from driftstair.model.clock import Clock
 from driftstair.model.node import Node
 from driftstair.rehearsal import account
-from driftstair.rehearsal.stands.clients import ClientFigures, Load
-from driftstair.rehearsal.stands.workload import Choice, Kind, Workload, zipf
+from driftstair.rehearsal.fakes.clients import ClientFigures, Load
+from driftstair.rehearsal.fakes.workload import Choice, Kind, Workload, zipf
 from lichenspring.subset import mix
 
 NOBODY_ASKS = 50_000_000  # ns until the next look, while the load is none
--- a/driftstair/model/server.py
+++ b/driftstair/model/server.py
@@ -1,6 +1,6 @@
 """One server: the rehearsal kit's engine, and round it its connections, its faults and what ends it.
 
-Reused from the kit: `stands.engine` (cores, queue, warmth, key memory, jams) and `cold` (what pushes a cold
+Reused from the kit: `fakes.engine` (cores, queue, warmth, key memory, jams) and `cold` (what pushes a cold
 one over). Left out: HTTP, and the bytes of a body.
 """
 
@@ -13,8 +13,8 @@
 
 from driftstair.model.clock import Clock
 from driftstair.rehearsal.cold import ColdBudget, ColdRule
-from driftstair.rehearsal.stands.box import BoxKind
-from driftstair.rehearsal.stands.engine import Engine, Figures, Job
+from driftstair.rehearsal.fakes.box import BoxKind
+from driftstair.rehearsal.fakes.engine import Engine, Figures, Job
 from lichenspring.interface import Result, ServerId
 
 if TYPE_CHECKING:
--- a/driftstair/model/world.py
+++ b/driftstair/model/world.py
@@ -20,13 +20,13 @@
 from driftstair.rehearsal import scenario as kit
 from driftstair.rehearsal.account import Account
 from driftstair.rehearsal.cold import ColdRule
+from driftstair.rehearsal.fakes.box import BoxKind
+from driftstair.rehearsal.fakes.clients import ClientFigures, Load
+from driftstair.rehearsal.fakes.engine import Figures, Jam
+from driftstair.rehearsal.fakes.workload import Choice, Workload
 from driftstair.rehearsal.faults import FaultInjector
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import random_for, seed_for
-from driftstair.rehearsal.stands.box import BoxKind
-from driftstair.rehearsal.stands.clients import ClientFigures, Load
-from driftstair.rehearsal.stands.engine import Figures, Jam
-from driftstair.rehearsal.stands.workload import Choice, Workload
 from driftstair.rehearsal.tier.stage import TierStage
 from driftstair.rehearsal.wire import HostState
 from lichenspring import Balancer
--- a/driftstair/rehearsal/command.py
+++ b/driftstair/rehearsal/command.py
@@ -110,9 +110,9 @@
     scenario: Scenario, sockets: bool, tick: Callable[[float], None], interrupted: Callable[[], bool]
 ) -> Report:
     if sockets:
-        from driftstair.rehearsal import sockets as ground
+        from driftstair.rehearsal import sockets as environment
 
-        rehearsal, log = ground.play(scenario, tick, interrupted)
+        rehearsal, log = environment.play(scenario, tick, interrupted)
         return build.build(rehearsal, log, "sockets")
     from driftstair.rehearsal import virtual
 
--- a/driftstair/rehearsal/ground.py
+++ b/driftstair/rehearsal/environment.py
@@ -1,12 +1,12 @@
-"""What a rehearsal is played on: `virtual` in memory, `sockets` on loopback. The director knows only this."""
+"""What a rehearsal is played on: `virtual` in memory, `sockets` on loopback. The runner knows only this."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from driftstair.rehearsal.fakes.place import Place
 from driftstair.rehearsal.platform import Peers
-from driftstair.rehearsal.stands.place import Place
 from driftstair.rehearsal.tier.histories import Event
 from driftstair.rehearsal.tier.links import Links
 
@@ -48,9 +48,9 @@
         """In use now."""
 
 
-class Ground(Protocol):
+class Environment(Protocol):
     def place(self, name: str) -> Place:
-        """A machine for a stand-in."""
+        """A machine for a fake."""
 
     def node(self, name: str, ended: Callable[[str, str], None]) -> NodeProcess:
         """A machine for a node. `ended(name, why)` is called when its process ends by itself; `why` is empty
@@ -63,10 +63,10 @@
         """Only after `join`."""
 
     def histories(self) -> list[list[Event]]:
-        """What the nodes of a tier have written down, each node's, with times as the director's."""
+        """What the nodes of a tier have written down, each node's, with times as the runner's."""
 
     def stuck(self) -> str:
         """What waits for something that can never happen, or nothing."""
 
     def finish(self) -> None:
-        """The director has seen all that it wants."""
+        """The runner has seen all that it wants."""
--- a/driftstair/rehearsal/stands/billing.py
+++ b/driftstair/rehearsal/fakes/billing.py
@@ -1,7 +1,7 @@
 """The billing side, as far as a node's export sees it: a collector that keeps each line in a file before it
 acknowledges it, and goes on from there in its next life.
 
-    python -m driftstair.rehearsal.stands.billing FOLDER [PORT [LEASE_MS]]     # prints the port it listens on
+    python -m driftstair.rehearsal.fakes.billing FOLDER [PORT [LEASE_MS]]     # prints the port it listens on
 """
 
 from __future__ import annotations
--- a/driftstair/rehearsal/stands/box.py
+++ b/driftstair/rehearsal/fakes/box.py
@@ -16,10 +16,10 @@
 
 from driftstair.rehearsal import wire
 from driftstair.rehearsal.cold import ColdBudget, ColdRule
-from driftstair.rehearsal.stands.engine import Engine, Figures, Job
-from driftstair.rehearsal.stands.http1 import Message, MessageReader, WireError, response
-from driftstair.rehearsal.stands.place import Acceptor, Place
-from driftstair.rehearsal.stands.workload import Task, Workload
+from driftstair.rehearsal.fakes.engine import Engine, Figures, Job
+from driftstair.rehearsal.fakes.http1 import Message, MessageReader, WireError, response
+from driftstair.rehearsal.fakes.place import Acceptor, Place
+from driftstair.rehearsal.fakes.workload import Task, Workload
 
 Note = Callable[[wire.Observation], None]
 Left = Callable[[int, str, str, int], int]
--- a/driftstair/rehearsal/stands/boxlist.py
+++ b/driftstair/rehearsal/fakes/boxlist.py
@@ -15,8 +15,8 @@
 from typing import Any, cast
 
 from driftstair.rehearsal import wire
-from driftstair.rehearsal.stands.http1 import Message, MessageReader, WireError, response
-from driftstair.rehearsal.stands.place import Acceptor, Place
+from driftstair.rehearsal.fakes.http1 import Message, MessageReader, WireError, response
+from driftstair.rehearsal.fakes.place import Acceptor, Place
 from driftstair.rehearsal.wire import HostState
 
 MISSED = 6.0  # s after a watch fell silent, when what it has missed counts as told
--- a/driftstair/rehearsal/stands/clients.py
+++ b/driftstair/rehearsal/fakes/clients.py
@@ -12,10 +12,10 @@
 from typing import cast
 
 from driftstair.rehearsal import account, wire
-from driftstair.rehearsal.stands.front import FrontLayer
-from driftstair.rehearsal.stands.http1 import MessageReader, WireError, status_of
-from driftstair.rehearsal.stands.place import Place
-from driftstair.rehearsal.stands.workload import Choice, Kind, Workload, zipf
+from driftstair.rehearsal.fakes.front import FrontLayer
+from driftstair.rehearsal.fakes.http1 import MessageReader, WireError, status_of
+from driftstair.rehearsal.fakes.place import Place
+from driftstair.rehearsal.fakes.workload import Choice, Kind, Workload, zipf
 from lichenspring.subset import mix
 
 NOBODY_ASKS = 0.05  # s until the next look, while the load is none
@@ -79,7 +79,7 @@
 
 class Clients:
     """`serves(node)` tells whether the node's process runs at all: what a client can't know and its network
-    does. `load` is what a director turns."""
+    does. `load` is what a runner turns."""
 
     def __init__(
         self, place: Place, front: FrontLayer, workload: Workload, figures: ClientFigures, tenants: Choice,
@@ -317,7 +317,7 @@
 
 
 class Load:
-    """How much is asked for, and of what: figures that a director turns while the run goes on."""
+    """How much is asked for, and of what: figures that a runner turns while the run goes on."""
 
     def __init__(self, rate: float, kinds: list[Kind], shares: list[float]) -> None:
         self.phase = ""
--- a/driftstair/rehearsal/stands/crowd.py
+++ b/driftstair/rehearsal/fakes/crowd.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import cast
 
-from driftstair.rehearsal.stands.front import FrontLayer
-from driftstair.rehearsal.stands.place import Place
+from driftstair.rehearsal.fakes.front import FrontLayer
+from driftstair.rehearsal.fakes.place import Place
 
 OPEN_MOST = 2000  # connections of one crowd at a time: it is bounded whatever the node does
 BEGIN = b"GET /api HTTP/1.1\r\nX-Cl"
--- a/driftstair/rehearsal/stands/front.py
+++ b/driftstair/rehearsal/fakes/front.py
@@ -11,8 +11,8 @@
 from random import Random
 from typing import cast
 
-from driftstair.rehearsal.stands.http1 import MessageReader, WireError, status_of
-from driftstair.rehearsal.stands.place import Place
+from driftstair.rehearsal.fakes.http1 import MessageReader, WireError, status_of
+from driftstair.rehearsal.fakes.place import Place
 
 ASK_EVERY = 0.1  # s
 ENDING = (0.2, 0.4)  # s after SIGTERM in which new connections still come
--- a/driftstair/rehearsal/stands/http1.py
+++ b/driftstair/rehearsal/fakes/http1.py
@@ -1,7 +1,7 @@
-"""HTTP/1.1 messages as the stand-ins read them (RFC 9112): strict, and no code of the daemon's own reader.
+"""HTTP/1.1 messages as the fakes read them (RFC 9112): strict, and no code of the daemon's own reader.
 
 Only what the project's protocol allows is a message here: a head of at most 16 KiB, and a body whose length
-`Content-Length` tells. Anything else is WireError, which a stand-in notes as something that it should never
+`Content-Length` tells. Anything else is WireError, which a fake notes as something that it should never
 get.
 """
 
--- a/driftstair/rehearsal/stands/place.py
+++ b/driftstair/rehearsal/fakes/place.py
@@ -1,4 +1,4 @@
-"""Where a stand-in stands: a machine with a loop, a clock and sockets, simulated or real."""
+"""Where a fake stands: a machine with a loop, a clock and sockets, simulated or real."""
 
 from __future__ import annotations
 
--- a/driftstair/rehearsal/faults.py
+++ b/driftstair/rehearsal/faults.py
@@ -8,15 +8,15 @@
 
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal import wire
-from driftstair.rehearsal.ground import NodeProcess
+from driftstair.rehearsal.environment import NodeProcess
+from driftstair.rehearsal.fakes.box import Box
+from driftstair.rehearsal.fakes.crowd import SilentCrowd
 from driftstair.rehearsal.seeds import random_for
-from driftstair.rehearsal.stands.box import Box
-from driftstair.rehearsal.stands.crowd import SilentCrowd
 from driftstair.rehearsal.tier.links import Fault as LinkFault
 from driftstair.rehearsal.wire import HostState
 
 if TYPE_CHECKING:
-    from driftstair.rehearsal.director import Rehearsal
+    from driftstair.rehearsal.runner import Rehearsal
 
 End = Callable[[], None]
 FOREVER = 1 << 62  # ns
--- a/driftstair/rehearsal/report/build.py
+++ b/driftstair/rehearsal/report/build.py
@@ -12,9 +12,9 @@
 
 from driftstair.rehearsal import load
 from driftstair.rehearsal.account import REASONS, Tally
-from driftstair.rehearsal.director import Rehearsal
 from driftstair.rehearsal.report import tier
 from driftstair.rehearsal.rules import NAMES
+from driftstair.rehearsal.runner import Rehearsal
 from driftstair.rehearsal.scenario import Scenario
 
 FORMAT = "driftstair.rehearsal/1"
@@ -29,7 +29,7 @@
     """A file that is no report of this version."""
 
 
-def build(of: Rehearsal, log: list[LogLine], ground: str) -> Report:
+def build(of: Rehearsal, log: list[LogLine], environment: str) -> Report:
     def at(ns: int) -> float:
         return round((ns - of.began) / 1e9, 6)
 
@@ -41,7 +41,7 @@
     return {
         "format": FORMAT,
         "scenario": _scenario(scenario),
-        "ground": ground,
+        "ground": environment,
         "ended": _ended(of),
         "verdict": {
             "rules_kept": not of.checker.breaks,
--- a/driftstair/rehearsal/director.py
+++ b/driftstair/rehearsal/runner.py
@@ -1,7 +1,7 @@
-"""Plays a scenario: builds the stand-ins on a ground, starts the nodes, turns the faults on and off, and
+"""Plays a scenario: builds the fakes on a environment, starts the nodes, turns the faults on and off, and
 ends.
 
-The same code plays on both grounds. Every observation of the stand-ins goes through `note` to the rule
+The same code plays on both environments. Every observation of the fakes goes through `note` to the rule
 checker.
 """
 
@@ -16,18 +16,18 @@
 from driftstair.rehearsal import load, platform, wire
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.account import Account
+from driftstair.rehearsal.environment import Environment
+from driftstair.rehearsal.fakes.box import Box, BoxKind
+from driftstair.rehearsal.fakes.boxlist import BoxList, Entry, ListFigures
+from driftstair.rehearsal.fakes.clients import ClientFigures, Clients, Load
+from driftstair.rehearsal.fakes.engine import Figures, Jam
+from driftstair.rehearsal.fakes.front import FrontLayer
+from driftstair.rehearsal.fakes.place import Place
+from driftstair.rehearsal.fakes.workload import Choice, Workload
 from driftstair.rehearsal.faults import FaultInjector
-from driftstair.rehearsal.ground import Ground
 from driftstair.rehearsal.rules import Checker
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import random_for, seed_for
-from driftstair.rehearsal.stands.box import Box, BoxKind
-from driftstair.rehearsal.stands.boxlist import BoxList, Entry, ListFigures
-from driftstair.rehearsal.stands.clients import ClientFigures, Clients, Load
-from driftstair.rehearsal.stands.engine import Figures, Jam
-from driftstair.rehearsal.stands.front import FrontLayer
-from driftstair.rehearsal.stands.place import Place
-from driftstair.rehearsal.stands.workload import Choice, Workload
 from driftstair.rehearsal.tier.stage import TierStage
 from driftstair.rehearsal.wire import HostState
 
@@ -69,10 +69,10 @@
     """`tick` is called once a second of the run, with the seconds that have passed."""
 
     def __init__(
-        self, scenario: Scenario, ground: Ground, tick: Callable[[float], None] = lambda _: None
+        self, scenario: Scenario, environment: Environment, tick: Callable[[float], None] = lambda _: None
     ) -> None:
         self.scenario = scenario
-        self.ground = ground
+        self.environment = environment
         self.checker = Checker(platform.rule_book(scenario))
         self.account = Account()
         self.events: list[Event] = []
@@ -98,10 +98,10 @@
     # Building.
 
     def _build(self) -> None:
-        of, ground = self.scenario, self.ground
+        of, environment = self.scenario, self.environment
         random = random_for(self.seed, "fleet")
         self.workload = Workload(load.classes(of), random_for(self.seed, "work"))
-        self.place = ground.place("clients")
+        self.place = environment.place("clients")
         self.front = FrontLayer(
             self.place, self.node_names, random.uniform(*of.front.notice_s), random_for(self.seed, "front"),
             dict.fromkeys(
@@ -130,7 +130,7 @@
         self.list_notice = random.uniform(*of.list.notice_s)
         self.silent_notice = random.uniform(*of.list.silent_notice_s)
         self.box_list = BoxList(
-            ground.place("list"),
+            environment.place("list"),
             ListFigures(
                 of.list.mode == "pushed", of.list.lines_per_s, of.list.call_lines, of.list.timeout_ms / 1e3
             ),
@@ -139,14 +139,14 @@
         self.boxes: dict[str, Box] = {}
         self.gone: dict[str, Box] = {}
         for name, kind in zip(load.box_names(of.boxes.count), self._kinds_in_turn(random), strict=True):
-            self.boxes[name] = self._box(name, kind, ground.place(name))
-        self.nodes = {name: ground.node(name, self._node_ended) for name in self.node_names}
+            self.boxes[name] = self._box(name, kind, environment.place(name))
+        self.nodes = {name: environment.node(name, self._node_ended) for name in self.node_names}
         self.tier: TierStage | None = None
         if of.nodes.tier is not None:
             self.tier = TierStage(
                 of.nodes.tier, self.node_names, seed_for(self.seed, "links"), load.box_names(of.boxes.count)
             )  # fmt: skip
-            ground.join(self.tier.links)
+            environment.join(self.tier.links)
 
     def _kinds_in_turn(self, random: Random) -> list[model.Kind]:
         """Kinds by their shares, as evenly as whole boxes allow, in an order drawn by the seed."""
@@ -220,7 +220,7 @@
 
     def _wait_for_nodes(self, waited: float) -> None:
         """Clients come when all nodes are ready."""
-        self.stuck = self.ground.stuck()
+        self.stuck = self.environment.stuck()
         if self.stuck:
             self._end()
         elif all(self.front.has(name) for name in self.node_names) or waited >= READY_WITHIN:
@@ -271,7 +271,7 @@
                 {name: node.descriptors() for name, node in self.nodes.items()},
             )
         )  # fmt: skip
-        self.stuck = self.ground.stuck()
+        self.stuck = self.environment.stuck()
         if self.stuck:
             self._end()
             return
@@ -284,7 +284,7 @@
         self.over = True
         self.clients.cut_off()
         self._judge()
-        self.ground.finish()
+        self.environment.finish()
 
     def _judge(self) -> None:
         self.checker.finish(self.now())
@@ -292,7 +292,7 @@
 
     def _judge_tier(self) -> None:
         if self.tier is not None:
-            self.tier.finish(self.now(), self.ground.histories())
+            self.tier.finish(self.now(), self.environment.histories())
 
     def interrupt(self) -> None:
         """A person wants no more of it: the report is on what has been."""
@@ -302,7 +302,7 @@
             self.clients.stop()
             self.clients.cut_off()
             self._judge_tier()
-            self.ground.finish()
+            self.environment.finish()
 
     def deadlocked(self, why: str) -> None:
         self.stuck = why
@@ -319,7 +319,7 @@
         return platform.document(
             self.scenario, name, self.nodes[name].address(), self.box_list.addresses[name],
             seed_for(self.seed, "node", name, self._lives[name]), self.box_list.known(name),
-            None if self.tier is None else self.ground.peers(name),
+            None if self.tier is None else self.environment.peers(name),
         )  # fmt: skip
 
     def start_node(self, name: str, first: bool = False) -> None:
@@ -441,7 +441,9 @@
         self.gone[old.name] = old
         if same_address:
             old.place.restart()
-        box = self.boxes[name] = self._box(name, kind, old.place if same_address else self.ground.place(name))
+        box = self.boxes[name] = self._box(
+            name, kind, old.place if same_address else self.environment.place(name)
+        )
         self.say(f"box {old.name} is gone; {name} starts {'at its address' if same_address else 'elsewhere'}")
         box.start(cold=True, addresses=old.addresses if same_address else None)
         self.tell_list(box, HostState.READY)
--- a/driftstair/rehearsal/sim/loop.py
+++ b/driftstair/rehearsal/sim/loop.py
@@ -1,7 +1,7 @@
 """One simulated process's asyncio event loop, on the shared queue of virtual time.
 
 Each process has a loop of its own, so that it can be killed: a dead loop runs nothing more and takes nothing
-more, as a process that is gone. Only what this project's daemon and stand-ins use of an event loop is here;
+more, as a process that is gone. Only what this project's daemon and fakes use of an event loop is here;
 anything else raises NotImplementedError by name (`asyncio.AbstractEventLoop`).
 """
 
--- a/driftstair/rehearsal/sockets.py
+++ b/driftstair/rehearsal/sockets.py
@@ -1,4 +1,4 @@
-"""The ground of real sockets: a daemon process for each node, the stand-ins in this process, all on loopback.
+"""Rehearsals on real sockets: a daemon process for each node, the fakes in this process, all on loopback.
 
 The machine's own time and noise come into it, so figures vary from run to run; the rules do not. What a real
 network can't be made to do without privileges is played as near as sockets allow: a box that vanishes stops
@@ -26,10 +26,10 @@
 from driftstair.net.system import SOCKETS, Factory, SocketListener, SocketSystem, bound
 from driftstair.rehearsal import ports
 from driftstair.rehearsal import scenario as model
-from driftstair.rehearsal.director import Rehearsal
 from driftstair.rehearsal.platform import Peers
 from driftstair.rehearsal.ports import HOST, Port
 from driftstair.rehearsal.report.build import LogLine
+from driftstair.rehearsal.runner import Rehearsal
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.tier.clocked import CLOCK
 from driftstair.rehearsal.tier.histories import Event, read_events
@@ -48,7 +48,7 @@
 
 
 class Veil(asyncio.Protocol):
-    """Between a stand-in's connection and its socket: while the machine is cut off nothing is read, and what
+    """Between a fake's connection and its socket: while the machine is cut off nothing is read, and what
     is written or closed waits."""
 
     def __init__(self, place: LoopbackPlace, protocol: asyncio.Protocol) -> None:
@@ -95,7 +95,7 @@
 
 
 class VeiledTransport:
-    """What a stand-in asks of a transport."""
+    """What a fake asks of a transport."""
 
     def __init__(self, veil: Veil) -> None:
         assert veil.transport is not None
@@ -136,7 +136,7 @@
 
 
 class PlaceSystem(SocketSystem):
-    """The seam for a stand-in whose machine may vanish."""
+    """The seam for a fake whose machine may vanish."""
 
     def __init__(self, place: LoopbackPlace) -> None:
         self._place = place
@@ -151,7 +151,7 @@
 
 
 class LoopbackPlace:
-    """A stand-in's place in this process."""
+    """A fake's place in this process."""
 
     def __init__(self, name: str, loop: asyncio.AbstractEventLoop, origin: int) -> None:
         self.name = name
@@ -177,7 +177,7 @@
         transport.abort()
 
     def die(self) -> None:
-        """The stand-in has closed its listeners and reset its connections itself."""
+        """The fake has closed its listeners and reset its connections itself."""
 
     def restart(self) -> None:
         self.vanished = False
@@ -200,10 +200,10 @@
 class DaemonProcess:
     """One node: the shipped daemon in a process of its own."""
 
-    def __init__(self, ground: SocketGround, name: str, ended: Callable[[str, str], None]) -> None:
+    def __init__(self, environment: SocketEnvironment, name: str, ended: Callable[[str, str], None]) -> None:
         self.name = name
         self.running = False
-        self._ground = ground
+        self._environment = environment
         self._ended = ended
         self._held = ports.tcp()
         self._port = self._held.number
@@ -215,7 +215,7 @@
         return HOST, self._port
 
     def _path(self) -> Path:
-        return self._ground.folder / f"{self.name}.json"
+        return self._environment.folder / f"{self.name}.json"
 
     def _write(self, document: dict[str, Any]) -> None:
         """Replaced whole, as the platform does."""
@@ -228,25 +228,25 @@
         self.running = True
         self._life += 1
         self._program = "driftstair"
-        if self.name in self._ground.liars:
+        if self.name in self._environment.liars:
             self._program = LIAR
-        elif self._ground.clock(self.name) != (1.0, 0):
+        elif self._environment.clock(self.name) != (1.0, 0):
             self._program = CLOCKED
-        self._ground.do(self._run(self._life))
+        self._environment.do(self._run(self._life))
 
     async def _run(self, life: int) -> None:
         environment = {
             **{key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")},
             "BALANCER_CONFIG": str(self._path()), "BALANCER_NAME": self.name,
             "BALANCER_LISTEN": f"{HOST}:{self._port}",
-            CLOCK: "{},{}".format(*self._ground.clock(self.name)),
+            CLOCK: "{},{}".format(*self._environment.clock(self.name)),
         }  # fmt: skip
-        self._ground.give(self.name)
-        service = self._ground.service
+        self._environment.give(self.name)
+        service = self._environment.service
         options = ["--service", service] if service else []
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", self._program, *options, env=environment, stderr=asyncio.subprocess.PIPE,
-            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, cwd=self._ground.root,
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, cwd=self._environment.root,
         )  # fmt: skip
         if life != self._life or not self.running:
             process.kill()
@@ -266,7 +266,7 @@
         if found:
             self._trace_over()
             level, _, text = found.groups()
-            self._ground.log.append((self._ground.now(), self.name, level, text))
+            self._environment.log.append((self._environment.now(), self.name, level, text))
             if level in ("ERROR", "CRITICAL"):
                 self._trace = [text]
         elif self._trace is not None:
@@ -278,7 +278,7 @@
         trace, self._trace = self._trace, None
         if trace and any(line.startswith("Traceback") for line in trace):
             frames = [line for line in trace if line.startswith("File ")][-TRACE_MOST:]
-            self._ground.crashed(
+            self._environment.crashed(
                 self.name, f"{trace[0]} {trace[-1]}".strip(), [_frame(one) for one in frames]
             )
 
@@ -330,7 +330,7 @@
     return f"{path[at + 1 :] if at >= 0 else Path(path).name}:{found[2]} {found[3]}"
 
 
-class SocketGround:
+class SocketEnvironment:
     def __init__(self, folder: Path, nodes: model.Nodes) -> None:
         service, tier = nodes.service, nodes.tier
         self._budgets = budgets(nodes)
@@ -422,33 +422,33 @@
 async def _play(
     scenario: Scenario, tick: Callable[[float], None], interrupted: Callable[[], bool], folder: Path
 ) -> tuple[Rehearsal, list[LogLine]]:
-    ground = SocketGround(folder, scenario.nodes)
-    rehearsal = Rehearsal(scenario, cast(Any, ground), tick)
-    ground.rehearsal = rehearsal
+    environment = SocketEnvironment(folder, scenario.nodes)
+    rehearsal = Rehearsal(scenario, cast(Any, environment), tick)
+    environment.rehearsal = rehearsal
     failures: list[BaseException] = []
 
     def failed(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """A bug of the kit is none of the daemon: the run ends with it."""
         problem = context.get("exception") or RuntimeError(str(context.get("message")))
         failures.append(problem)
-        ground.finish()
+        environment.finish()
 
-    ground.loop.set_exception_handler(failed)
+    environment.loop.set_exception_handler(failed)
     try:
         rehearsal.start()
-        while not ground.over.is_set():
+        while not environment.over.is_set():
             if interrupted():
                 rehearsal.interrupt()
             try:
                 async with asyncio.timeout(LOOK):
-                    await ground.over.wait()
+                    await environment.over.wait()
             except TimeoutError:
                 continue
     finally:
-        await ground.clean_up()
+        await environment.clean_up()
     if failures:
         raise RuntimeError("the rehearsal kit itself failed") from failures[0]
-    return rehearsal, ground.log
+    return rehearsal, environment.log
 
 
 def play(
--- a/driftstair/rehearsal/virtual.py
+++ b/driftstair/rehearsal/virtual.py
@@ -1,4 +1,4 @@
-"""The ground of virtual time: each node is the shipped daemon's own `serve`, on a simulated machine."""
+"""Rehearsals in virtual time: each node is the shipped daemon's own `serve`, on a simulated machine."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 
 from driftstair.config import read
 from driftstair.daemon import serve
-from driftstair.rehearsal.director import Rehearsal
 from driftstair.rehearsal.platform import Peers
+from driftstair.rehearsal.runner import Rehearsal
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import seed_for
 from driftstair.rehearsal.sim.loop import ProcessLoop, enter
@@ -38,25 +38,25 @@
 
 
 class SimulatedPlace:
-    """A stand-in's machine."""
+    """A fake's machine."""
 
-    def __init__(self, ground: VirtualGround, name: str, host: str) -> None:
+    def __init__(self, environment: VirtualEnvironment, name: str, host: str) -> None:
         self.name = name
         self.host = host
-        self._ground = ground
-        self._machine = ground.network.add(name, host)
+        self._environment = environment
+        self._machine = environment.network.add(name, host)
         self.restart()
 
     def restart(self) -> None:
-        ground = self._ground
-        self.loop = ground.new_loop(self.name, ground.stand_in_failed)
+        environment = self._environment
+        self.loop = environment.new_loop(self.name, environment.fake_failed)
         self.system = SimulatedSystem(self._machine, self.loop)
 
     def now(self) -> int:
-        return self._ground.scheduler.now
+        return self._environment.scheduler.now
 
     def unix_ms(self, at: int) -> int:
-        return (self._ground.scheduler.epoch + at) // 1_000_000
+        return (self._environment.scheduler.epoch + at) // 1_000_000
 
     def reset(self, transport: asyncio.Transport) -> None:
         cast(Endpoint, transport).reset()
@@ -76,14 +76,14 @@
     """A node's machine, and the daemon on it."""
 
     def __init__(
-        self, ground: VirtualGround, name: str, host: str, descriptors: int,
+        self, environment: VirtualEnvironment, name: str, host: str, descriptors: int,
         ended: Callable[[str, str], None],
     ) -> None:  # fmt: skip
         self.name = name
         self.running = False
         self.loop: ProcessLoop | None = None
-        self.machine = ground.network.add(name, host, descriptors)
-        self._ground = ground
+        self.machine = environment.network.add(name, host, descriptors)
+        self._environment = environment
         self._ended = ended
         self._document: dict[str, Any] = {}
 
@@ -91,18 +91,18 @@
         return self.machine.host, PORT
 
     def start(self, document: dict[str, Any]) -> None:
-        ground = self._ground
+        environment = self._environment
         self._document = document
         self.running = True
-        self.loop = loop = ground.new_loop(self.name, self._crash)
-        rate, off = ground.clock(self.name)
+        self.loop = loop = environment.new_loop(self.name, self._crash)
+        rate, off = environment.clock(self.name)
         system = SimulatedSystem(self.machine, loop, off, rate)
         # Only in its next turn: the process that starts it is another.
         loop.call_later(STARTED, self._main, loop, system)
 
     def _main(self, loop: ProcessLoop, system: SimulatedSystem) -> None:
         config = read({}, self._document)
-        task = loop.create_task(serve(config, self._reread, system, service=self._ground.service))
+        task = loop.create_task(serve(config, self._reread, system, service=self._environment.service))
         task.add_done_callback(lambda done: self._over(loop, done))
 
     def _reread(self) -> Config:
@@ -120,7 +120,7 @@
             self._ended(self.name, f"status {status}" if status else "")
 
     def _crash(self, message: str, problem: BaseException | None) -> None:
-        self._ground.crashed(self.name, message, problem)
+        self._environment.crashed(self.name, message, problem)
 
     def _stop(self) -> None:
         self.running = False
@@ -162,7 +162,7 @@
         return self.machine.descriptors
 
 
-class VirtualGround:
+class VirtualEnvironment:
     def __init__(self, scenario: Scenario) -> None:
         self.scheduler = Scheduler(EPOCH)
         net = scenario.network
@@ -238,7 +238,7 @@
     def finish(self) -> None:
         self.scheduler.stop()
 
-    def stand_in_failed(self, message: str, problem: BaseException | None) -> None:
+    def fake_failed(self, message: str, problem: BaseException | None) -> None:
         """A bug of the kit is none of the daemon: the run ends with it."""
         raise RuntimeError(f"the rehearsal kit itself failed: {message}") from problem
 
@@ -268,18 +268,18 @@
     """The daemon's log lines, with the node that wrote them. What it logs with an exception, it has caught
     itself: a failure of the daemon all the same."""
 
-    def __init__(self, ground: VirtualGround, lines: list[tuple[int, str, str, str]]) -> None:
+    def __init__(self, environment: VirtualEnvironment, lines: list[tuple[int, str, str, str]]) -> None:
         super().__init__(logging.INFO)
-        self._ground = ground
+        self._environment = environment
         self._lines = lines
 
     def emit(self, record: logging.LogRecord) -> None:
         loop = asyncio._get_running_loop()
         node = loop.name if isinstance(loop, ProcessLoop) else "?"
         text = record.getMessage()
-        self._lines.append((self._ground.scheduler.now, node, record.levelname, text))
+        self._lines.append((self._environment.scheduler.now, node, record.levelname, text))
         if record.exc_info and record.exc_info[1] is not None:
-            self._ground.crashed(node, text, record.exc_info[1])
+            self._environment.crashed(node, text, record.exc_info[1])
 
 
 def play(
@@ -289,10 +289,10 @@
     """One run in virtual time: the rehearsal as it ended, the nodes' log lines (ns, node, level, text) and
     the number of events. `interrupted` is asked now and then; `prepare` sees the rehearsal before it
     starts."""
-    ground = VirtualGround(scenario)
-    ground.scheduler.interrupted = interrupted
+    environment = VirtualEnvironment(scenario)
+    environment.scheduler.interrupted = interrupted
     lines: list[tuple[int, str, str, str]] = []
-    catcher = LogCatcher(ground, lines)
+    catcher = LogCatcher(environment, lines)
     logger = logging.getLogger("driftstair")
     kept = logger.level, logger.propagate
     logger.addHandler(catcher)
@@ -303,29 +303,31 @@
     gc.set_threshold(*COLLECTED)
     enter(None)
     try:
-        rehearsal = Rehearsal(scenario, ground, tick)
-        ground.rehearsal = rehearsal
+        rehearsal = Rehearsal(scenario, environment, tick)
+        environment.rehearsal = rehearsal
         prepare(rehearsal)
         place = cast(SimulatedPlace, rehearsal.place)
         place.loop.call_soon(rehearsal.start)
         try:
-            ground.scheduler.run(FOREVER, enter)
+            environment.scheduler.run(FOREVER, enter)
         except Deadlock as problem:
-            rehearsal.deadlocked(f"{problem}; waiting: {_all_waiting(ground)}")
+            rehearsal.deadlocked(f"{problem}; waiting: {_all_waiting(environment)}")
         except Runaway as problem:
             rehearsal.deadlocked(str(problem))
         if interrupted():
             rehearsal.interrupt()
     finally:
         enter(cast(Any, before))
-        ground.close()
+        environment.close()
         gc.set_threshold(*collector)
         logger.removeHandler(catcher)
         logger.setLevel(kept[0])
         logger.propagate = kept[1]
-    return rehearsal, lines, ground.scheduler.events
+    return rehearsal, lines, environment.scheduler.events
 
 
-def _all_waiting(ground: VirtualGround) -> str:
-    found = [f"{node.name} in {task}" for node in ground._nodes if node.loop for task in node.loop.waiting()]
+def _all_waiting(environment: VirtualEnvironment) -> str:
+    found = [
+        f"{node.name} in {task}" for node in environment._nodes if node.loop for task in node.loop.waiting()
+    ]
     return ", ".join(found) or "no node"
--- a/driftstair/rehearsal/wire.py
+++ b/driftstair/rehearsal/wire.py
@@ -1,7 +1,7 @@
 """What crossed the wire, as clients, boxes and the box list saw it: the only evidence that `rules` goes by.
 
 Times are whole nanoseconds since the start of the run; `node` and `box` are names; `request` is the id that
-the client gave (`X-Request-Id`); an `attempt` is a number that the stand-in box gives each request whose
+the client gave (`X-Request-Id`); an `attempt` is a number that the fake box gives each request whose
 first byte it sees. A carrier of another protocol notes the same things of its own messages.
 """
 
--- a/tests/ledger/test_carrier.py
+++ b/tests/ledger/test_carrier.py
@@ -96,7 +96,7 @@
 
     async def start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "driftstair.rehearsal.stands.billing", str(self.folder), str(self.port),
+            sys.executable, "-m", "driftstair.rehearsal.fakes.billing", str(self.folder), str(self.port),
             "200", stdout=asyncio.subprocess.PIPE,
         )  # fmt: skip
         assert self.process.stdout is not None
--- a/tests/rehearsal/stage.py
+++ b/tests/rehearsal/stage.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from driftstair.rehearsal import wire
-from driftstair.rehearsal.director import Rehearsal
 from driftstair.rehearsal.load import parse
 from driftstair.rehearsal.report import build
+from driftstair.rehearsal.runner import Rehearsal
 from driftstair.rehearsal.virtual import play
 
 SMALL: dict[str, Any] = {
--- a/tests/rehearsal/test_box_engine.py
+++ b/tests/rehearsal/test_box_engine.py
@@ -1,4 +1,4 @@
-"""How the stand-in box works: shared cores, slots, a waiting room, cold starts, keys, jams, late reports."""
+"""How the fake box works: shared cores, slots, a waiting room, cold starts, keys, jams, late reports."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from driftstair.rehearsal.stands.engine import Engine, Figures, Jam
+from driftstair.rehearsal.fakes.engine import Engine, Figures, Jam
 
 FIGURES = Figures(
     cores=2, speed=1.0, slots=8, room=2, cold_share=0.25, cold_time=20.0, thrash=0.0, thrash_at=100.0,
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -17,7 +17,7 @@
 from driftstair.net.node import Node
 from driftstair.net.upstream import Attempt
 from driftstair.rehearsal import wire
-from driftstair.rehearsal.director import Rehearsal
+from driftstair.rehearsal.runner import Rehearsal
 from driftstair.rehearsal.wire import HostState
 from lichenspring import Balancer, balance
 from lichenspring.interface import Result, ServerState
--- a/tests/rehearsal/test_rehearse_command.py
+++ b/tests/rehearsal/test_rehearse_command.py
@@ -124,12 +124,12 @@
     """The signal comes from within, at a moment of the run: no timing of the machine's."""
     script = (
         "import os, signal, sys\n"
-        "from driftstair.rehearsal import director\n"
-        "sample = director.Rehearsal._sample\n"
+        "from driftstair.rehearsal import runner\n"
+        "sample = runner.Rehearsal._sample\n"
         "def then(self):\n"
         "    sample(self)\n"
         "    if len(self.samples) == 30: os.kill(os.getpid(), signal.SIGINT)\n"
-        "director.Rehearsal._sample = then\n"
+        "runner.Rehearsal._sample = then\n"
         "from driftstair.commands import run\n"
         "sys.exit(run(sys.argv[1:]))\n"
     )
--- a/tests/tier/test_collecting_processes.py
+++ b/tests/tier/test_collecting_processes.py
@@ -23,7 +23,7 @@
 
 
 class Billing:
-    """The stand-in, a process of its own."""
+    """The fake, a process of its own."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -36,7 +36,7 @@
 
     async def start(self) -> None:
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "driftstair.rehearsal.stands.billing", str(self.folder), str(self.port),
+            sys.executable, "-m", "driftstair.rehearsal.fakes.billing", str(self.folder), str(self.port),
             "2000", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
         )  # fmt: skip
         assert self._process.stdout is not None
--- a/tests/tier/test_tier_rehearsals.py
+++ b/tests/tier/test_tier_rehearsals.py
@@ -64,7 +64,7 @@
     found = build.build(rehearsal, log, "virtual")
     assert found["tier"]["findings"] == []
     assert not found["verdict"]["crashes"]
-    had = owners.leases([one for events in rehearsal.ground.histories() for one in events])
+    had = owners.leases([one for events in rehearsal.environment.histories() for one in events])
     assert len({node for some in had.values() for _, _, _, node in some}) > 1, had
 
 
@@ -106,7 +106,7 @@
 
 def test_a_node_with_twelve_times_the_demand_is_let_in_for_more_than_its_part() -> None:
     rehearsal, _, _ = virtual.play(load("shared-halves", {}))
-    spent = [sum(one["event"] == "spend" for one in events) for events in rehearsal.ground.histories()]
+    spent = [sum(one["event"] == "spend" for one in events) for events in rehearsal.environment.histories()]
     assert spent[0] > 2 * sum(spent) / len(spent), spent
 
 
