--- a/benchmarks/node_configuration.py
+++ b/benchmarks/node_configuration.py
@@ -1,9 +1,9 @@
 """What configuration by the change costs a node: a request with [control] on, and the loop while it applies.
 
-    python benchmarks/node_configuration.py [--requests N] [--rounds N] [--routes N] [--tenants N] [--json]
+    python benchmarks/node_configuration.py [--requests N] [--rounds N] [--routes N] [--tenants N] [--no-hold]
 
 `request`: CPU of a request of the daemon without a service file, with one route in its file, and with the
-same route from a control server; rounds alternate, so that the ratio says more than each figure. `hold`: how
+same route from a control server; bursts alternate, so that the ratio says more than each figure. `hold`: how
 long single turns of the loop last in this process while a snapshot of so many routes and tenants is taken in
 and proved, while change sets of several sizes are, and while a file of that state is read; a probe asks for
 each turn. Loopback only. Not part of CI.
@@ -14,7 +14,9 @@
 import argparse
 import asyncio
 import json
+import os
 import statistics
+import subprocess
 import sys
 import tempfile
 import threading
@@ -23,12 +25,13 @@
 from typing import Any
 
 import uvloop
-from request import HERE, one_round
+from request import HERE, Box, Client, document, memory_of
 
 sys.path.insert(0, str(HERE))
 sys.path.insert(0, str(HERE / "tests"))
 sys.path.insert(0, str(HERE / "tests" / "node_configuration"))
 
+CONNECTIONS = 16
 ROUTE = {"match": {"class": ["page"]}, "timeout": {"total": "900ms"}, "admit": {"in_flight": 400}}
 ROUTE_OF_THE_FILE = (
     '[[route]]\nname = "pages"\nmatch = { class = "page" }\ntimeout = { total = "900ms" }\n'
@@ -43,6 +46,7 @@
         self.address = ""
         self._loop = asyncio.new_event_loop()
         self._ready = threading.Event()
+        self.reported = threading.Event()  # the daemon has it in force
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
         self._ready.wait()
@@ -60,43 +64,145 @@
             self.address = server.address
             self._ready.set()
             while True:
-                await asyncio.sleep(2.0)
-                if server._watches:
+                await asyncio.sleep(0.5)
+                if server._watches and not server._watches[-1].is_closing():
                     server.say_bytes(b"\n")
+                if server.reports and server.reports[-1].revision == 1:
+                    self.reported.set()
 
         self._loop.run_until_complete(serve())
 
 
-def request_rows(requests: int, rounds: int) -> list[dict[str, Any]]:
+class Daemon:
+    """A node under its own load. CPU by the scheduler's account, in ns: /proc/PID/schedstat."""
+
+    def __init__(self, name: str, process: subprocess.Popen[str], address: tuple[str, int]) -> None:
+        self.name = name
+        self.process = process
+        self.address = address
+        self.clients: list[Client] = []
+        self.cpu_us: list[float] = []  # a request, of each burst
+        self.served = 0
+
+    @staticmethod
+    async def start(name: str, service: str, addresses: list[str], folder: Path) -> Daemon:
+        config = folder / f"{name}.json"
+        config.write_text(json.dumps(document(addresses)))
+        file = folder / f"{name}.toml"
+        file.write_text(service)
+        options = ("--service", str(file)) if service else ()
+        process = subprocess.Popen(
+            [sys.executable, "-m", "driftstair", *options], cwd=HERE, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "BALANCER_CONFIG": str(config)},
+        )  # fmt: skip
+        assert process.stderr is not None
+        while "serving on" not in (line := process.stderr.readline()):
+            assert line, "the daemon ended"
+        host, port = line.split()[-1].rsplit(":", 1)
+        return Daemon(name, process, (host, int(port)))
+
+    def cpu_ns(self) -> int:
+        return int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[0])
+
+    async def burst(self, requests: int) -> None:
+        loop = asyncio.get_running_loop()
+        if not self.clients or any(client.transport.is_closing() for client in self.clients):
+            self.clients = [
+                (await loop.create_connection(Client, *self.address))[1] for _ in range(CONNECTIONS)
+            ]
+        Client.left, Client.number, Client.statuses, Client.took = requests, 0, {}, []
+        Client.done = loop.create_future()
+        before = self.cpu_ns()
+        for client in self.clients:
+            client.ask()
+        await asyncio.wait_for(Client.done, 120)
+        self.cpu_us.append((self.cpu_ns() - before) / requests / 1e3)
+        self.served += Client.statuses.get(b"200", 0)
+
+
+async def request_rows(requests: int, rounds: int) -> list[dict[str, Any]]:
+    """Bursts alternate between daemons that run side by side: what else the machine does hits all alike."""
     control = ControlInAThread()
+    texts = {
+        "no service file": "",
+        "one route of the file": "version = 1\n" + ROUTE_OF_THE_FILE,
+        "the same route from control": f'version = 1\n[control]\nservers = ["{control.address}"]\n',
+    }
+    loop = asyncio.get_running_loop()
+    boxes = [await loop.create_server(Box, "127.0.0.1", 0) for _ in range(2)]
+    addresses = [":".join(map(str, box.sockets[0].getsockname())) for box in boxes]
+    daemons: list[Daemon] = []
     with tempfile.TemporaryDirectory() as folder:
-        texts = {
-            "no service file": "",
-            "one route of the file": "version = 1\n" + ROUTE_OF_THE_FILE,
-            "the same route from control": f'version = 1\n[control]\nservers = ["{control.address}"]\n',
+        try:
+            for name, text in texts.items():
+                daemons.append(await Daemon.start(name, text, addresses, Path(folder)))
+            await asyncio.to_thread(control.reported.wait, 30.0)
+            await asyncio.sleep(1.0)
+            for daemon in daemons:
+                await daemon.burst(requests)  # warms up
+                daemon.cpu_us.clear()
+                daemon.served = 0
+            for number in range(rounds):
+                place = number % len(daemons)
+                for daemon in daemons[place:] + daemons[:place]:
+                    await daemon.burst(requests)
+            memory = [round(memory_of(daemon.process.pid), 1) for daemon in daemons]
+        finally:
+            for daemon in daemons:
+                daemon.process.kill()
+                daemon.process.wait()
+    base = daemons[1].cpu_us
+    return [
+        {
+            "what": daemon.name, "cpu_us_median": round(statistics.median(daemon.cpu_us), 1),
+            "ratio_median": round(
+                statistics.median(its / of for its, of in zip(daemon.cpu_us, base, strict=True)), 4
+            ),
+            "ratio_of_sums": round(sum(daemon.cpu_us) / sum(base), 4),
+            "ratio_of_least": round(min(daemon.cpu_us) / min(base), 4),
+            "served": round(daemon.served / requests / rounds, 4), "rss_mb": rss,
         }
-        files = {}
-        for number, (name, text) in enumerate(texts.items()):
-            path = Path(folder, f"{number}.toml")
-            path.write_text(text)
-            files[name] = str(path) if text else ""
-        found: dict[str, list[dict[str, float]]] = {name: [] for name in texts}
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            for _ in range(rounds):
-                for name, file in files.items():
-                    found[name].append(runner.run(one_round(HERE, requests, 64, file)))
-    rows = []
-    for name, each in found.items():
-        cpu = [one["cpu_us"] for one in each]
-        rows.append({
-            "what": name, "cpu_us_least": round(min(cpu), 1),
-            "cpu_us_median": round(statistics.median(cpu), 1), "served": min(one["served"] for one in each),
-            "rss_mb": round(max(one["rss_mb"] for one in each), 1),
-        })  # fmt: skip
-    for key in ("least", "median"):
-        for row in rows:
-            row[f"ratio_{key}"] = round(row[f"cpu_us_{key}"] / rows[1][f"cpu_us_{key}"], 4)
-    return rows
+        for daemon, rss in zip(daemons, memory, strict=True)
+    ]  # fmt: skip
+
+
+def look_up_rows() -> list[dict[str, Any]]:
+    """What a request's look-ups take, the least of many tries: without what sockets and machine add."""
+    from control_server import ROUTE as KIND
+    from control_server import Log, change
+    from harness import SETTINGS, given
+
+    from driftstair.limits.routes import Asked
+    from driftstair.limits.table import Table
+    from driftstair.node_configuration.in_force import ConfigurationInForce
+    from driftstair.node_configuration.request_tables import CombinedTable, RequestTables
+    from driftstair.node_configuration.tenant_limits import TenantLimits, TenantUse
+    from driftstair.service.load import parse
+
+    class Admitted:
+        tenant: TenantUse | None = None
+
+    in_force = ConfigurationInForce(given())
+    for _ in in_force.applying(Log().put(change(KIND, "pages", ROUTE)), lambda keys: None):
+        pass
+    tables = RequestTables(lambda: in_force, 5)
+    of_the_file = Table(parse("version = 1\n" + ROUTE_OF_THE_FILE, "f").service, SETTINGS)
+    combined = CombinedTable(Table(parse("version = 1\n", "f").service, SETTINGS), tables)
+    tenants, request = TenantLimits(tables.tenant), Admitted()
+    asked = [Asked("page", f"t{n % 20}", "GET", "/api", {}, f"k{n}") for n in range(997)]
+    rows = {"one route of the file": float("inf"), "the same route from control": float("inf")}
+    for _ in range(200):
+        began = time.perf_counter()
+        for one in asked:
+            of_the_file.find(one)
+        middle = time.perf_counter()
+        for one in asked:
+            combined.find(one)
+            tenants.admit(0, request, one.tenant)
+        end = time.perf_counter()
+        for name, took_s in zip(rows, (middle - began, end - middle), strict=True):
+            rows[name] = min(rows[name], took_s / len(asked) * 1e6)
+    return [{"what": f"look-ups, {name}", "us_least": round(us, 3)} for name, us in rows.items()]
 
 
 class Probe:
@@ -220,21 +326,25 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--requests", type=int, default=20_000)
-    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--requests", type=int, default=1_000, help="in a burst")
+    parser.add_argument("--rounds", type=int, default=40, help="bursts")
     parser.add_argument("--routes", type=int, default=21_000)
     parser.add_argument("--tenants", type=int, default=220_000)
+    parser.add_argument("--no-hold", action="store_true", help="requests alone")
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder, asyncio.Runner(
         loop_factory=uvloop.new_event_loop
     ) as runner:  # fmt: skip
-        hold = runner.run(hold_rows(options.routes, options.tenants, Path(folder)))
-    rows = {"request": request_rows(options.requests, options.rounds), "hold": hold}
+        request = runner.run(request_rows(options.requests, options.rounds))
+        hold = [] if options.no_hold else runner.run(
+            hold_rows(options.routes, options.tenants, Path(folder))
+        )  # fmt: skip
+    rows = {"request": request, "look_up": look_up_rows(), "hold": hold}
     if options.json:
         print(json.dumps(rows, indent=1))
         return 0
-    for row in (*rows["request"], *rows["hold"]):
+    for row in (*rows["request"], *rows["look_up"], *rows["hold"]):
         print(", ".join(f"{key} {value}" for key, value in row.items()))
     return 0
 
--- a/driftstair/configuration/resource_table.py
+++ b/driftstair/configuration/resource_table.py
@@ -133,6 +133,13 @@
                 yield NamedResource(key.decode(), StoredResource(revision, packed))
             last = rows[-1][0]
 
+    def releasing(self) -> Iterator[None]:
+        """Gives its memory back in steps; the table is empty then."""
+        self._count = 0
+        while self._blocks:
+            del self._blocks[-1], self._firsts[-1]
+            yield
+
     def _rows_after(self, index: int, last: bytes | None) -> list[tuple[bytes, int, bytes]]:
         if index >= len(self._blocks):
             return []
--- a/driftstair/configuration/route_index.py
+++ b/driftstair/configuration/route_index.py
@@ -95,6 +95,15 @@
             del self._shapes[path]
             self._remove_path(path)
 
+    def releasing(self) -> Iterator[None]:
+        """Gives its memory back in steps; there is no route in it then."""
+        self._memo.clear()
+        yield from self._lines.releasing()
+        for paths in (self._shapes, self._lengths):
+            while paths:
+                paths.popitem()
+                yield
+
     def find(self, asked: Asked, masked: Collection[str] = NOBODY) -> FoundRoute | None:
         """The most specific route that the request matches, without those that are masked."""
         for paths in self._paths(asked.path):
--- a/driftstair/configuration/sorted_lines.py
+++ b/driftstair/configuration/sorted_lines.py
@@ -88,6 +88,13 @@
                 return lines[position]
         return None
 
+    def releasing(self) -> Iterator[None]:
+        """Gives its memory back in steps; the set is empty then."""
+        self._count = 0
+        while self._blocks:
+            del self._blocks[-1], self._firsts[-1]
+            yield
+
     def _lines(self, index: int) -> list[bytes]:
         return self._blocks[index][1:-1].split(FEED)
 
--- a/driftstair/configuration/state.py
+++ b/driftstair/configuration/state.py
@@ -72,6 +72,12 @@
         self._add_to_digest(self._digest_difference(key, 0, None))
         self._tables[key.kind].delete(key.name)
 
+    def releasing(self) -> Iterator[None]:
+        """Gives its memory back in steps: freeing a great state at once takes some 20 ms."""
+        self._unsettled.clear()
+        for table in self._tables.values():
+            yield from table.releasing()
+
     def finish_restore(self, revision: int, recent_ids: Iterable[tuple[str, int]] = ()) -> None:
         """All resources are loaded. Raises ValueError."""
         if not 0 <= revision <= REVISION_MAX:
--- a/driftstair/node_configuration/application.py
+++ b/driftstair/node_configuration/application.py
@@ -101,8 +101,8 @@
 
     async def run(self) -> None:
         """Until it is cancelled."""
+        self.slices.begin()
         while True:
-            self.slices.begin()
             if not self._is_judged:
                 await self._rejudge()
             elif self._inbox:
@@ -116,6 +116,7 @@
                     self.watch.resume()
                 self._work.clear()
                 await self._work.wait()
+                self.slices.begin()
 
     def _on_turn(self) -> None:
         if self._changed:
@@ -227,16 +228,23 @@
         self._distrusted = None
         await self._put_in_force(state.resources(), state.revision, self.current.state.resource)
         log.info("a whole configuration is in force: revision %d", self.current.revision)
-        self.disk.on_replaced()
+        for _ in state.releasing():
+            await self.slices.after_step()
 
-    async def _put_in_force(self, resources: Iterable[Resource], revision: int, kept: KeptContent) -> None:
+    async def _put_in_force(
+        self, resources: Iterable[Resource], revision: int, kept: KeptContent, is_on_disk: bool = False
+    ) -> None:
         """Builds the whole beside what is in force, then puts it in its place in one step."""
         steps = ConfigurationInForce.judge(resources, revision, self._given, kept)
-        built = await self._steps(steps)
+        before, built = self.current, await self._steps(steps)
         self.current = built
         self._changed = True
         self._effects.on_replaced()
+        if not is_on_disk:
+            self.disk.on_replaced()
         _say_refused(built, built.refusals)
+        for _ in before.releasing():
+            await self.slices.after_step()
 
     async def _rejudge(self) -> None:
         """All that was received, by what is given now."""
@@ -244,7 +252,6 @@
         before = self.current
         await self._put_in_force(before.received_resources(), before.revision, before.state.resource)
         log.info("revision %d is judged anew: %d sets refused", before.revision, len(self.current.refusals))
-        self.disk.on_replaced()
 
     # What the server watched says of itself.
 
@@ -283,10 +290,12 @@
         loaded = await self.disk.read(self.slices)
         if loaded is not None:
             state = loaded.whole()
-            await self._put_in_force(state.resources(), state.revision, loaded.kept.get)
+            await self._put_in_force(state.resources(), state.revision, loaded.kept.get, is_on_disk=True)
             self._received_revision = self.current.revision
             self._on_turn()
             log.info("revision %d is in force, from the disk", self.current.revision)
+            for _ in state.releasing():
+                await self.slices.after_step()
         self.disk.start(is_on_disk=loaded is not None)
         self.is_loaded.set()
 
--- a/driftstair/node_configuration/in_force.py
+++ b/driftstair/node_configuration/in_force.py
@@ -121,6 +121,11 @@
         held = (self.state.resource(key) for key in (self._received if keys is None else keys))
         return tuple(resource for resource in held if resource is not None)
 
+    def releasing(self) -> Iterator[None]:
+        """Gives its memory back in steps, once another one is in force."""
+        yield from self.validator.routes.releasing()
+        yield from self.state.releasing()
+
     # Look-ups.
 
     def find_route(self, asked: Asked) -> str | None:
