--- a/tests/control/control_rig.py
+++ b/tests/control/control_rig.py
@@ -25,9 +25,9 @@
 from driftstair.control.http_server import HttpServer, Respond
 
 
-def drain(name: str, note: int | str = 0, expected: int | None = None) -> Change:
+def drain(name: str, reason: int | str = 0, expected: int | None = None) -> Change:
     """A change of a resource that needs no other one."""
-    content = msgspec.Raw(canonical({"note": note}))
+    content = msgspec.Raw(canonical({"reason": f"by {reason}"}))
     return Change(ResourceKind.DRAIN, name, content, expected)
 
 
