--- a/driftstair/control/process.py
+++ b/driftstair/control/process.py
@@ -46,6 +46,13 @@
         print(f"driftstair: {file}: folder: {problem}", file=sys.stderr)
         return BAD_USE
     server = ControlServer(settings, runner)
+    faults: list[str] = []
+
+    def end_by_fault(why: str) -> None:
+        faults.append(why)
+        stop.set()
+
+    runner.on_fault = end_by_fault
     try:
         host, port = await server.start()
     except OSError as problem:
@@ -55,9 +62,11 @@
     runner.start()
     log.info("serving on %s:%d", host, port)
     await stop.wait()
+    for why in faults[:1]:
+        log.error("%s; what a majority synced has changed on some disk: compare the servers' logs", why)
     log.info("stopping")
     await server.close()
-    return ENDED
+    return FAILED if faults else ENDED
 
 
 def _raise_descriptor_limit() -> None:
--- a/driftstair/control/replica_runner.py
+++ b/driftstair/control/replica_runner.py
@@ -48,6 +48,7 @@
     encode,
 )
 from driftstair.control.replication.proposals import LEADER_ID_PREFIX
+from driftstair.control.replication.replica import ReplicationFaultError
 from driftstair.control.settings import ServerSettings
 from driftstair.control.storage import ReplicaStorage
 from driftstair.record_file import RecordWriteError
@@ -68,6 +69,7 @@
         self.on_committed: Callable[[LoggedChangeSet], None] = lambda _: None
         self.on_restored: Callable[[], None] = lambda: None
         self.on_resigned: Callable[[], None] = lambda: None
+        self.on_fault: Callable[[str], None] = lambda _: None  # the process has to end
         self.disk_problem = ""
         self._led_token = 0  # of the leadership here whose own empty set is committed; 0: none is
         self._settings = settings
@@ -173,7 +175,12 @@
             except ReplicationMessageError as problem:
                 raise HttpError(400, f"replication of server {sender}, line {index}: {problem}") from None
         for message in messages:
-            self._do(self._replica.on_message(time.monotonic_ns(), sender, message))
+            try:
+                actions = self._replica.on_message(time.monotonic_ns(), sender, message)
+            except ReplicationFaultError as problem:
+                self.on_fault(f"server {sender}: {problem}")
+                raise HttpError(503, f"replication of server {sender}: {problem}") from None
+            self._do(actions)
 
     def _sender(self, request: Request) -> int:
         """Raises HttpError where the other server's `peers` can't be this one's."""
