--- a/benchmarks/scale/hollow/cluster.py
+++ b/benchmarks/scale/hollow/cluster.py
@@ -151,6 +151,7 @@
             await asyncio.wait((starting,), timeout=LOOK)
             self._check_memory()
         starting.result()
+        await self._all(orders.Go())
 
     def _check_memory(self) -> None:
         if self.resident() > MEMORY_MOST:
--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -78,9 +78,12 @@
         self._past = Meter()  # of earlier processes
         self._random = Random(plan.seed << 16 | number)
 
-    def start(self, addresses: list[Address]) -> None:
+    def start(self, addresses: list[Address], held: bool = False) -> None:
+        """`held`: its clock stands until `release`."""
         plan = self._plan
-        system = HollowSystem(self.number, self._generation, plan.dilation, plan.wall_ns, self._links)
+        system = HollowSystem(
+            self.number, self._generation, plan.dilation, plan.wall_ns, self._links, held
+        )  # fmt: skip
         system.writes = plan.on_disk
         peers = tuple((one.host, one.port) for one in addresses)  # each node has a list of its own
         told = Told(peers[self.number], peers, self.number, zone_of(self.number))
@@ -88,7 +91,7 @@
         self._system = system
         self.tier = TimedTier(
             replace(base_config(), name=f"n{self.number}", seed=seed), told, plan.period, KEY,
-            RecordedHistory(self._records, plan.notes(self.number)), self._folder, system,
+            RecordedHistory(self._records, plan.notes(self.number), plan.dilation), self._folder, system,
             (Spec(BUDGET, PER_S * plan.count, BURST),) if plan.budgets else (), plan.judge, None,
             Rules() if plan.permits else None,
         )  # fmt: skip
@@ -96,6 +99,11 @@
         self.tier.start()
         self._generation += 1
 
+    def release(self) -> None:
+        """Its clock runs."""
+        if self._system is not None:
+            self._system.release()
+
     def member_list(self) -> Path:
         return self._folder / f"n{self.number}.members"
 
--- a/benchmarks/scale/hollow/orders.py
+++ b/benchmarks/scale/hollow/orders.py
@@ -16,11 +16,16 @@
 
 
 class Start(msgspec.Struct, tag=True):
-    """All nodes of the worker, at once."""
+    """All nodes of the worker, with clocks that stand: while some start, none finds others dead."""
 
     addresses: list[Address]  # of all nodes, by number
 
 
+class Go(msgspec.Struct, tag=True):
+    """All have started in all workers: clocks run, from moments that are spread over a period, as nodes of a
+    cluster don't have their periods at one time."""
+
+
 class Kill(msgspec.Struct, tag=True):
     """Sockets are closed and all state is dropped; nobody is told."""
 
@@ -65,7 +70,7 @@
     """The last order."""
 
 
-Order = Prepare | Start | Kill | Revive | Restart | Cut | Sample | Disagree | Record | Stop
+Order = Prepare | Start | Go | Kill | Revive | Restart | Cut | Sample | Disagree | Record | Stop
 
 
 class Bound(msgspec.Struct, tag=True):
--- a/benchmarks/scale/hollow/record.py
+++ b/benchmarks/scale/hollow/record.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from benchmarks.scale.hollow.clock import dilated_ns
 from driftstair.tier.history import History
 
 STATES = ("alive", "suspect", "dead", "left")
@@ -53,10 +54,12 @@
 class RecordedHistory(History):
     """In the place of a node's history on the disk."""
 
-    def __init__(self, records: Records, noted: bool) -> None:
-        """`noted`: whether more than counts is kept of what this node holds."""
+    def __init__(self, records: Records, noted: bool, dilation: float) -> None:
+        """`noted`: whether more than counts is kept of what this node holds. Times are by the clock of all
+        nodes, as each has a clock of its own."""
         self._records = records
         self._noted = noted
+        self._dilation = dilation
 
     def write(self, t_ns: int, node: int, life: int, event: str, **fields: Any) -> None:
         records = self._records
@@ -67,7 +70,7 @@
             records.suspicions += state == "suspect"
             records.deaths += state == "dead" and fields["told"]
             if self._noted:
-                records.note(Held(t_ns, node, fields["member"], state, fields["told"]))
+                records.note(Held(dilated_ns(self._dilation), node, fields["member"], state, fields["told"]))
 
     def close(self) -> None:
         """There is no file."""
--- a/benchmarks/scale/hollow/system.py
+++ b/benchmarks/scale/hollow/system.py
@@ -63,10 +63,15 @@
 
 class HollowSystem:
     """`driftstair.net.system.System` for one process of a hollow node, as far as control parts use it.
-    `generation`: of the node's process; its wall clock stands, a second later for each generation."""
+    `generation`: of the node's process; its wall clock stands, a second later for each generation. `held`:
+    its monotonic clock stands until `release`."""
 
-    def __init__(self, number: int, generation: int, dilation: float, wall_ns: int, links: Links) -> None:
+    def __init__(
+        self, number: int, generation: int, dilation: float, wall_ns: int, links: Links, held: bool
+    ) -> None:
         self.meter = Meter()
+        self._behind = 0  # ns, of the clock of all nodes
+        self._held_at = dilated_ns(dilation) if held else None
         self.writes = False  # whether what is persisted is written
         self._number = number
         self._dilation = dilation
@@ -75,7 +80,13 @@
         self._socket: MeteredDatagrams | None = None
 
     def monotonic_ns(self) -> int:
-        return dilated_ns(self._dilation)
+        return dilated_ns(self._dilation) - self._behind if self._held_at is None else self._held_at
+
+    def release(self) -> None:
+        """The monotonic clock runs from now on."""
+        if self._held_at is not None:
+            self._behind = dilated_ns(self._dilation) - self._held_at
+            self._held_at = None
 
     def time_ns(self) -> int:
         return self._wall_ns
--- a/benchmarks/scale/hollow/worker.py
+++ b/benchmarks/scale/hollow/worker.py
@@ -29,7 +29,7 @@
 LINE_MOST = 16 << 20  # bytes of an order
 TICK = 0.05  # s of the nodes' clock
 TICKS_PER_S = round(1 / TICK)
-START_SPREAD = 1.0  # s over which nodes are started: all phases of a period
+START_SPREAD = 1.0  # s over which the nodes' clocks begin to run
 LEAVING = 1.0  # s between the word of a planned end and the end: a drain
 DOWN = 1.0  # s until the next process of the node starts
 
@@ -101,22 +101,25 @@
 
     # Orders.
 
-    async def start(self, held: list[socket.socket], addresses: list[Address]) -> None:
-        """One node after the other: nodes of a cluster don't have their periods at one time, as those that
-        are started in one turn of a loop would."""
+    def start(self, held: list[socket.socket], addresses: list[Address]) -> None:
+        """`held`: what has a node's port until now."""
         self._addresses = addresses
         self._links.numbers = {(one.host, one.port): number for number, one in enumerate(addresses)}
+        logging.disable(logging.INFO)  # a line for each member of a list that is known anyway
         for node, own in zip(self.nodes, held, strict=True):
             if self._plan.persisted:
                 write_member_list(node.member_list(), self._plan, node.number)
             own.close()
-            logging.disable(logging.INFO)  # a line for each member of a list that is known anyway
-            node.start(addresses)
-            logging.disable(logging.NOTSET)
+            node.start(addresses, held=True)
             node.member_list().unlink(missing_ok=True)
-            await asyncio.sleep(START_SPREAD / len(self.nodes))
+        logging.disable(logging.NOTSET)
         gc.collect()
         gc.freeze()  # as the daemon does once it serves
+
+    def go(self) -> None:
+        loop = asyncio.get_running_loop()
+        for index, node in enumerate(self.nodes):
+            loop.call_later(START_SPREAD * index / len(self.nodes), node.release)
         self._spawn(self._tick())
 
     async def kill(self, numbers: list[int]) -> None:
@@ -236,6 +239,8 @@
 async def carry_out(worker: Worker, order: orders.Order, dilation: float) -> orders.Answer:
     """Any order to nodes that run."""
     match order:
+        case orders.Go():
+            worker.go()
         case orders.Kill(numbers):
             await worker.kill(numbers)
         case orders.Revive(numbers):
@@ -277,7 +282,7 @@
         if isinstance(order, orders.Stop):
             break
         if isinstance(order, orders.Start):
-            await worker.start(held, order.addresses)
+            worker.start(held, order.addresses)
             _say(orders.Done(dilated_ns(dilation)))
         else:
             _say(await carry_out(worker, order, dilation))
--- a/tests/scale/test_scale.py
+++ b/tests/scale/test_scale.py
@@ -18,6 +18,7 @@
 from benchmarks.scale.hollow.plan import REGIONS, Plan, region_of
 from benchmarks.scale.hollow.record import Held
 from benchmarks.scale.slope import fit
+from benchmarks.scale.watchers import InForce, Put, spread
 
 MOST = 120.0  # s: only a test that has failed takes so long
 WITHIN = 60.0  # s, likewise
@@ -153,3 +154,17 @@
 def test_no_row_is_begun_when_the_time_is_up(capsys: pytest.CaptureFixture[str]) -> None:
     assert entry.main(["--json", "--seconds", "-1", "hollow", "--sizes", "4"]) == 1
     assert json.loads(capsys.readouterr().out)["status"] == "stopped"
+
+
+def test_a_change_is_in_force_with_a_later_one() -> None:
+    """Guards against a coalesced change that counts as missing, and against one counted before its put."""
+    second = 1_000_000_000
+    puts = [Put(5, 1 * second, 0.1), Put(6, 2 * second, 0.1)]
+    notes = [
+        InForce(0, 1, 9), InForce(0, 2, 4),  # before the puts, and of another run's revisions
+        InForce(3 * second, 1, 6), InForce(2 * second, 2, 5), InForce(4 * second, 2, 6),
+    ]  # fmt: skip
+    found = spread(puts, notes, 3)
+    assert found.pairs == [1.0, 1.0, 2.0, 2.0]  # watcher 1 has both with its second note
+    assert found.missing == 2 and found.everywhere == []  # a third watcher has none
+    assert spread(puts, notes, 2).everywhere == [2.0, 2.0]
