--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -22,6 +22,7 @@
     "faults",
     "slopes",
     "steady",
+    "watchers",
 )
 """Modules of this package that register a subcommand each."""
 SECONDS = 900.0  # of a whole measurement: what a person waits for
