--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -19,6 +19,7 @@
     zone_of,
 )
 from benchmarks.scale.hollow.record import RecordedHistory, Records
+from benchmarks.scale.hollow.steps import Steps, TimedTier
 from benchmarks.scale.hollow.system import HollowSystem, Links, Meter
 from driftstair import config
 from driftstair.rehearsal import load, platform
@@ -26,7 +27,7 @@
 from driftstair.tier import kept, wire
 from driftstair.tier.membership.members import Claim, State, Traits
 from driftstair.tier.ownership.permits import Rules
-from driftstair.tier.service import Tier, life_at
+from driftstair.tier.service import life_at
 from driftstair.tier.shared.budget import Spec
 from driftstair.tier.told import Told
 
@@ -61,36 +62,48 @@
 class HollowNode:
     """Process after process of one node's number."""
 
-    def __init__(self, number: int, plan: Plan, folder: Path, links: Links, records: Records) -> None:
+    def __init__(
+        self, number: int, plan: Plan, folder: Path, links: Links, records: Records, steps: Steps
+    ) -> None:
         self.number = number
-        self.tier: Tier | None = None
+        self.tier: TimedTier | None = None
         self.spent = 0  # tokens of the shared budget
         self._plan = plan
         self._folder = folder
         self._links = links
         self._records = records
+        self._steps = steps
         self._generation = 0
         self._system: HollowSystem | None = None
         self._past = Meter()  # of earlier processes
         self._random = Random(plan.seed << 16 | number)
 
-    def start(self, addresses: list[Address]) -> None:
+    def start(self, addresses: list[Address], held: bool = False) -> None:
+        """`held`: its clock stands until `release`."""
         plan = self._plan
-        system = HollowSystem(self.number, self._generation, plan.dilation, plan.wall_ns, self._links)
+        system = HollowSystem(
+            self.number, self._generation, plan.dilation, plan.wall_ns, self._links, held
+        )  # fmt: skip
         system.writes = plan.on_disk
         peers = tuple((one.host, one.port) for one in addresses)  # each node has a list of its own
         told = Told(peers[self.number], peers, self.number, zone_of(self.number))
         seed = plan.seed << 32 | self._generation << 16 | self.number
         self._system = system
-        self.tier = Tier(
+        self.tier = TimedTier(
             replace(base_config(), name=f"n{self.number}", seed=seed), told, plan.period, KEY,
-            RecordedHistory(self._records, plan.notes(self.number)), self._folder, system,
+            RecordedHistory(self._records, plan.notes(self.number), plan.dilation), self._folder, system,
             (Spec(BUDGET, PER_S * plan.count, BURST),) if plan.budgets else (), plan.judge, None,
             Rules() if plan.permits else None,
         )  # fmt: skip
+        self.tier.steps = self._steps
         self.tier.start()
         self._generation += 1
 
+    def release(self) -> None:
+        """Its clock runs."""
+        if self._system is not None:
+            self._system.release()
+
     def member_list(self) -> Path:
         return self._folder / f"n{self.number}.members"
 
@@ -115,10 +128,10 @@
     async def _end(self) -> None:
         tier, system = self.tier, self._system
         assert tier is not None and system is not None
-        self.tier = self._system = None
+        self.tier = None
         system.writes = True
         await tier.close()
-        self._past = self.meter_with(system.meter)
+        self._past, self._system = self.meter(), None
 
     def meter_with(self, latest: Meter) -> Meter:
         past = self._past
