--- a/driftstair/control/process.py
+++ b/driftstair/control/process.py
@@ -45,6 +45,9 @@
     except StorageError as problem:
         print(f"driftstair: {file}: folder: {problem}", file=sys.stderr)
         return BAD_USE
+    except OSError as problem:
+        print(f"driftstair: {file}: folder: can't be used: {problem.strerror}", file=sys.stderr)
+        return BAD_USE
     server = ControlServer(settings, runner)
     faults: list[str] = []
 
--- a/driftstair/control/replica_runner.py
+++ b/driftstair/control/replica_runner.py
@@ -98,6 +98,7 @@
                 target = f"/replication?from={self._own}&to={number}&of={self._settings.count}"
                 self._links[number] = PeerLink(address, target)
         self._writer = self._loop.create_task(self._write())
+        self._writer.add_done_callback(self._on_writer_end)
         self._tick()
 
     async def close(self) -> None:
@@ -200,6 +201,12 @@
         self._timer = None
         self._do(self._replica.tick(time.monotonic_ns()))
 
+    def _on_writer_end(self, writer: asyncio.Task[None]) -> None:
+        problem = None if writer.cancelled() else writer.exception()
+        if problem is not None:
+            log.error("the disk is written to no more", exc_info=problem)
+            self.on_fault(f"disk: {problem}")
+
     # Actions.
 
     def _do(self, actions: list[Action]) -> None:
