--- a/benchmarks/scale/added_time.py
+++ b/benchmarks/scale/added_time.py
@@ -41,6 +41,11 @@
 MANY_ROUTES = Told(routes=FILE_ROUTES)
 ALL = Told(LINE_SERVERS, FILE_ROUTES, documents.TENANTS, documents.NODES, known=documents.SERVERS_EACH)
 
+PLATFORM_PATH = b"/api"  # served without any route
+CONFIGURED = Told(
+    routes=0, configured_routes=documents.ROUTES, configured_tenants=documents.TENANTS
+)  # with the servers of one service: only the configuration is of the whole size
+
 Event = Callable[[Stage, int], Awaitable[None]]
 
 
@@ -60,6 +65,20 @@
     await on.daemon.until(lambda: on.daemon.count("limits of") > taken)
 
 
+async def put(on: Stage, _: int) -> None:
+    """A change set that changes one route."""
+    on.say("put")
+
+
+async def snapshot(on: Stage, _: int) -> None:
+    """All that a control server has comes into force; the node has just begun to serve."""
+    await configured(on)
+
+
+async def configured(on: Stage) -> None:
+    await on.daemon.until(lambda: on.daemon.count("a whole configuration is in force"))
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """`reading`: "own" where each service is an installation of its own, "all" where all nodes serve all."""
@@ -71,6 +90,8 @@
     window_s: float = WINDOW_S
     every_s: float = EVENT_EVERY_S
     warm_s: float = WARM_S
+    events: int = EVENTS
+    target: bytes = b""  # of the requests; left out: paths that routes name
 
 
 SCENARIOS: dict[str, Scenario] = {
@@ -87,6 +108,11 @@
     "judged-many-servers": Scenario(Told(LINE_SERVERS, nodes=documents.NODES, known=0, judges=True), "all"),
     "sighup-many-routes": Scenario(MANY_ROUTES, "own, all", hang_up, window_s=3.0, every_s=6.0),
     "sighup-all": Scenario(ALL, "all", hang_up, window_s=10.0, every_s=14.0),
+    "control-put": Scenario(Told(routes=0, configured_routes=21, configured_tenants=220), "own", put),
+    "control-put-all": Scenario(CONFIGURED, "all", put),
+    "control-snapshot-all": Scenario(
+        CONFIGURED, "all", snapshot, every_s=40.0, warm_s=0.0, events=1, target=PLATFORM_PATH
+    ),
     "cold-start": Scenario(SMALL, "own", warm_s=0.0),
     "cold-start-all": Scenario(ALL, "all", warm_s=0.0),
 }
@@ -132,7 +158,8 @@
     one = SCENARIOS[name]
     return {
         "scenario": name, "reading": one.reading, "per_s": one.rate, "servers": one.told.servers,
-        "routes": one.told.routes, "tenants": one.told.tenants,
+        "routes": one.told.routes or one.told.configured_routes,
+        "tenants": one.told.configured_tenants or one.told.tenants,
     }  # fmt: skip
 
 
@@ -140,10 +167,12 @@
     one = SCENARIOS[name]
     with tempfile.TemporaryDirectory() as folder:
         async with stage(Path(folder), one.told) as on:
-            through = RequestPath([on.daemon.address])
+            through = RequestPath([on.daemon.address], one.target)
             direct = RequestPath([_split(address) for address in on.servers])
-            events = [] if one.event is None else [asyncio.create_task(_events(one, on))]
             paths = [through, direct]
+            if one.told.configured_routes and one.event is not snapshot:
+                await configured(on)
+            events = [] if one.event is None else [asyncio.create_task(_events(one, on))]
             await drive(paths, one.rate, one.warm_s)
             begun, cpu = perf_counter(), on.daemon.cpu_s()
             late = await drive(paths, one.rate, _seconds(one))
@@ -160,7 +189,7 @@
 
 
 def _seconds(one: Scenario) -> float:
-    return AT_REST_S if one.event is None else EVENTS * one.every_s
+    return AT_REST_S if one.event is None else one.events * one.every_s
 
 
 async def _events(one: Scenario, on: Stage) -> list[tuple[float, float]]:
@@ -168,10 +197,10 @@
     assert one.event is not None
     await asyncio.sleep(one.warm_s)
     windows = []
-    for turn in range(EVENTS):
+    for turn in range(one.events):
         began = perf_counter()
         await one.event(on, turn)
-        windows.append((began, began + one.window_s))
+        windows.append((began, max(perf_counter(), began + one.window_s)))
         await asyncio.sleep(max(0.0, began + one.every_s - perf_counter()))
     return windows
 
--- a/benchmarks/scale/in_force.py
+++ b/benchmarks/scale/in_force.py
@@ -99,17 +99,9 @@
 
 def _changes(in_force: Any, routes: int) -> dict[str, float]:
     """Change sets that change one route each: processor time of the whole, and of the longest step."""
-    from msgspec import Raw
-
-    from driftstair.configuration.change_sets import Change, ChangeSet, LoggedChangeSet
-    from driftstair.configuration.resources import ResourceKind, canonical
-
     spent, longest = [], 0.0
-    for turn in range(CHANGES):
-        number = turn * 7919 % routes
-        content = Raw(canonical(route_content(number, total_ms=800 - turn % 2)))
-        change = Change(ResourceKind.ROUTE, route_name(number), content)
-        logged = LoggedChangeSet(in_force.revision + 1, ChangeSet(f"c{turn}", (change,)))
+    for _ in range(CHANGES):
+        logged = _change_of_one(in_force.revision + 1, routes)
         began = last = time.process_time()
         for _ in in_force.applying(logged, lambda keys: None):
             now = time.process_time()
@@ -119,6 +111,26 @@
     return {"change_cpu_us": sorted(spent)[CHANGES // 2] * 1e6, "change_longest_step_ms": longest * 1e3}
 
 
+def _change_of_one(revision: int, routes: int) -> Any:
+    """A change set that changes one route, another one for each revision."""
+    from msgspec import Raw
+
+    from driftstair.configuration.change_sets import Change, ChangeSet, LoggedChangeSet
+    from driftstair.configuration.resources import ResourceKind, canonical
+
+    number = revision * 7919 % routes
+    content = Raw(canonical(route_content(number, total_ms=800 - revision % 2)))
+    change = Change(ResourceKind.ROUTE, route_name(number), content)
+    return LoggedChangeSet(revision, ChangeSet(f"set-{revision}", (change,)))
+
+
+def change_line(revision: int, routes: int) -> bytes:
+    """The same, as a watch brings it."""
+    from driftstair.configuration.messages import Changes, encode
+
+    return encode(Changes(revision - 1, (_change_of_one(revision, routes),)))
+
+
 def measure_tenants(size: int, folder: Path) -> dict[str, float]:
     """Tenants' limits alone. `beyond_names`: without the bytes of their names."""
     _, step = _built(folder, 0, size)
@@ -202,10 +214,13 @@
 
 def measure_snapshot(size: int, folder: Path) -> dict[str, float]:
     """A snapshot of all tenants and `size` routes comes over the watch, line by line."""
-    return asyncio.run(_taken_in(_lines(size, documents.TENANTS * size // documents.ROUTES), _given(folder)))
+    return asyncio.run(
+        _taken_in(snapshot_lines(size, documents.TENANTS * size // documents.ROUTES), _given(folder))
+    )
 
 
-def _lines(routes: int, tenants: int) -> list[bytes]:
+def snapshot_lines(routes: int, tenants: int) -> list[bytes]:
+    """A whole configuration as a watch brings it."""
     from driftstair.configuration.messages import SnapshotPart, encode
 
     resources = list(_resources(routes, tenants))
--- a/benchmarks/scale/load.py
+++ b/benchmarks/scale/load.py
@@ -41,7 +41,7 @@
 
     def ask(self, number: int) -> None:
         self._number = number
-        self._transport.write(_request(number))
+        self._transport.write(_request(number, self._path.target))
 
     def data_received(self, data: bytes) -> None:
         self._got += data
@@ -68,6 +68,7 @@
     """Requests to one or more addresses, by turns; a connection more is opened where none is idle."""
 
     addresses: list[tuple[str, int]]
+    target: bytes = b""  # of the requests, in the place of a path of the first service
     answers: list[Timed] = field(default_factory=list)
     sent: int = 0
     unanswered: int = 0
@@ -124,12 +125,12 @@
         return not self._waiting
 
 
-def _request(number: int) -> bytes:
-    own = number % ROUTE_PATHS
+def _request(number: int, target: bytes) -> bytes:
+    path = target or b"/svc-0000/r%02d/item" % (number % ROUTE_PATHS)
     return (
-        b"GET /svc-0000/r%02d/item HTTP/1.1\r\nHost: service\r\nX-Request-Id: %016x\r\nX-Class: page\r\n"
+        b"GET %s HTTP/1.1\r\nHost: service\r\nX-Request-Id: %016x\r\nX-Class: page\r\n"
         b"X-Key: k%d\r\nX-Tenant: tenant-%06d\r\nX-Deadline: 5000m\r\n\r\n"
-        % (own, number, number % 997, number % documents.TENANTS_EACH)
+        % (path, number, number % 997, number % documents.TENANTS_EACH)
     )
 
 
--- a/benchmarks/scale/node.py
+++ b/benchmarks/scale/node.py
@@ -34,6 +34,8 @@
     tenants: int = documents.TENANTS_EACH
     nodes: int = documents.NODES_EACH
     known: int = documents.SERVERS_EACH  # servers that stand in its configuration already
+    configured_routes: int = 0  # by a control server; then the service file has none
+    configured_tenants: int = 0
     judges: bool = False  # whether the cluster's outlier detection stands round its decisions
 
 
@@ -111,8 +113,11 @@
     return folder / "service.toml"
 
 
-def write_service(folder: Path, told: Told, total_ms: int = 900) -> None:
-    text = documents.service_file(told.routes, total_ms)
+def write_service(folder: Path, told: Told, total_ms: int = 900, control: str = "") -> None:
+    """`control`: the address of a control server that has the routes."""
+    text = documents.service_file(0 if control else told.routes, total_ms)
+    if control:
+        text += f'[control]\nservers = ["{control}"]\n'
     if told.judges:
         key = folder / "key"
         key.write_bytes(KEY)
@@ -143,7 +148,8 @@
     """A daemon that serves, and discovery and servers for it; all end with the block. Raises EOFError where
     the daemon refuses what it is told."""
     origin = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "benchmarks.scale.origin", str(told.servers), cwd=ROOT,
+        sys.executable, "-m", "benchmarks.scale.origin", str(told.servers), str(told.configured_routes),
+        str(told.configured_tenants), cwd=ROOT,
         stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
     )  # fmt: skip
     daemon = None
@@ -153,7 +159,7 @@
         folder.joinpath("config.json").write_text(
             json.dumps(_configuration(told, where["servers"], where["discovery"]))
         )
-        write_service(folder, told)
+        write_service(folder, told, control=where.get("control", ""))
         daemon = await _start_daemon(folder)
         reading = asyncio.create_task(daemon.read())
         await daemon.until(lambda: daemon is not None and daemon.address[1])
--- a/benchmarks/scale/origin.py
+++ b/benchmarks/scale/origin.py
@@ -1,9 +1,11 @@
 """What a daemon stands before, in a process of its own: servers that answer at once, and a discovery server.
 
-    python -m benchmarks.scale.origin SERVERS
+    python -m benchmarks.scale.origin SERVERS ROUTES TENANTS
 
-Prints the addresses as one JSON object. Lists name SERVERS servers, spread over a few listening sockets. Each
-line on standard input makes discovery tell its watchers something: `change` of one server, or a `whole` list.
+Prints the addresses as one JSON object. Lists name SERVERS servers, spread over a few listening sockets. With
+ROUTES there is a control server too, whose configuration has so many routes and TENANTS. A line on standard
+input makes discovery tell its watchers something, `change` of one server or a `whole` list, or the control
+server `put`: one route is changed.
 """
 
 from __future__ import annotations
@@ -16,6 +18,7 @@
 import uvloop
 
 from benchmarks.scale import documents
+from benchmarks.scale.control_source import ControlSource
 
 LISTENERS = 16
 ALIVE_EVERY = 1.5  # s between two empty lines of a watch: the node takes three without any for a dead one
@@ -96,24 +99,30 @@
     ]
 
 
-async def serve(count: int) -> None:
+async def serve(count: int, routes: int, tenants: int) -> None:
     loop = asyncio.get_running_loop()
     servers = [await loop.create_server(Server, "127.0.0.1", 0) for _ in range(LISTENERS)]
     addresses = [address(server) for server in servers]
     discovery = Discovery(count, addresses)
     watches = await loop.create_server(lambda: Watcher(discovery), "127.0.0.1", 0)
-    print(json.dumps({"servers": addresses, "discovery": address(watches)}), flush=True)
+    source = ControlSource(routes, tenants) if routes else None
+    control = None if source is None else await asyncio.start_server(source.serve, "127.0.0.1", 0)
+    where = {"servers": addresses, "discovery": address(watches)}
+    if control is not None:
+        where["control"] = address(control)
+    print(json.dumps(where), flush=True)
     orders = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(orders), sys.stdin)
     while True:
         try:
             line = await asyncio.wait_for(orders.readline(), ALIVE_EVERY)
         except TimeoutError:
-            discovery.tell("alive")
-            continue
+            line = b"alive"
         if not line:
             return  # whoever started it is gone
         discovery.tell(line.decode().strip())
+        if source is not None:
+            source.tell(line.decode().strip())
 
 
 def address(server: asyncio.Server) -> str:
@@ -123,4 +132,4 @@
 
 if __name__ == "__main__":
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(int(sys.argv[1])))
+        runner.run(serve(*map(int, sys.argv[1:])))
