A drain told at the old place of discovery counts until the new place answers

Seen: with a drain written to the watch while SIGHUP is served, 12 of the next 20 requests went to the server that drains; likewise with one written while the new place had not answered yet. Cause: Discovery.move closed the old watch at once. A line that was with the kernel was lost, and the new place's whole list may take 3.5 s to come. Change: the old watch is read until the new place has answered or its call has failed; versions are kept for each watch. Its own end is not reported, as before.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -26,7 +26,8 @@
 
 
 class Discovery:
-    """Keeps one watch at most, opened when it is told to. Each watch that ends is reported once."""
+    """Keeps one watch at most, opened when it is told to. Each watch that ends is reported once. After a move
+    the one at the old place is read until the new place has answered or failed; its end is not reported."""
 
     def __init__(
         self,
@@ -44,6 +45,7 @@
         self._on_list = on_list
         self._on_failed = on_failed
         self._watch: _Watch | None = None
+        self._previous: _Watch | None = None  # at the place before the last move
         self._opening: asyncio.Task[None] | None = None
 
     def watch(self) -> None:
@@ -53,22 +55,38 @@
         self._opening = asyncio.get_running_loop().create_task(self._open(self._watch))
 
     def move(self, address: tuple[str, int]) -> None:
-        """Watch at another address from now on. The end of the old watch is no failure and is not told.
-        Versions are the other place's own, so the first line has to be the whole list."""
+        """Watch at another address from now on. The old watch is read until that has answered: what it tells
+        meanwhile, or has told unread, counts as told. Versions are each place's own, so the first line has to
+        be the whole list."""
         if address == self._address:
             return
         self._address = address
         self.version = 0
-        self.close()
+        previous, self._watch = self._watch, None
+        if previous is not None and not previous.answered:
+            previous.close()  # nothing was told on it, and an older one may stand
+        elif previous is not None:
+            self._end_previous()
+            self._previous = previous
+        self._stop_opening()
         self.watch()
 
     def close(self) -> None:
+        self._end_previous()
         watch, self._watch = self._watch, None
+        self._stop_opening()
+        if watch is not None:
+            watch.close()
+
+    def _stop_opening(self) -> None:
         if self._opening is not None:
             self._opening.cancel()
             self._opening = None
-        if watch is not None:
-            watch.close()
+
+    def _end_previous(self) -> None:
+        previous, self._previous = self._previous, None
+        if previous is not None:
+            previous.close()
 
     def request(self) -> bytes:
         host, port = self._address
@@ -86,26 +104,32 @@
         return watch is self._watch
 
     def received(self, watch: _Watch, line: bytes) -> None:
-        if watch is not self._watch:
+        if watch is not self._watch and watch is not self._previous:
             return
         try:
             updates = [parse_list(document) for document in watch.documents.add(line)]
             # Changes build on the list that is held; one from before it would undo what was told since.
             for update in updates:
-                if not update.full and update.version < self.version:
-                    raise ListError(f"version {update.version} comes after {self.version}")
+                if not update.full and update.version < watch.version:
+                    raise ListError(f"version {update.version} comes after {watch.version}")
         except (ValueError, RecursionError, ListError) as problem:
-            self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
+            if watch is self._watch:
+                self.version = 0  # what was skipped is unknown: the next watch starts from the whole list
             self.failed(watch, f"bad line: {problem}")
             return
         for update in updates:
-            self.version = update.version
+            watch.version = update.version
+            if watch is self._watch:
+                self.version = update.version
+                self._end_previous()
             self._on_list(update)
 
     def silent(self, watch: _Watch) -> None:
         """Its connection is dead, though nothing may ever say so. One that had been answered is opened anew
         at once: the connection failed, not discovery, and no call is being spared."""
-        if watch is self._watch and watch.answered:
+        if watch is self._previous:
+            self._end_previous()
+        elif watch is self._watch and watch.answered:
             log.warning("watch fell silent: opened anew")
             self.close()
             self.watch()
@@ -114,9 +138,13 @@
 
     def failed(self, watch: _Watch, why: str) -> None:
         """The watch has ended; a second report of the same one is passed over."""
+        if watch is self._previous:
+            self._end_previous()
+            return
         if watch is not self._watch:
             return
         self._watch = None
+        self._end_previous()  # whoever asked hears that there is no watch: no news may come after that
         watch.close()
         log.warning("watch ended: %s", why)
         self._on_failed()
@@ -131,6 +159,7 @@
         self._parser: httptools.HttpResponseParser | None = None  # while it is up: the two hold each other
         self._rest = bytearray()
         self.documents = Documents()
+        self.version = owner.version  # of the last list or change that came on it
         self.answered = False  # a line, or a part of one, has come
         loop = asyncio.get_running_loop()
         self._heard = loop.time()
--- /dev/null
+++ b/tests/acceptance/test_told_under_reload.py
@@ -0,0 +1,100 @@
+"""A drain that is told while a SIGHUP is served that moves discovery: on the watch at the old place."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import replace
+
+import pytest
+from rig import Discovery, Rig, Server, configuration, request, run, status, until
+
+from driftstair.daemon import follow_files
+from driftstair.hosts import parse_address
+from driftstair.settings import Config
+from lichenspring.interface import ListKind
+
+REQUESTS = 20  # enough that by chance none would go to one of two servers: once in a million runs
+
+
+def push_now(discovery: Discovery, version: int, server: Server) -> None:
+    """Not with the loop's next turn: the line is with the node's kernel when this returns."""
+    line = json.dumps({"version": version, "full": False, "servers": [server.entry()]}).encode() + b"\n"
+    descriptor = discovery._writers[-1].get_extra_info("socket").fileno()
+    assert os.write(descriptor, b"%x\r\n%s\r\n" % (len(line), line)) > len(line)
+
+
+def moved(rig: Rig, discovery: Discovery) -> Config:
+    return replace(rig.config, discovery=parse_address(discovery.address))
+
+
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+@pytest.mark.parametrize("when", ["while it is served", "before the new place answers"])
+def test_a_drain_told_at_the_old_place_counts_until_the_new_one_answers(when: str, mode: str) -> None:
+    """The old watch was closed with the line unread, and the new place may take seconds to answer: requests
+    went on to the server that drains."""
+
+    async def test() -> None:
+        async with (
+            Discovery() as old,
+            Discovery() as new,
+            Server("s-1") as drained,
+            Server("s-2") as other,
+        ):
+            document = configuration(drained, other, discovery=old.address)
+            document["settings"]["MembershipMode"] = mode
+            document["settings"]["Contract"]["AskWithin"] = 10**9  # the first call comes soon
+            new.reply = b""  # takes the call, and is mute
+            async with Rig(document) as rig:
+                await until(lambda: old.targets)
+                old.push(8, drained, other, full=True)
+                client = await rig.client()
+                while not drained.seen:
+                    assert status(await client.ask(request())) == 200
+                drained.state = "Terminating"
+
+                def reread() -> Config:
+                    if when == "while it is served":
+                        push_now(old, 9, drained)
+                    return moved(rig, new)
+
+                follow_files(rig.node, rig.config, reread, None, None)
+                await until(lambda: new.targets)
+                if when == "before the new place answers":
+                    push_now(old, 9, drained)
+                    await until(lambda: len(rig.node._ready) == 1)
+                seen = len(drained.seen)
+                for _ in range(REQUESTS):
+                    assert status(await client.ask(request())) == 200
+                assert len(drained.seen) == seen
+
+    run(test())
+
+
+@pytest.mark.parametrize("end", ["answered", "refused"])
+def test_the_old_watch_ends_once_the_new_place_has_answered_or_failed(end: str) -> None:
+    """One watch at a time is a node's part of discovery's load; and what the old place tells later may be
+    from before the new one's list."""
+
+    async def test() -> None:
+        async with Discovery() as old, Discovery() as new, Server("s-1") as one, Server("s-2") as two:
+            document = configuration(one, discovery=old.address)
+            document["settings"]["MembershipMode"] = "pushed"
+            if end == "refused":
+                new.reply = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+            async with Rig(document) as rig:
+                await until(lambda: old.targets)
+                old.push(8, one, full=True)
+                await until(lambda: rig.spy.lists(ListKind.FULL))
+                follow_files(rig.node, rig.config, lambda: moved(rig, new), None, None)
+                await until(lambda: new.targets)
+                if end == "answered":
+                    new.push(3, two, full=True)
+                await until(lambda: rig.node._discovery._previous is None)
+                old.push(9, *([] if end == "refused" else [one]), full=True)  # nobody reads it
+                client = await rig.client()
+                assert status(await client.ask(request())) == 200
+                assert len(rig.spy.lists(ListKind.FULL)) == 1 + (end == "answered")
+                assert bool(two.seen) == (end == "answered")  # else the list that it has still serves
+
+    run(test())
