A request that waited behind another one on its connection tells what is left of its time

Seen: a pipelined request that was not parsed with the first one (beyond 4 KB) told its server 4.99 s of 5 s after it had waited for 0.9 s behind an answer. Cause: its time counted from when the reader came to it, not from when its bytes came. What the kernel holds of a connection that is not read still counts from its reading. Change: the reader counts from the newest bytes that it was fed.

--- a/driftstair/net/request.py
+++ b/driftstair/net/request.py
@@ -71,7 +71,7 @@
         self.expects = False
         self.class_index = 0
         self.patience = 0  # ns
-        self.arrived = 0  # monotonic ns
+        self.arrived = 0  # when its last byte came, or of a stream its first ones; monotonic ns
 
     def check(self, config: Config, serves: Callable[[bytes], bool]) -> None:
         """Once the head has come; raises Rejected. The parser has seen to the framing. `serves` tells of
@@ -141,6 +141,9 @@
         self._config = config
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._rest = b""
+        self._fed_at = (
+            0  # when the newest bytes came, monotonic ns: a request that waits here has come by then
+        )
         self._incoming: Incoming | None = None
         self._in_body = False
 
@@ -161,6 +164,7 @@
 
     def feed(self, data: bytes) -> None:
         self._rest = self._rest + data if self._rest else data
+        self._fed_at = self._now()
         self.go_on()
 
     def go_on(self) -> None:
@@ -276,7 +280,7 @@
         incoming.stream.put(bytes(incoming.body))
         incoming.body.clear()
         self._give_back()
-        incoming.arrived = self._now()
+        incoming.arrived = self._fed_at
         self.ready.append(incoming)
 
     def on_message_complete(self) -> None:
@@ -287,5 +291,5 @@
             incoming.stream.end()
             return
         incoming.keep_alive = self._parser.should_keep_alive()
-        incoming.arrived = self._now()
+        incoming.arrived = self._fed_at
         self.ready.append(incoming)
