--- a/tests/test_processes_together.py
+++ b/tests/test_processes_together.py
@@ -57,6 +57,10 @@
         self._open.clear()
         self._watches.clear()
 
+    def silence_open_watches(self) -> None:
+        """They stay open, and nothing comes on them any more; calls made from now on are answered."""
+        self._watches.clear()
+
     def change(self, *servers: Server) -> None:
         self.servers = list(servers)
         self.version += 1
