--- a/tests/test_processes_together.py
+++ b/tests/test_processes_together.py
@@ -100,9 +100,11 @@
                     writer.write(b"1\r\n\n\r\n")
 
 
-async def nodes(stack: AsyncExitStack, document: dict[str, Any], folder: Path, **more: Any) -> list[Program]:
+async def nodes(
+    stack: AsyncExitStack, document: dict[str, Any], folder: Path, how_many: int = NODES, **more: Any
+) -> list[Program]:
     found = []
-    for number in range(NODES):
+    for number in range(how_many):
         own = folder / f"n{number}"
         own.mkdir(exist_ok=True)
         document = document | {"name": f"n{number}", "seed": f"{number + 1:016x}"}
