A client's connection is a module of its own; on_connect and on_disconnect

Cause: net/front.py held two concepts in 650 lines, and its handlers were bare participles. Change: ClientConnection and its constants are in net/client_connection.py (377 lines), the listener stays in net/front.py (287); came and lost are on_connect and on_disconnect. No behaviour changes. tests/test_gone.py sets GONE_AFTER where it is now, and no longer passes over a name that is missing; test_rehearsal.py looks for the planted bug's frame in the new file.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -1,20 +1,18 @@
-"""The side of the clients: connections, whose limits they have, answers, and `/up`."""
+"""The listening socket: which clients are taken in, which connections make room, and the node's end."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
 import logging
-from collections.abc import Callable
 from dataclasses import replace
-from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 from driftstair.admission.pace import Pace
 from driftstair.admission.places import Ending, Limits, Places
-from driftstair.net.flow import LAST_CHUNK, SILENCE_MOST, Budget, Stream, chunk, nothing, size
-from driftstair.net.node import Call, Node, key_number
-from driftstair.net.request import UP, Incoming, Reader
+from driftstair.net.client_connection import ClientConnection
+from driftstair.net.flow import SILENCE_MOST, Budget
+from driftstair.net.node import Node
 from driftstair.net.system import SOCKETS, Listener, System
 from driftstair.settings import Config
 
@@ -28,16 +26,10 @@
 LOOK = 0.02  # s until the next look at a full table, while clients wait for a place in it
 FULL_PAUSE = 0.05  # s until the next look at the listening socket, where no descriptor was left
 SWEEP = 0.1  # s
-LINGER_BYTES = 1 << 20  # that are read of what a rejected client still sends, so that it gets its answer
-SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 DRAIN_LOOK = 0.02  # s
 BESIDE = 4.0  # s for which a process that has taken over counts on another one beside it
-GONE_AFTER = 0.08  # s from a client's close, or end of sending: nothing begins for it any more
 HELD_BESIDE = 0.6  # part of the connections that clients may hold, for that time
 
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-NUMBERED = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
-
 
 class Front:
     """The listening socket and all connections that came from it."""
@@ -182,12 +174,12 @@
 
     # What the connections tell.
 
-    def came(self, connection: ClientConnection) -> None:
+    def on_connect(self, connection: ClientConnection) -> None:
         self._connections.add(connection)
         self.places.came(connection, self._loop.time())
         self._thin_out()
 
-    def lost(self, connection: ClientConnection) -> None:
+    def on_disconnect(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
         self.bodies.pop(connection, None)
         self.flows.pop(connection, None)
@@ -293,358 +285,3 @@
         self._ended = True  # before anything is answered: the next request may be here already
         self.node.fail_all()
         await asyncio.sleep(DRAIN_LOOK)
-
-
-class ClientConnection(asyncio.Protocol):
-    """One client's connection; its requests are served one after the other."""
-
-    def __init__(self, front: Front) -> None:
-        self._front = front
-        self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport | None = None
-        self._reader = Reader(front.config, front.now, front.node.serves, front.budget)
-        self._reserved = 0  # of the budget, by the body of the request that is served
-        self._upload: Stream | None = None  # a body that is passed on as it comes
-        self._flow: Stream | None = None  # an answer, likewise
-        self._chunked = False  # how that goes out
-        self._all_out = False  # its last byte is written
-        self._version = b"1.1"  # the client's, with its latest request
-        self.since = self._loop.time()
-        self._number = 0  # of the request that the node holds; 0: none
-        self._busy = False
-        self._served = False  # some request of its has come whole
-        self._keep_alive = True
-        self._ends = False  # nothing more is read
-        self._rejected = False  # by the last answer
-        self._half_closed = False  # the client sends no more
-        self._departed: Callable[[], int | None] = lambda: None
-        self._left_at: int | None = None  # when the client closed, or ended its sending, monotonic ns
-        self._dropped = 0  # bytes that came after the end
-        self._deadline = 0
-        self._slow_reader: asyncio.TimerHandle | None = None
-        self._in_turn = False  # _next is at work
-        self._paused = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        transport.set_write_buffer_limits(high=0)  # to be told when an answer's last byte is out
-        self._departed = self._front.departure(transport)
-        self._front.came(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._ends = True
-        self._reader.close()
-        if self._slow_reader is not None:
-            self._slow_reader.cancel()
-        self._free()
-        number, self._number = self._number, 0
-        if number:
-            self._front.node.client_gone(number)
-        if self._flow is not None:
-            self._flow.abandon()
-            self._flow = None
-        self._front.lost(self)
-
-    def data_received(self, data: bytes) -> None:
-        if self._ends:
-            self._dropped += len(data)
-            if self._dropped > LINGER_BYTES:
-                self.abort()
-            return
-        reader = self._reader
-        reader.feed(data)
-        if reader.in_body():
-            self._front.receives(self, len(data))
-        elif self in self._front.bodies:
-            self._front.received(self)
-        self._next()
-
-    def eof_received(self) -> bool:
-        """A client that closes and one that ends its sending and waits (half-close, RFC 9112) look alike:
-        attempts that are out are waited for, and their answer is passed on; what has not begun soon after
-        never begins, and is answered as refused. Both get what is theirs."""
-        self._half_closed = True
-        if self._left_at is None:
-            self._left_at = self._front.now()
-        if self._number:
-            self._loop.call_later(GONE_AFTER, self._withdraw, self._number)
-        if self._upload is not None and not self._upload.ended:
-            return False  # the rest of the body will never come
-        waits = self._busy or bool(self._reader.ready) or self._reader.has_unread()
-        return waits and not self._ends
-
-    def has_gone(self) -> bool:
-        """Whether the client has left, and that so long ago that nothing may begin for it. Asked before each
-        attempt: its end may be with the kernel still, behind what waited there with it, or unread."""
-        if self._left_at is None:
-            ago = self._departed()
-            if ago is None:
-                return False
-            self._left_at = self._front.now() - ago
-        return self._front.now() - self._left_at >= GONE_AFTER * 1e9
-
-    def _withdraw(self, number: int) -> None:
-        if number == self._number:
-            self._front.node.withdraw(number)
-
-    def time_out(self) -> None:
-        """The limit of the front: a client that has sent a part is told, one that has not is not."""
-        if self._reader.is_partial():
-            self._reader.error = 408
-            if self._upload is not None:
-                self._upload.break_off()
-            self._next()
-        else:
-            self.close()
-
-    def rests(self) -> str:
-        """What it is at, as drains name it."""
-        if self._busy or self._ends:
-            return "BUSY"
-        if self._reader.is_partial():
-            return "PARTIAL"
-        return "IDLE" if self._served else "SILENT"
-
-    def refuse(self) -> None:
-        """Told to take what it has begun elsewhere."""
-        self._reader.error = 503
-        self._next()
-
-    # Requests in turn.
-
-    def _next(self) -> None:
-        transport, reader = self._transport, self._reader
-        if transport is None or self._in_turn:
-            return
-        self._in_turn = True
-        while True:
-            if self._upload is not None:
-                self._follow_upload(self._upload)
-            if self._busy or self._ends or transport.is_closing():
-                break
-            reader.go_on()
-            if reader.ready:
-                self._busy = self._served = True
-                self._front.works(self)
-                self._serve(reader.ready.popleft())
-            elif reader.error:
-                # Where framing is lost nothing that follows can be read; what came before is answered.
-                self._busy = True
-                self._keep_alive = False
-                self.answer(reader.error, [], b"")
-            else:
-                break
-        self._in_turn = False
-        if self._ends or transport.is_closing():
-            return
-        # While requests wait no more are read in: what a client sends ahead stays with the kernel.
-        if self._paused != bool(reader.ready or reader.has_unread()):
-            self._paused = not self._paused
-            pace = self._front.bodies.get(self)
-            if self._paused:
-                transport.pause_reading()
-                if pace is not None:
-                    pace.stop(self._loop.time())
-            else:
-                transport.resume_reading()
-                if pace is not None:
-                    pace.go_on(self._loop.time())
-        if self._busy:
-            return
-        if self._half_closed:
-            self.close()
-        elif reader.is_partial():
-            if not reader.in_body():
-                self._front.reads(self)
-            if reader.wants_continue():
-                transport.write(CONTINUE)
-        else:
-            self._front.rests(self)
-
-    def _follow_upload(self, upload: Stream) -> None:
-        """A body that is passed on as it comes goes on, has come whole, or never will."""
-        self._reader.go_on()
-        if upload.ended:
-            self._upload = None
-            upload.on_room = nothing
-            if self._number:
-                self._front.node.whole(self._number)
-        elif upload.broken:
-            self._upload = None
-            number, self._number = self._number, 0
-            if number:  # neither whole nor answered
-                self._front.node.client_gone(number)
-                self._keep_alive = False
-                self.answer(self._reader.error or 400, [], b"")
-
-    def _free(self) -> None:
-        self._front.budget.give(self._reserved)
-        self._reserved = 0
-
-    def _serve(self, incoming: Incoming) -> None:
-        self._keep_alive = incoming.keep_alive
-        self._version = incoming.version
-        self._reserved, incoming.reserved = incoming.reserved, 0
-        self._deadline = 0
-        if incoming.stream is not None:
-            self._upload = incoming.stream
-            incoming.stream.on_room = self._next
-        if incoming.path == UP:
-            self.answer(200 if self._front.is_up() else 503, [], b"")
-            return
-        if self._front.refuses():
-            self.answer(503, [], b"")
-            return
-        call = self._call(incoming)
-        self._deadline = 0 if incoming.stream is not None else call.deadline
-        number = self._front.node.take(call)
-        if self._busy and not self._ends and self._flow is None:
-            self._number = number
-            if incoming.stream is not None and self._reader.wants_continue():
-                assert self._transport is not None
-                self._transport.write(CONTINUE)
-
-    def _call(self, incoming: Incoming) -> Call:
-        """The request in the node's terms."""
-        fields, tenants = incoming.fields, self._front.config.tenants
-        limits = self._front.node.limits
-        key = fields.get(b"x-key")
-        return Call(
-            client=self,
-            has_gone=self.has_gone,
-            identity=fields[b"x-request-id"],
-            head=incoming.forwarded_head(),
-            body=bytes(incoming.body) if incoming.stream is None else incoming.stream,
-            class_index=incoming.class_index,
-            tenant=tenants.get(fields.get(b"x-tenant", b""), len(tenants)),
-            key=key_number(key) if key else 0,
-            resubmitted=fields.get(b"x-retry") == b"1",
-            deadline=incoming.arrived + incoming.patience,
-            patience=incoming.patience,
-            asked=limits.asked(incoming.method, incoming.path, fields) if limits is not None else None,
-        )
-
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream) -> None:
-        transport = self._transport
-        assert transport is not None
-        self._number = 0
-        self._free()
-        if transport.is_closing():
-            if isinstance(body, Stream):
-                body.abandon()
-            return
-        # A client whose request is at fault would ask the same again at once, as fast as it is answered.
-        rejected = 400 <= status < 500
-        keep = self._keep_alive and not rejected and self._front.keeps(self)
-        if self._upload is not None:
-            keep = keep and self._upload.ended  # what is left of it would be read as the next request
-            self._upload.on_room = nothing
-            self._upload = None
-        length = size(body)
-        self._chunked = length is None and self._version != b"1.0"
-        self._all_out = False
-        lines = [b"HTTP/1.1 ", NUMBERED[status], b"\r\n"]
-        for name, value in headers:
-            lines += (name, b": ", value, b"\r\n")
-        if status == 405:
-            lines.append(b"Allow: GET, POST\r\n")
-        if self._chunked:
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-        elif length is not None:
-            lines.append(b"Content-Length: %d\r\n" % length)
-        else:
-            keep = False  # it ends with its connection
-        if not keep:
-            lines.append(b"Connection: close\r\n")
-        elif self._version == b"1.0":
-            lines.append(b"Connection: keep-alive\r\n")
-        lines.append(b"\r\n")
-        self._ends, self._rejected = not keep, rejected
-        if not keep:
-            self._front.received(self)  # or nobody cares for the rest
-        if isinstance(body, Stream):
-            transport.write(b"".join(lines))
-            self._flow = body
-            self._front.moves(self)
-            body.on_more = self._pass_on
-            self._pass_on()
-            return
-        lines.append(body)
-        transport.write(b"".join(lines))
-        if transport.get_write_buffer_size():
-            # A client that reads too slowly gets nothing after its deadline: it has given up by then.
-            left = self._deadline - self._front.now() if self._deadline else SLOW_READER * 1e9
-            self._slow_reader = self._loop.call_later(max(0.0, left / 1e9), transport.abort)
-        else:
-            self._answered()
-
-    def _pass_on(self) -> None:
-        """What has come of a long answer goes out, as fast as the client takes it."""
-        flow, transport = self._flow, self._transport
-        if flow is None or transport is None or transport.is_closing():
-            return
-        if flow.broken:
-            transport.abort()  # so that the client can tell
-            return
-        if transport.get_write_buffer_size():
-            return  # `resume_writing` follows
-        data = flow.take()
-        if self._chunked:
-            data = chunk(data) + (LAST_CHUNK if flow.is_done() else b"")
-        if data:
-            transport.write(data)
-            self._front.moves(self)
-            flow.halt(bool(transport.get_write_buffer_size()))
-        if flow.is_done():
-            self._all_out = True
-            flow.on_more = nothing
-            if not transport.get_write_buffer_size():
-                self._flowed()
-        else:
-            flow.passed_on()
-
-    def _flowed(self) -> None:
-        self._flow = None
-        self._front.flows.pop(self, None)
-        self._answered()
-
-    def resume_writing(self) -> None:
-        if self._flow is not None:
-            self._front.moves(self)
-            if self._all_out:
-                self._flowed()
-            else:
-                self._flow.halt(False)
-                self._pass_on()
-        elif self._slow_reader is not None:
-            self._slow_reader.cancel()
-            self._slow_reader = None
-            self._answered()
-
-    def _answered(self) -> None:
-        """The last byte of an answer is out."""
-        transport = self._transport
-        assert transport is not None
-        self._busy = False
-        if not self._ends:
-            self._next()
-        elif self._half_closed:
-            transport.close()
-        else:
-            # Closing now would reset the connection if more has come, and might take the answer with it.
-            if self._paused:
-                transport.resume_reading()
-            transport.write_eof()
-            self._front.leaves(self, self._rejected)
-
-    def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
-    def close_if_unused(self) -> None:
-        if not self._busy and not self._reader.ready and not self._reader.is_partial():
-            self.close()
--- a/tests/acceptance/test_split_requests.py
+++ b/tests/acceptance/test_split_requests.py
@@ -9,7 +9,7 @@
 import pytest
 from rig import Message, Rig, Server, answer, configuration, request, run, status, until
 
-from driftstair.net.front import ClientConnection
+from driftstair.net.client_connection import ClientConnection
 
 ID, NEXT_ID = "00000000000000a1", "00000000000000a2"
 
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -354,7 +354,7 @@
     assert run.report["verdict"]["crashes"] > 0 and run.report["ended"] == "whole"
     crash = run.report["crashes"][0]
     assert crash["what"] == "KeyError: 'planted'" and crash["node"] in ("n0", "n1")
-    assert any("driftstair/net/front.py" in frame for frame in crash["trace"])
+    assert any("driftstair/net/client_connection.py" in frame for frame in crash["trace"])
 
 
 def test_a_bug_that_the_daemon_catches_and_logs_is_told_as_well(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -26,7 +26,7 @@
 )
 
 from driftstair.limits.limited import COPY_TOKEN
-from driftstair.net import front
+from driftstair.net import client_connection
 from driftstair.net.system import LONG_AGO, SOCKETS
 from lichenspring import interface as api
 from lichenspring.balance import LATER_TOKEN
@@ -36,7 +36,7 @@
 @pytest.fixture(autouse=True)
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """No grace for what begins just after, so that no test has to wait for it to be over."""
-    monkeypatch.setattr(front, "GONE_AFTER", 0.0, raising=False)
+    monkeypatch.setattr(client_connection, "GONE_AFTER", 0.0)
 
 
 class Holding:
@@ -241,7 +241,7 @@
 
 def test_a_client_that_has_only_just_ended_its_sending_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """The usual way of simple clients: the request, then the end, then the wait."""
-    monkeypatch.setattr(front, "GONE_AFTER", PATIENCE)
+    monkeypatch.setattr(client_connection, "GONE_AFTER", PATIENCE)
 
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
