--- a/tests/scale/test_scale.py
+++ b/tests/scale/test_scale.py
@@ -168,3 +168,14 @@
     assert found.pairs == [1.0, 1.0, 2.0, 2.0]  # watcher 1 has both with its second note
     assert found.missing == 2 and found.everywhere == []  # a third watcher has none
     assert spread(puts, notes, 2).everywhere == [2.0, 2.0]
+
+
+def test_changes_are_in_force_at_all_watchers_though_a_server_is_killed(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a change that is missing somewhere: real control servers, watchers in two processes."""
+    words = "--json watchers --count 12 --processes 2 --servers 3 --routes 3 --for 3 --kill other".split()
+    entry.main(words)
+    row = json.loads(capsys.readouterr().out)
+    assert row["status"] != "failed", row
+    assert row["figures"]["puts"] == 6 and row["figures"]["pairs_missing"] == 0
