--- a/benchmarks/scale/series.py
+++ b/benchmarks/scale/series.py
@@ -6,7 +6,17 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from benchmarks.scale import billing, coordination, documents, in_force, peers, routes, servers, tenants
+from benchmarks.scale import (
+    billing,
+    control_role,
+    coordination,
+    documents,
+    in_force,
+    peers,
+    routes,
+    servers,
+    tenants,
+)
 
 Probe = Callable[[int, Path], dict[str, float]]
 
@@ -71,6 +81,7 @@
     "in-force-snapshot": Series(
         "route", ROUTE_SIZES, documents.ROUTES_EACH, in_force.measure_snapshot, in_force.prepare
     ),
+    "control-server": Series("route", ROUTE_SIZES, documents.ROUTES_EACH, control_role.measure),
     "operator-report": Series(
         "peer", PEER_SIZES, documents.NODES_EACH, coordination.measure_report, coordination.prepare_report
     ),
