--- a/tests/control/test_replication_cluster.py
+++ b/tests/control/test_replication_cluster.py
@@ -14,6 +14,7 @@
     ProposalCommitted,
     ProposalRefused,
 )
+from driftstair.control.replication.messages import LeaseMessage
 
 
 def test_a_leader_is_found_and_commits_on_all() -> None:
@@ -220,3 +221,30 @@
         cluster.ledger.revisions["a2"],
     )
     cluster.settle()
+
+
+def test_a_thousand_changes_in_a_second_are_committed_in_order() -> None:
+    cluster = Cluster(7, 18, kept_entries=4_096)
+    leader = cluster.leader()
+    cluster.run(2 * SECOND)
+    for index in range(1_000):
+        cluster.propose(leader, change_set(f"x{index}", f"t{index % 50}", index))
+        cluster.run(SECOND // 1_000)
+    cluster.run(2 * SECOND, lambda: len(cluster.ledger.acknowledged) == 1_000)
+    revisions = [cluster.ledger.acknowledged[f"x{index}"] for index in range(1_000)]
+    assert revisions == list(range(revisions[0], revisions[0] + 1_000))
+    cluster.settle()
+
+
+def test_lease_messages_that_nobody_wrote_change_nothing() -> None:
+    cluster = Cluster(3, 19)
+    leader = cluster.leader()
+    node = cluster.nodes[(leader + 1) % 3]
+    cluster.run(SECOND)
+    token = node.running.token
+    for item in ((), (20,), (20, -1, 5), (99, 1, 1), (31, 1, 1, 1, 1), (24, 1, 1, 1, 1 << 40, 0)):
+        message = LeaseMessage(1, item)
+        actions = node.running.on_message(cluster._clock(node.number), leader, message)
+        assert actions == []
+    assert node.running.token == token
+    cluster.settle()
