Control servers: a put is answered while the configuration is read in; tests of processes joined

Need: after a restart with 220,000 tenants the first put waited for the validator without an end; the tests of processes paid for eight fleets where six do. Change: 503 with Retry-After after 3 s; the lost answer and the stopped writer, the torn log and the old copy share a fleet each, with all that they asserted; the status has to say that the last revision is in force in all twelve nodes.

--- a/driftstair/control/checker.py
+++ b/driftstair/control/checker.py
@@ -31,7 +31,7 @@
     async def wait_until_built(self) -> None:
         """Returns in the turn of the loop in which `check` may be called."""
         while self._building is not None:
-            await asyncio.wait({self._building})
+            await asyncio.wait({self._building})  # a cancelled one is followed by the next
 
     def check(self, change_set: ChangeSet) -> list[Violation]:
         """What the set would break, behind all sets that were proposed or committed."""
--- a/driftstair/control/puts.py
+++ b/driftstair/control/puts.py
@@ -105,9 +105,12 @@
     async def _put_here(self, change_set: ChangeSet) -> Response:
         if len(self._pending) >= PENDING_MAX:
             return error_response(503, f"{PENDING_MAX:,} change sets wait already", RETRY_AFTER_S)
-        async with self._turn:
-            await self._checker.wait_until_built()
-            answer = self._known(change_set) or self._propose(change_set)
+        try:
+            async with asyncio.timeout(COMMIT_S_MAX), self._turn:
+                await self._checker.wait_until_built()
+                answer = self._known(change_set) or self._propose(change_set)
+        except TimeoutError:
+            return error_response(503, "the configuration is read in, or many puts wait", RETRY_AFTER_S)
         if isinstance(answer, Response):
             return answer
         try:
--- a/tests/control/control_fleet.py
+++ b/tests/control/control_fleet.py
@@ -25,6 +25,7 @@
     decode_watch_message,
 )
 from driftstair.configuration.state import ConfigurationState
+from driftstair.control.merge import merge
 from driftstair.control.status import ServerStatus, decode_log_page, decode_status
 from driftstair.net.system import SOCKETS
 from driftstair.node_configuration.client import ConfigurationWatch, WatchPosition
@@ -377,6 +378,18 @@
             f"never at {revision}: {[(node.name, node.state.revision) for node in chosen]}",
         )
 
+    async def until_in_force(self, revision: int, nodes: int) -> None:
+        """Until the servers' statuses together say so, as `driftstair control status` merges them."""
+        async with asyncio.timeout(SETTLE_S):
+            while True:
+                answers = [(str(number), await self.status(number)) for number in range(self.count)]
+                view = merge(answers)
+                counts = {one.revision: one.in_force for one in view.revisions}
+                if counts.get(revision) == view.nodes == nodes and not view.lagging:
+                    assert not view.differing
+                    return
+                await asyncio.sleep(LOOK_S)
+
     # What has to hold.
 
     async def log_of(self, number: int) -> list[tuple[int, str]]:
