A control server alone is not due to tick all the time

Cause: a leader without followers was due at a time that had passed, and the loop's timer of 0 ms came again at once: 25,000 ticks a second, 0.36 of a core at rest. Change: such a leader is due never; a timer is 1 ms at least, as the loop's are of whole ms.

--- a/driftstair/control/replica_runner.py
+++ b/driftstair/control/replica_runner.py
@@ -59,6 +59,7 @@
 FRESH_MS = 3_000  # since the last contact with a leader that has a majority: some of its heartbeats
 DISK_RETRY_S = 0.5  # s between two tries to write what the disk does not take
 DISK_LOG_EVERY = 120  # tries between two log lines about it
+TICK_S_MIN = 0.001  # s; the loop's timers are of whole ms, and a shorter one would be due at once, and again
 LEAVE_S_MAX = 1.0  # s at the end for the last messages and the last write
 
 
@@ -250,7 +251,7 @@
             future.set_result(outcome)
 
     def _set_timer(self) -> None:
-        delay_s = max(0.0, (self._replica.wake_at_ns - time.monotonic_ns()) / 1e9)
+        delay_s = max(TICK_S_MIN, (self._replica.wake_at_ns - time.monotonic_ns()) / 1e9)
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(delay_s, self._tick)
--- a/driftstair/control/replication/leader.py
+++ b/driftstair/control/replication/leader.py
@@ -17,7 +17,7 @@
     ReplicaRegressed,
     Send,
 )
-from driftstair.control.replication.followers import HEARTBEAT_NS, RETRY_NS, Follower, next_append
+from driftstair.control.replication.followers import RETRY_NS, Follower, next_append
 from driftstair.control.replication.messages import (
     START,
     Appended,
@@ -285,7 +285,7 @@
         times = [follower.due_ns for follower in self.followers.values()]
         if self.proposals.next_deadline_ns is not None:
             times.append(self.proposals.next_deadline_ns)
-        return min(times, default=self._prepare_sent_ns + HEARTBEAT_NS)
+        return min(times, default=NEVER_NS)  # a replica alone has nobody to send to
 
     def majority_heard_ns(self, now_ns: int) -> int:
         """When a majority had last answered, this replica among it."""
--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -341,3 +341,22 @@
             assert not lines.tracebacks()
 
     run(test())
+
+
+def test_a_server_at_rest_does_next_to_nothing(shared: Control, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a timer that is always due: a server alone took a third of a core."""
+
+    async def test() -> None:
+        replica = shared.server.runner._replica
+        ticks = []
+        tick = replica.tick
+
+        def counted(now_ns: int) -> list[Action]:
+            ticks.append(now_ns)
+            return tick(now_ns)
+
+        monkeypatch.setattr(replica, "tick", counted)
+        await until(lambda: len(ticks) >= 12)
+        assert ticks[-1] - ticks[0] > 500_000_000
+
+    run(test())
