--- a/driftstair/control/replica_runner.py
+++ b/driftstair/control/replica_runner.py
@@ -48,6 +48,7 @@
     encode,
 )
 from driftstair.control.replication.proposals import LEADER_ID_PREFIX
+from driftstair.control.replication.replica import ReplicationFaultError
 from driftstair.control.settings import ServerSettings
 from driftstair.control.storage import ReplicaStorage
 from driftstair.record_file import RecordWriteError
@@ -58,6 +59,7 @@
 FRESH_MS = 3_000  # since the last contact with a leader that has a majority: some of its heartbeats
 DISK_RETRY_S = 0.5  # s between two tries to write what the disk does not take
 DISK_LOG_EVERY = 120  # tries between two log lines about it
+TICK_S_MIN = 0.001  # s; the loop's timers are of whole ms, and a shorter one would be due at once, and again
 LEAVE_S_MAX = 1.0  # s at the end for the last messages and the last write
 
 
@@ -68,6 +70,7 @@
         self.on_committed: Callable[[LoggedChangeSet], None] = lambda _: None
         self.on_restored: Callable[[], None] = lambda: None
         self.on_resigned: Callable[[], None] = lambda: None
+        self.on_fault: Callable[[str], None] = lambda _: None  # the process has to end
         self.disk_problem = ""
         self._led_token = 0  # of the leadership here whose own empty set is committed; 0: none is
         self._settings = settings
@@ -96,6 +99,7 @@
                 target = f"/replication?from={self._own}&to={number}&of={self._settings.count}"
                 self._links[number] = PeerLink(address, target)
         self._writer = self._loop.create_task(self._write())
+        self._writer.add_done_callback(self._on_writer_end)
         self._tick()
 
     async def close(self) -> None:
@@ -173,7 +177,12 @@
             except ReplicationMessageError as problem:
                 raise HttpError(400, f"replication of server {sender}, line {index}: {problem}") from None
         for message in messages:
-            self._do(self._replica.on_message(time.monotonic_ns(), sender, message))
+            try:
+                actions = self._replica.on_message(time.monotonic_ns(), sender, message)
+            except ReplicationFaultError as problem:
+                self.on_fault(f"server {sender}: {problem}")
+                raise HttpError(503, f"replication of server {sender}: {problem}") from None
+            self._do(actions)
 
     def _sender(self, request: Request) -> int:
         """Raises HttpError where the other server's `peers` can't be this one's."""
@@ -193,6 +202,12 @@
         self._timer = None
         self._do(self._replica.tick(time.monotonic_ns()))
 
+    def _on_writer_end(self, writer: asyncio.Task[None]) -> None:
+        problem = None if writer.cancelled() else writer.exception()
+        if problem is not None:
+            log.error("the disk is written to no more", exc_info=problem)
+            self.on_fault(f"disk: {problem}")
+
     # Actions.
 
     def _do(self, actions: list[Action]) -> None:
@@ -236,7 +251,7 @@
             future.set_result(outcome)
 
     def _set_timer(self) -> None:
-        delay_s = max(0.0, (self._replica.wake_at_ns - time.monotonic_ns()) / 1e9)
+        delay_s = max(TICK_S_MIN, (self._replica.wake_at_ns - time.monotonic_ns()) / 1e9)
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(delay_s, self._tick)
--- a/driftstair/net/watch.py
+++ b/driftstair/net/watch.py
@@ -43,6 +43,10 @@
         """A line, without its end, of the watch that stands."""
         raise NotImplementedError
 
+    def on_unended_line(self, watch: WatchConnection, line: bytearray) -> bool:
+        """What there is of a line whose end has not come; whether it was used as it is, and is done with."""
+        return False
+
     def on_ended(self) -> None:
         """The watch has ended, and not by `close`."""
         raise NotImplementedError
@@ -54,6 +58,9 @@
         self._opening = asyncio.get_running_loop().create_task(self._open(self._watch))
 
     def close(self) -> None:
+        self._end_watch()
+
+    def _end_watch(self) -> None:
         watch, self._watch = self._watch, None
         if self._opening is not None:
             self._opening.cancel()
@@ -71,16 +78,24 @@
     def is_current(self, watch: WatchConnection) -> bool:
         return watch is self._watch
 
+    def follows(self, watch: WatchConnection) -> bool:
+        """Whether its lines count."""
+        return watch is self._watch
+
     def received(self, watch: WatchConnection, line: bytes) -> None:
-        if watch is self._watch:
+        if self.follows(watch):
             self.on_line(watch, line)
 
+    def received_unended(self, watch: WatchConnection, line: bytearray) -> bool:
+        """Whether what there is of a line was used as it is."""
+        return self.follows(watch) and self.on_unended_line(watch, line)
+
     def silent(self, watch: WatchConnection) -> None:
         """Its connection is dead, though nothing may ever say so. One that had been answered is opened anew
         at once: the connection failed, not the other side, and no call is being spared."""
         if watch is self._watch and watch.answered:
             self._log.warning("watch fell silent: opened anew")
-            self.close()
+            self._end_watch()
             self.watch()
         else:
             self.failed(watch, "no answer")
@@ -114,6 +129,10 @@
         self._heard = loop.time()
         self._timer = loop.call_later(answer_within, self._check)
 
+    def is_up(self) -> bool:
+        """Whether its connection stands, and its call has been made."""
+        return self._transport is not None
+
     def close(self) -> None:
         self._timer.cancel()
         if self._transport is not None:
@@ -189,6 +208,8 @@
         *lines, self._rest = self._rest.split(b"\n")
         for line in lines:
             self._owner.received(self, bytes(line))
+        if self._rest and self._owner.received_unended(self, self._rest):
+            self._rest = bytearray()
         if len(self._rest) > self._line_most:
             self._fail("a line without end")
 
