--- a/tests/test_processes_together.py
+++ b/tests/test_processes_together.py
@@ -57,6 +57,10 @@
         self._open.clear()
         self._watches.clear()
 
+    def silence_open_watches(self) -> None:
+        """They stay open, and nothing comes on them any more; calls made from now on are answered."""
+        self._watches.clear()
+
     def change(self, *servers: Server) -> None:
         self.servers = list(servers)
         self.version += 1
@@ -96,9 +100,11 @@
                     writer.write(b"1\r\n\n\r\n")
 
 
-async def nodes(stack: AsyncExitStack, document: dict[str, Any], folder: Path, **more: Any) -> list[Program]:
+async def nodes(
+    stack: AsyncExitStack, document: dict[str, Any], folder: Path, how_many: int = NODES, **more: Any
+) -> list[Program]:
     found = []
-    for number in range(NODES):
+    for number in range(how_many):
         own = folder / f"n{number}"
         own.mkdir(exist_ok=True)
         document = document | {"name": f"n{number}", "seed": f"{number + 1:016x}"}
@@ -161,7 +167,7 @@
                 await registry.come_up()
             else:
                 # Given up and made anew: the first one was silent from before the change.
-                await until(lambda: registry.calls >= 2 * NODES)
+                await until(lambda: registry.calls >= 2 * NODES and not registry._watches)
                 registry.mute = False
             await until(lambda: registry.told.count(registry.version) >= NODES)
             seen = len(old.seen)
