--- a/driftstair/configuration/schema.py
+++ b/driftstair/configuration/schema.py
@@ -17,7 +17,7 @@
 
 REASON_LETTERS_MAX = 200
 BURST = 10.0  # requests, where a tenant's limit says nothing; as a route's rate
-PLANS = 1_024  # contents of tenants that are not parsed again: 220,000 tenants have few
+PLANS = 64  # contents of tenants that are not parsed again, 1 KB each: most tenants have one of few
 WHOLE = "$"  # the path of a content itself
 
 
