--- a/driftstair/configuration/assessment.py
+++ b/driftstair/configuration/assessment.py
@@ -11,11 +11,15 @@
 from driftstair.configuration.route_facts import RouteFacts, RouteSums
 from driftstair.configuration.route_index import RouteIndex
 from driftstair.configuration.route_overlap import RouteView
-from driftstair.configuration.schema import ContentError, parse_content
+from driftstair.configuration.schema import ContentError, Fault, parse_content
 from driftstair.limits.findings import Circumstances, Finding
-from driftstair.service.schema import FleetBudget, Route, Table
+from driftstair.service.schema import FleetBudget, Match, Route, Table
 
-CELLS_MAX = 64  # combinations of class, tenant and method of one route: each is a line of the index
+# Of one route, so that no step of a check is long. Each combination is a line of the index.
+CELLS_MAX = 64  # combinations of class, tenant and method
+HEADERS_MAX = 16
+PATH_LETTERS_MAX = 1_024
+PATH_PARTS_MAX = 32
 
 
 class Violation(NamedTuple):
@@ -26,6 +30,11 @@
     why: str
 
 
+# Of change sets without routes, most of them tenants: nothing is ever added to these.
+NO_ROUTES = RouteIndex()
+NO_SUMS = RouteSums()
+
+
 class RouteChange(NamedTuple):
     """A route of a change set. None: there was none, or there will be none."""
 
@@ -39,16 +48,22 @@
     budgets: dict[str, FleetBudget]  # all that there would be
     staged: RouteIndex  # the routes that it puts
     view: RouteView  # all routes as they would be
+    sums: RouteSums  # the difference that it makes
     violations: list[Violation] = field(default_factory=list)
     routes: dict[str, RouteChange] = field(default_factory=dict)
-    sums: RouteSums = field(default_factory=RouteSums)  # the difference that it makes
 
     @staticmethod
     def of(change_set: ChangeSet, routes: RouteIndex, budgets: Mapping[str, FleetBudget]) -> Assessment:
         """`routes` and `budgets` are those in force."""
         changed = {one.name for one in change_set.changes if one.kind is ResourceKind.ROUTE}
-        staged = RouteIndex()
-        return Assessment(change_set, dict(budgets), staged, RouteView(routes, changed, staged))
+        staged, sums = (RouteIndex(), RouteSums()) if changed else (NO_ROUTES, NO_SUMS)
+        view = RouteView(routes, changed, staged)
+        return Assessment(change_set, dict(budgets), staged, view, sums)
+
+    def touches_rules_over_routes(self) -> bool:
+        """Whether sums and budgets can be others than they were."""
+        kinds = (change.kind for change in self.change_set.changes)
+        return bool(self.routes) or ResourceKind.BUDGET in kinds
 
     def violate(self, key: ResourceKey, where: str, why: str) -> None:
         self.violations.append(Violation(key, where, why))
@@ -64,12 +79,9 @@
 
     def facts(self, key: ResourceKey, route: Route, given: Circumstances) -> RouteFacts | None:
         """Of a route that can be indexed; what stands in the way is a violation."""
-        cells = 1
-        for names in (route.match.classes, route.match.tenant, route.match.method):
-            cells *= max(1, len(set(names or ())))
-        if cells > CELLS_MAX:
-            why = f"names {cells} combinations of class, tenant and method; several routes of {CELLS_MAX}"
-            self.violate(key, "match", f"{why} would do")
+        fault = oversize(route.match)
+        if fault is not None:
+            self.violate(key, fault.where, fault.why)
             return None
         try:
             return RouteFacts.of(route, given)
@@ -78,6 +90,23 @@
             return None
 
 
+def oversize(match: Match) -> Fault | None:
+    """What of a match would make too many or too long lines in the index."""
+    cells = 1
+    for names in (match.classes, match.tenant, match.method):
+        cells *= max(1, len(set(names or ())))
+    path = match.path or ""
+    for where, count, most, what in (
+        ("match", cells, CELLS_MAX, "combinations of class, tenant and method"),
+        ("match.header", len(match.header), HEADERS_MAX, "headers"),
+        ("match.path", len(path), PATH_LETTERS_MAX, "letters"),
+        ("match.path", path.count("/"), PATH_PARTS_MAX, "parts"),
+    ):
+        if count > most:
+            return Fault(where, f"names {count:,} {what}; {most:,} at most would do")
+    return None
+
+
 def explained(finding: Finding) -> str:
     """A finding in one line, without its path."""
     rule = f" (would break: {finding.rule})" if finding.rule else ""
