The disk writer of a control server in a module of its own

Change: disk_writer.py takes over the thread, the joining of writes, the tries after a full disk; no change of behaviour.

--- a/driftstair/control/replica_runner.py
+++ b/driftstair/control/replica_runner.py
@@ -1,8 +1,4 @@
-"""A replica on a machine: its actions carried out on disk and network, its timer, outcomes of proposals.
-
-The disk is written in a thread, one write at a time, each of all that has come meanwhile, so that a slow sync
-holds up neither the loop nor more than one turn of acknowledgements.
-"""
+"""A replica on a machine: its actions carried out on disk and network, its timer, outcomes of proposals."""
 
 from __future__ import annotations
 
@@ -10,15 +6,14 @@
 import logging
 import os
 import time
-from collections import deque
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
 from random import Random
 
 from driftstair.configuration.change_sets import ChangeSet, LoggedChangeSet
 from driftstair.configuration.state import ConfigurationState
+from driftstair.control.disk_writer import DiskWriter
 from driftstair.control.http import HttpError, Request
 from driftstair.control.peer_link import PeerLink
 from driftstair.control.puts import Outcome
@@ -33,7 +28,6 @@
     ProposalCommitted,
     ProposalRefused,
     Reason,
-    ReplaceRecord,
     ReplicaRegressed,
     Restored,
     Send,
@@ -51,14 +45,11 @@
 from driftstair.control.replication.replica import ReplicationFaultError
 from driftstair.control.settings import ServerSettings
 from driftstair.control.storage import ReplicaStorage
-from driftstair.record_file import RecordWriteError
 
 log = logging.getLogger(__name__)
 
 REPLICATION_BYTES_MAX = 2 * MESSAGE_BYTES_MAX  # of one request: messages of 1 MiB together, or one long one
 FRESH_MS = 3_000  # since the last contact with a leader that has a majority: some of its heartbeats
-DISK_RETRY_S = 0.5  # s between two tries to write what the disk does not take
-DISK_LOG_EVERY = 120  # tries between two log lines about it
 TICK_S_MIN = 0.001  # s; the loop's timers are of whole ms, and a shorter one would be due at once, and again
 LEAVE_S_MAX = 1.0  # s at the end for the last messages and the last write
 
@@ -71,25 +62,22 @@
         self.on_restored: Callable[[], None] = lambda: None
         self.on_resigned: Callable[[], None] = lambda: None
         self.on_fault: Callable[[str], None] = lambda _: None  # the process has to end
-        self.disk_problem = ""
         self._led_token = 0  # of the leadership here whose own empty set is committed; 0: none is
         self._settings = settings
         self._own = settings.own_number
         self._loop = asyncio.get_running_loop()
         self._folder = Path(settings.folder)
-        self._storage = ReplicaStorage(self._folder, self._own)
-        if self._storage.cut_bytes:
-            log.warning("the log ended in a write that was cut off: %d bytes cut", self._storage.cut_bytes)
+        storage = ReplicaStorage(self._folder, self._own)
+        if storage.cut_bytes:
+            log.warning("the log ended in a write that was cut off: %d bytes cut", storage.cut_bytes)
+        self._disk = DiskWriter(storage, self._on_persisted, lambda why: self.on_fault(why))
         self._replica = ControlReplica(
-            self._own, settings.count, _generation(self._storage.stored), time.monotonic_ns(), Random(),
-            self._storage.stored,
+            self._own, settings.count, _generation(storage.stored), time.monotonic_ns(), Random(),
+            storage.stored,
         )  # fmt: skip
         self._links: dict[int, PeerLink] = {}
         self._proposals: dict[str, asyncio.Future[Outcome]] = {}
-        self._persists: deque[Persist] = deque()
-        self._to_write = asyncio.Event()
-        self._executor = ThreadPoolExecutor(1, "disk")
-        self._writer: asyncio.Task[None] | None = None
+        self._has_started = False
         self._timer: asyncio.TimerHandle | None = None
         self._leader_logged: int | None = None
 
@@ -98,24 +86,22 @@
             if number != self._own:
                 target = f"/replication?from={self._own}&to={number}&of={self._settings.count}"
                 self._links[number] = PeerLink(address, target)
-        self._writer = self._loop.create_task(self._write())
-        self._writer.add_done_callback(self._on_writer_end)
+        self._has_started = True
+        self._disk.start()
         self._tick()
 
     async def close(self) -> None:
         """Hands leadership on, and ends once that was sent or after `LEAVE_S_MAX`."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._writer is not None:
+        if self._has_started:
             self._do(self._replica.leave(time.monotonic_ns()))
             with suppress(TimeoutError):
                 async with asyncio.timeout(LEAVE_S_MAX):
                     await asyncio.gather(*(link.drained() for link in self._links.values()))
-            self._writer.cancel()
         for link in self._links.values():
             link.close()
-        self._executor.shutdown(wait=True)
-        self._storage.close()
+        self._disk.close()
 
     # What watchers, puts and the status are served from.
 
@@ -145,6 +131,11 @@
         leader = self._replica.leader
         return None if leader is None or leader == self._own else self._settings.peers[leader]
 
+    @property
+    def disk_problem(self) -> str:
+        """Why the disk takes nothing now; empty: it does."""
+        return self._disk.problem
+
     @property
     def disk_bytes(self) -> int:
         """Of all files in the folder."""
@@ -202,11 +193,8 @@
         self._timer = None
         self._do(self._replica.tick(time.monotonic_ns()))
 
-    def _on_writer_end(self, writer: asyncio.Task[None]) -> None:
-        problem = None if writer.cancelled() else writer.exception()
-        if problem is not None:
-            log.error("the disk is written to no more", exc_info=problem)
-            self.on_fault(f"disk: {problem}")
+    def _on_persisted(self, sequence: int) -> None:
+        self._do(self._replica.on_persisted(time.monotonic_ns(), sequence))
 
     # Actions.
 
@@ -226,8 +214,7 @@
                 if link is not None:
                     link.send(encode(message))
             case Persist():
-                self._persists.append(action)
-                self._to_write.set()
+                self._disk.add(action)
             case Committed(logged):
                 if logged.change_set.id == f"{LEADER_ID_PREFIX}{self._replica.token}":
                     self._led_token = self._replica.token
@@ -262,52 +249,12 @@
             self._leader_logged = leader
             log.info("leader: %s", "none is known" if leader is None else f"server {leader}")
 
-    # The disk.
-
-    async def _write(self) -> None:
-        while True:
-            await self._to_write.wait()
-            persist = self._next_persist()
-            await self._write_until_done(persist)
-            self._do(self._replica.on_persisted(time.monotonic_ns(), persist.sequence))
-
-    def _next_persist(self) -> Persist:
-        """All that waits, as one; what replaces the whole disk stands alone."""
-        sequence, records = self._persists.popleft()
-        while self._persists and not _replaces(records) and not _replaces(self._persists[0].records):
-            sequence, more = self._persists.popleft()
-            records += more
-        if not self._persists:
-            self._to_write.clear()
-        return Persist(sequence, records)
-
-    async def _write_until_done(self, persist: Persist) -> None:
-        tries = 0
-        while True:
-            try:
-                await self._loop.run_in_executor(self._executor, self._storage.write, persist)
-            except RecordWriteError as problem:
-                self.disk_problem = str(problem)
-                if tries % DISK_LOG_EVERY == 0:
-                    log.error("%s; serving on without acknowledging changes, and trying again", problem)
-                tries += 1
-                await asyncio.sleep(DISK_RETRY_S)
-                continue
-            if self.disk_problem:
-                log.info("the disk takes changes again")
-                self.disk_problem = ""
-            return
-
 
 def _generation(stored: StoredLog) -> int:
     """Of this process: above those of all tokens on the disk, also where the machine's clock was set back."""
     return max(time.time_ns() // 1_000_000_000, stored.lease_token // GENERATIONS + 1)
 
 
-def _replaces(records: tuple[object, ...]) -> bool:
-    return any(isinstance(record, ReplaceRecord) for record in records)
-
-
 def _refusal(reason: Reason) -> Outcome:
     match reason:
         case NotLeader(leader):
--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -108,7 +108,7 @@
 
     async def test() -> None:
         here, before = shared, shared.server.runner.committed
-        storage = here.server.runner._storage
+        storage = here.server.runner._disk.storage
         write, writes = storage.write, []
 
         def counted(persist: Persist) -> None:
