--- a/benchmarks/scale/control_servers.py
+++ b/benchmarks/scale/control_servers.py
@@ -46,13 +46,20 @@
         self._ports = [one.number for one in held]
         for one in held:
             one.release()
+        try:
+            await self._start()
+        except BaseException:
+            await self._end()
+            raise
+        return self
+
+    async def _start(self) -> None:
         for number in range(self.count):
             self._processes.append(await self._launch(number))
         async with asyncio.timeout(READY_WITHIN):
             while await self.leader() is None:
                 self._check()
                 await asyncio.sleep(PAUSE)
-        return self
 
     def _check(self) -> None:
         """Raises RuntimeError where one has ended."""
@@ -80,6 +87,9 @@
             errors.close()
 
     async def __aexit__(self, *_: object) -> None:
+        await self._end()
+
+    async def _end(self) -> None:
         for process in self._processes:
             if process.returncode is None:
                 process.kill()
--- a/benchmarks/scale/daemons.py
+++ b/benchmarks/scale/daemons.py
@@ -67,8 +67,12 @@
         self._desks = [desk.number for desk in desks]
         for desk in desks:
             desk.release()
-        for number in range(self.count):
-            await self._launch(number, service, peers)
+        try:
+            for number in range(self.count):
+                await self._launch(number, service, peers)
+        except BaseException:
+            await self._end()
+            raise
         return self
 
     async def _launch(self, number: int, service: Path, peers: list[str]) -> None:
@@ -92,6 +96,9 @@
         )  # fmt: skip
 
     async def __aexit__(self, *_: object) -> None:
+        await self._end()
+
+    async def _end(self) -> None:
         for process in self._processes:
             if process.returncode is None:
                 process.kill()
--- a/benchmarks/scale/hollow/cluster.py
+++ b/benchmarks/scale/hollow/cluster.py
@@ -98,6 +98,21 @@
         self._folder = tempfile.TemporaryDirectory(dir=MEMORY_DISK if MEMORY_DISK.is_dir() else None)
 
     async def __aenter__(self) -> Cluster:
+        try:
+            await self._launch()
+        except BaseException:
+            await self._end()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._end()
+
+    async def _end(self) -> None:
+        await asyncio.gather(*(worker.end() for worker in self._workers))
+        self._folder.cleanup()
+
+    async def _launch(self) -> None:
         decoder = msgspec.json.Decoder[orders.Answer](orders.Answer)
         for _ in range(self.plan.processes):
             self._workers.append(
@@ -115,11 +130,6 @@
             self._empty.append(answer.resident)
             by_number.update(zip(self.plan.numbers_of(index), answer.addresses, strict=True))
         self._addresses = [by_number[number] for number in range(self.plan.count)]
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await asyncio.gather(*(worker.end() for worker in self._workers))
-        self._folder.cleanup()
 
     async def _all(self, order: orders.Order) -> list[orders.Answer]:
         return list(await asyncio.gather(*(worker.ask(order) for worker in self._workers)))
--- a/tests/scale/test_scale.py
+++ b/tests/scale/test_scale.py
@@ -8,11 +8,14 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import pytest
 from rig import run_for
 
 from benchmarks.scale import __main__ as entry
+from benchmarks.scale import control_servers
+from benchmarks.scale.control_servers import ControlServers
 from benchmarks.scale.faults import seen
 from benchmarks.scale.hollow.cluster import Cluster
 from benchmarks.scale.hollow.plan import REGIONS, Plan, region_of
@@ -179,3 +182,16 @@
     row = json.loads(capsys.readouterr().out)
     assert row["status"] != "failed", row
     assert row["figures"]["puts"] == 6 and row["figures"]["pairs_missing"] == 0
+
+
+def test_servers_that_never_have_a_leader_are_ended(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against processes that outlive a measurement which fails while it starts."""
+    monkeypatch.setattr(control_servers, "READY_WITHIN", 0.0)
+    servers = ControlServers(tmp_path, 2)
+
+    async def whole() -> None:
+        with pytest.raises(TimeoutError):
+            await servers.__aenter__()
+
+    run_for(whole(), MOST)
+    assert [process.returncode is not None for process in servers._processes] == [True, True]
