--- a/tests/control/test_control_processes.py
+++ b/tests/control/test_control_processes.py
@@ -144,7 +144,10 @@
             await fleet.put(change_set(number))
         await fleet.kill(*range(5))
         await fleet.start()
-        last = await fleet.put(change_set(10))
+        await fleet.put(change_set(10))
+        assert await fleet.terminate(*range(5)) == [0] * 5
+        await fleet.start()
+        last = await fleet.put(change_set(11))
         assert await fleet.put(change_set(3)) == fleet.committed["set-3"]
         await fleet.reached(last)
         await fleet.check()
