--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -237,8 +237,9 @@
     def start(self, now: int) -> list[api.Action]:
         """First actions; the cached list follows as an event."""
         # Nodes that start together would cut together, and try together: each has its own phase.
-        self._last_sent = now - self._jittered(TRY_AGAIN, 0.0)
-        actions: list[api.Action] = [api.SetTimer(now + self._jittered(PERIOD, 0.0), TICK_TOKEN)]
+        phase = self._jittered(PERIOD, 0.0)
+        self._last_sent = now - phase * TRY_AGAIN // PERIOD
+        actions: list[api.Action] = [api.SetTimer(now + phase, TICK_TOKEN)]
         if self._settings.list_mode is ListMode.ON_REQUEST:
             spread = min(ASK_SPREAD_MOST, int(self._settings.ask_within * ASK_SPREAD))
             actions.append(api.SetTimer(now + self._jittered(spread, 0.0), ASK_TOKEN))
