--- a/driftstair/control/command.py
+++ b/driftstair/control/command.py
@@ -185,6 +185,8 @@
 
 def _time(unix_ms: int) -> str:
     try:
+        if not unix_ms:
+            return "no time"  # a new leader's own set
         return datetime.fromtimestamp(unix_ms / 1e3, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
     except (OverflowError, ValueError, OSError):
         return "no time"
