--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -207,7 +207,7 @@
         try:
             from driftstair.node_configuration.service import NodeConfiguration, Wanted
         except ModuleNotFoundError as problem:
-            why = f"wants {problem.name}: pip install 'driftstair[tier]'"
+            why = f"wants {problem.name}: pip install 'driftstair[control]'"
             raise ServiceError([loaded.problem(("control",), why)]) from None
         folder = None if wanted.folder is None else Path(wanted.folder)
         if folder is not None and not folder.is_dir():
