--- a/driftstair/model/world.py
+++ b/driftstair/model/world.py
@@ -20,11 +20,10 @@
 from driftstair.rehearsal import scenario as kit
 from driftstair.rehearsal.account import Account
 from driftstair.rehearsal.cold import ColdRule
-from driftstair.rehearsal.fakes.box import BoxKind
 from driftstair.rehearsal.fakes.clients import ClientFigures, Load
-from driftstair.rehearsal.fakes.engine import Figures, Jam
 from driftstair.rehearsal.fakes.workload import Choice, Workload
 from driftstair.rehearsal.faults import FaultInjector
+from driftstair.rehearsal.fleet_figures import box_kind, draw_figures, kinds_in_order
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import random_for, seed_for
 from driftstair.rehearsal.tier.stage import TierStage
@@ -176,7 +175,7 @@
         self._by_id: dict[api.ServerId, Server] = {}
         self._count = 0
         self._width = max(2, len(str(of.boxes.count)))  # of names, as the kit's
-        for kind_index in self._kinds_in_turn(random):
+        for kind_index in kinds_in_order(self.scenario, random):
             self._make(kind_index)
 
     def _weights(self, random: Random) -> list[float]:
@@ -185,39 +184,15 @@
         busy = set(random.sample(self.node_names, round(of.front.busy_part * len(self.node_names))))
         return [of.front.busy_times if name in busy else 1.0 for name in self.node_names]
 
-    def _kinds_in_turn(self, random: Random) -> list[int]:
-        kinds = load.kinds(self.scenario)
-        total, number = sum(kind.share for kind in kinds), self.scenario.boxes.count
-        out = [index for index, kind in enumerate(kinds) for _ in range(int(number * kind.share / total))]
-        out += [index % len(kinds) for index in range(number - len(out))]
-        random.shuffle(out)
-        return out
-
     def _make(self, kind_index: int) -> Server:
         of = self.scenario
         kind = load.kinds(of)[kind_index]
         self._count += 1
         name = f"s-{self._count:0{self._width}d}"
-        random = random_for(self.seed, "box", name)
-        jam, cores = of.boxes.jam, kind.cores
-        figures = Figures(
-            cores=cores, speed=random.uniform(*kind.speed),
-            slots=max(1, int(cores * random.uniform(*kind.slots_per_core))),
-            room=int(cores * random.uniform(*kind.waiting_per_core)), cold_share=kind.cold_share,
-            cold_time=kind.cold_s, thrash=kind.thrash, thrash_at=kind.thrash_at,
-            connections_most=max(1, int(cores * kind.connections_per_core)),
-            connection_tax=kind.connection_tax, key_gain=kind.key_gain, key_memory=kind.key_memory_s,
-            keys_most=int(cores * kind.keys_per_core),
-            report_every=random.uniform(*of.boxes.reports.every_ms) / 1e3,
-            report_late=random.uniform(*of.boxes.reports.late_ms) / 1e3, report_noise=of.boxes.reports.noise,
-            jam=Jam(jam.at, jam.over_s, jam.slower, jam.rest_s, jam.below, jam.most_s) if jam else None,
-        )  # fmt: skip
-        box_kind = BoxKind(
-            kind.name, kind.handshake_us / 1e6, kind.idle_s, kind.error_share, kind.cancel == "queued"
-        )
+        figures = draw_figures(of, kind, random_for(self.seed, "box", name))
         rule = ColdRule(of.rules.cold_multiple, int(of.rules.cold_window_s * SECOND))
         seed = seed_for(self.seed, "box", name, "chance")
-        server = Server(name, self._count, box_kind, kind_index, figures, self.clock, rule, seed)
+        server = Server(name, self._count, box_kind(kind), kind_index, figures, self.clock, rule, seed)
         self.boxes[name] = server
         self._by_id[server.id] = server
         return server
--- /dev/null
+++ b/driftstair/rehearsal/fleet_figures.py
@@ -0,0 +1,65 @@
+"""What a run draws for its fleet of servers: which kind each is, and its figures. No I/O.
+
+The rehearsal kit and the model of the whole fleet draw alike, so one scenario and seed give both one fleet.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from driftstair.rehearsal import load
+from driftstair.rehearsal import scenario as model
+from driftstair.rehearsal.fakes.box import BoxKind
+from driftstair.rehearsal.fakes.engine import Figures, Jam
+from driftstair.rehearsal.scenario import Scenario
+
+MS_PER_S = 1e3
+US_PER_S = 1e6
+
+
+def kinds_in_order(scenario: Scenario, random: Random) -> list[int]:
+    """The index of each server's kind among the scenario's, by the kinds' shares, shuffled."""
+    kinds = load.kinds(scenario)
+    total = sum(kind.share for kind in kinds)
+    number = scenario.boxes.count
+    order = [index for index, kind in enumerate(kinds) for _ in range(int(number * kind.share / total))]
+    order += [index % len(kinds) for index in range(number - len(order))]
+    random.shuffle(order)
+    return order
+
+
+def draw_figures(scenario: Scenario, kind: model.Kind, random: Random) -> Figures:
+    """The figures of one server of a kind. `random` is the server's own; the order of draws is fixed."""
+    reports, cores = scenario.boxes.reports, kind.cores
+    return Figures(
+        cores=cores,
+        speed=random.uniform(*kind.speed),
+        slots=max(1, int(cores * random.uniform(*kind.slots_per_core))),
+        room=int(cores * random.uniform(*kind.waiting_per_core)),
+        cold_share=kind.cold_share,
+        cold_time=kind.cold_s,
+        thrash=kind.thrash,
+        thrash_at=kind.thrash_at,
+        connections_most=max(1, int(cores * kind.connections_per_core)),
+        connection_tax=kind.connection_tax,
+        key_gain=kind.key_gain,
+        key_memory=kind.key_memory_s,
+        keys_most=int(cores * kind.keys_per_core),
+        report_every=random.uniform(*reports.every_ms) / MS_PER_S,
+        report_late=random.uniform(*reports.late_ms) / MS_PER_S,
+        report_noise=reports.noise,
+        jam=jam_of(scenario.boxes.jam),
+    )
+
+
+def jam_of(jam: model.Jam | None) -> Jam | None:
+    """How servers jam, if they do."""
+    if jam is None:
+        return None
+    return Jam(jam.at, jam.over_s, jam.slower, jam.rest_s, jam.below, jam.most_s)
+
+
+def box_kind(kind: model.Kind) -> BoxKind:
+    """What a server of a kind does with its connections and errors."""
+    handshake_s = kind.handshake_us / US_PER_S
+    return BoxKind(kind.name, handshake_s, kind.idle_s, kind.error_share, kind.cancel == "queued")
--- a/driftstair/rehearsal/runner.py
+++ b/driftstair/rehearsal/runner.py
@@ -10,21 +10,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
-from random import Random
 
 from driftstair.daemon import KILLED_AFTER, LONGEST_DEADLINE
 from driftstair.rehearsal import load, platform, wire
 from driftstair.rehearsal import scenario as model
 from driftstair.rehearsal.account import Account
 from driftstair.rehearsal.environment import Environment
-from driftstair.rehearsal.fakes.box import Box, BoxKind
+from driftstair.rehearsal.fakes.box import Box
 from driftstair.rehearsal.fakes.boxlist import BoxList, Entry, ListFigures
 from driftstair.rehearsal.fakes.clients import ClientFigures, Clients, Load
-from driftstair.rehearsal.fakes.engine import Figures, Jam
 from driftstair.rehearsal.fakes.front import FrontLayer
 from driftstair.rehearsal.fakes.place import Place
 from driftstair.rehearsal.fakes.workload import Choice, Workload
 from driftstair.rehearsal.faults import FaultInjector
+from driftstair.rehearsal.fleet_figures import box_kind, draw_figures, kinds_in_order
 from driftstair.rehearsal.rules import Checker
 from driftstair.rehearsal.scenario import Scenario
 from driftstair.rehearsal.seeds import random_for, seed_for
@@ -138,8 +137,10 @@
         )  # fmt: skip
         self.boxes: dict[str, Box] = {}
         self.gone: dict[str, Box] = {}
-        for name, kind in zip(load.box_names(of.boxes.count), self._kinds_in_turn(random), strict=True):
-            self.boxes[name] = self._box(name, kind, environment.place(name))
+        server_kinds = load.kinds(of)
+        names = load.box_names(of.boxes.count)
+        for name, kind_index in zip(names, kinds_in_order(of, random), strict=True):
+            self.boxes[name] = self._box(name, server_kinds[kind_index], environment.place(name))
         self.nodes = {name: environment.node(name, self._node_ended) for name in self.node_names}
         self.tier: TierStage | None = None
         if of.nodes.tier is not None:
@@ -148,41 +149,12 @@
             )  # fmt: skip
             environment.join(self.tier.links)
 
-    def _kinds_in_turn(self, random: Random) -> list[model.Kind]:
-        """Kinds by their shares, as evenly as whole boxes allow, in an order drawn by the seed."""
-        kinds = load.kinds(self.scenario)
-        total = sum(kind.share for kind in kinds)
-        number = self.scenario.boxes.count
-        out: list[model.Kind] = []
-        for kind in kinds:
-            out += [kind] * int(number * kind.share / total)
-        out += [kinds[index % len(kinds)] for index in range(number - len(out))]
-        random.shuffle(out)
-        return out
-
     def _box(self, name: str, kind: model.Kind, place: Place) -> Box:
-        of = self.scenario
-        random = random_for(self.seed, "box", name)
-        jam = of.boxes.jam
-        cores = kind.cores
-        figures = Figures(
-            cores=cores, speed=random.uniform(*kind.speed),
-            slots=max(1, int(cores * random.uniform(*kind.slots_per_core))),
-            room=int(cores * random.uniform(*kind.waiting_per_core)), cold_share=kind.cold_share,
-            cold_time=kind.cold_s, thrash=kind.thrash, thrash_at=kind.thrash_at,
-            connections_most=max(1, int(cores * kind.connections_per_core)),
-            connection_tax=kind.connection_tax, key_gain=kind.key_gain, key_memory=kind.key_memory_s,
-            keys_most=int(cores * kind.keys_per_core),
-            report_every=random.uniform(*of.boxes.reports.every_ms) / 1e3,
-            report_late=random.uniform(*of.boxes.reports.late_ms) / 1e3, report_noise=of.boxes.reports.noise,
-            jam=Jam(jam.at, jam.over_s, jam.slower, jam.rest_s, jam.below, jam.most_s) if jam else None,
-        )  # fmt: skip
-        box_kind = BoxKind(
-            kind.name, kind.handshake_us / 1e6, kind.idle_s, kind.error_share, kind.cancel == "queued"
-        )
+        figures = draw_figures(self.scenario, kind, random_for(self.seed, "box", name))
         return Box(
-            name, box_kind, figures, place, self.node_names, self.workload, platform.rule_book(of).cold,
-            self.note, self._left, seed_for(self.seed, "box", name, "chance"), self._numbers,
+            name, box_kind(kind), figures, place, self.node_names, self.workload,
+            platform.rule_book(self.scenario).cold, self.note, self._left,
+            seed_for(self.seed, "box", name, "chance"), self._numbers,
         )  # fmt: skip
 
     # The run.
