A test kills three nodes once each has a token on its disk

Cause: two of three acceptors make an owner, which is what the test waited for; the third writes its token later, and was killed before it. Not new code's: nothing under it has changed. Change: it waits for the third file too; what is asserted stays.

--- a/tests/tier/test_permits_processes.py
+++ b/tests/tier/test_permits_processes.py
@@ -171,6 +171,8 @@
 
             await fleet.start()
             await fleet.until(tokens, "no owner")
+            # Two of three make an owner: the third one's disk may take its token later.
+            await fleet.until(lambda: len(list(disks.glob("*.tokens"))) == 3, "a member has no token")
             await fleet.kill(0, 1, 2)
             before = tokens()
             assert len(list(disks.glob("*.tokens"))) == 3
