One kept connection posts for control servers and for nodes' reports

Seen on reading over: control/http_client.py and node_configuration/post.py were the same protocol class written twice, with small differences. Change: driftstair/net/kept_connection.py serves both; post.py is gone. Where they differed the stricter one stands: bytes that nobody asked for end the connection, a head counts towards the bound of an answer (64 KiB in control, 16 KiB in reports, as before). A second answer behind the first in one read passed unseen in both; it ends the connection now.

--- a/driftstair/control/http.py
+++ b/driftstair/control/http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 as control servers speak it: the messages, their bounds, and what goes over the wire.
 
-Parsing is httptools' in `http_server` and `http_client`; this module has no I/O.
+Parsing is httptools' in `http_server` and `net/kept_connection`; this module has no I/O.
 """
 
 from __future__ import annotations
@@ -79,16 +79,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def encode_post(address: tuple[str, int], target: str, body: bytes) -> bytes:
-    """The bytes of a POST request with a JSON body."""
-    host, port = address
-    name = f"[{host}]" if ":" in host else host
-    return (
-        f"POST {target} HTTP/1.1\r\nHost: {name}:{port}\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    ).encode() + body
-
-
 def encode_chunk(line: bytes) -> bytes:
     """A line of a streamed answer with its end, as one chunk."""
     return b"%x\r\n%s\n\r\n" % (len(line) + 1, line)
--- a/driftstair/control/peer_link.py
+++ b/driftstair/control/peer_link.py
@@ -11,8 +11,9 @@
 from collections import deque
 from random import Random
 
-from driftstair.control.http_client import CallError, HttpClient
+from driftstair.control.http_client import HttpClient
 from driftstair.net.backoff import Backoff
+from driftstair.net.kept_connection import CallError
 
 log = logging.getLogger(__name__)
 
--- a/driftstair/control/puts.py
+++ b/driftstair/control/puts.py
@@ -15,8 +15,9 @@
 from driftstair.configuration.state import ConfigurationState
 from driftstair.control.checker import Checker
 from driftstair.control.http import Request, Response, error_response, json_response
-from driftstair.control.http_client import CallError, HttpClient
+from driftstair.control.http_client import HttpClient
 from driftstair.control.lines import ChangeSource
+from driftstair.net.kept_connection import CallError
 
 COMMIT_S_MAX = 3.0  # s that a put waits for its majority before its client is told that it is not known
 FORWARD_S_MAX = COMMIT_S_MAX + 1.0  # s that the leader's answer is waited for
--- a/driftstair/node_configuration/reporter.py
+++ b/driftstair/node_configuration/reporter.py
@@ -5,13 +5,15 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 from random import Random
+from typing import cast
 
 from driftstair.configuration.messages import NodeReport, encode
 from driftstair.net.backoff import Backoff
 from driftstair.net.discovery import DIAL
+from driftstair.net.kept_connection import CallError, KeptConnection
 from driftstair.net.system import System
-from driftstair.node_configuration.post import PostConnection, PostError
 from driftstair.node_configuration.servers import Address
 
 log = logging.getLogger(__name__)
@@ -22,6 +24,7 @@
 UNCHANGED_S = 60.0  # s until what is known already is said again, so that a control server forgets no node
 ANSWER_S = 3.0  # s to the answer
 PAUSE_MAX_S = 30.0  # s between two tries in vain, at most
+ANSWER_BYTES_MAX = 16 << 10  # of one answer, its head with it
 TAKEN = 204
 
 
@@ -38,7 +41,7 @@
         self._random = Random(seed ^ 0x4E90)
         self._backoff = Backoff(INTERVAL_S, PAUSE_MAX_S, seed ^ 0x4E91)
         self._wanted = asyncio.Event()
-        self._connection: PostConnection | None = None
+        self._connection: KeptConnection | None = None
         self._task: asyncio.Task[None] | None = None
         self.sent = 0  # reports that were taken
 
@@ -81,8 +84,8 @@
         try:
             async with asyncio.timeout(DIAL + ANSWER_S):
                 connection = await self._connect(server)
-                status = await connection.post(TARGET, encode(self._report()))
-        except (OSError, TimeoutError, PostError) as problem:
+                status = (await connection.post(TARGET, encode(self._report()))).status
+        except (OSError, TimeoutError, CallError) as problem:
             log.warning("%s:%d: no report: %s", *server, problem or "no answer")
             self._drop_connection()
             return False
@@ -92,11 +95,12 @@
         self.sent += 1
         return True
 
-    async def _connect(self, server: Address) -> PostConnection:
+    async def _connect(self, server: Address) -> KeptConnection:
         """Raises OSError."""
         if self._connection is None or self._connection.is_over or self._connection.address != server:
             self._drop_connection()
-            self._connection = await PostConnection.dial(self._system, server)
+            make = partial(KeptConnection, server, ANSWER_BYTES_MAX)
+            self._connection = cast(KeptConnection, await self._system.dial(make, server))
         return self._connection
 
     def _drop_connection(self) -> None:
--- /dev/null
+++ b/tests/test_kept_connection.py
@@ -0,0 +1,86 @@
+"""The client's end of a kept connection: one answer a document, and an end after whatever else comes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from rig import Message, answer, read_message, run
+
+from driftstair.net.kept_connection import Answer, CallError, KeptConnection
+
+ANSWER_BYTES_MAX = 1_000
+
+
+async def against(
+    replies: list[bytes], act: Callable[[KeptConnection, list[Message]], Awaitable[None]]
+) -> None:
+    """A connection to a server that answers its messages with these bytes, in turn."""
+    seen: list[Message] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for reply in replies:
+            seen.append(await read_message(reader))
+            writer.write(reply)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: KeptConnection((host, port), ANSWER_BYTES_MAX), host, port
+        )
+        await act(connection, seen)
+        connection.close()
+
+
+def test_documents_go_out_one_after_the_other_on_one_connection() -> None:
+    async def act(connection: KeptConnection, seen: list[Message]) -> None:
+        assert await connection.post("/one", b"{}") == Answer(200, b"first")
+        assert await connection.post("/two", b"[]") == Answer(503, b"")
+        assert [(one.first, one.body) for one in seen] == [
+            ("POST /one HTTP/1.1", b"{}"), ("POST /two HTTP/1.1", b"[]")
+        ]  # fmt: skip
+        assert not connection.is_over
+
+    run(against([answer(200, b"first"), answer(503, b"")], act))
+
+
+@pytest.mark.parametrize(
+    ("reply", "why"),
+    [
+        (b"nothing like it\r\n\r\n", "no HTTP answer"),
+        (answer(200, b"x" * ANSWER_BYTES_MAX), "more than 1,000 bytes"),
+        (b"HTTP/1.1 200 OK\r\n" + b"X-More: and more\r\n" * 100, "more than 1,000 bytes"),
+    ],
+    ids=["no HTTP", "a long body", "a head without end"],
+)
+def test_what_is_no_answer_ends_the_connection_with_the_reason(reply: bytes, why: str) -> None:
+    async def act(connection: KeptConnection, _: list[Message]) -> None:
+        with pytest.raises(CallError, match=why):
+            await connection.post("/", b"{}")
+        assert connection.is_over
+        with pytest.raises(CallError, match="has ended"):
+            await connection.post("/", b"{}")
+
+    run(against([reply], act))
+
+
+def test_a_second_answer_is_not_taken_for_that_of_the_next_document() -> None:
+    async def act(connection: KeptConnection, _: list[Message]) -> None:
+        assert (await connection.post("/", b"{}")).body == b"mine"
+        with pytest.raises(CallError):
+            await connection.post("/", b"{}")
+
+    run(against([answer(200, b"mine") + answer(200, b"nobody's")], act))
+
+
+def test_an_answer_that_closes_its_connection_is_the_last_one() -> None:
+    async def act(connection: KeptConnection, _: list[Message]) -> None:
+        found = await connection.post("/", b"{}")
+        assert found == Answer(200, b"last") and connection.is_over
+
+    run(against([answer(200, b"last", Connection="close")], act))
