Event log of requests, lists and the process; counts by reason are always kept

Need: the incident left no logs. Each request can be followed by its number from its reading through each attempt (server, deadline told) to its answer or close with the reason; calls, lists and ends of discovery with version, entries and time waited; states of the process, and how long the loop was held up. JSON lines by the standard library's logging, where the service file has [events]; without it nothing of it is loaded. All answers of the node go through one function now.

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -13,6 +13,7 @@
 from driftstair.admission.places import Limits
 from driftstair.config import ConfigError
 from driftstair.net.front import Front
+from driftstair.net.loop_monitor import LoopMonitor
 from driftstair.net.node import Node
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Pools
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from driftstair.limits.table import RequestTable
     from driftstair.node_configuration.service import NodeConfiguration
+    from driftstair.observability.observer import Observer
     from driftstair.operations.roster import Roster
     from driftstair.operations.service import Operations
     from driftstair.service.use import ServiceFile
@@ -104,6 +106,19 @@
             configuration.reload(*service.circumstances(config, shares(config)[0]))
 
 
+def report_metrics(node: Node, observer: Observer, every: float) -> None:
+    """Now, and again each `every` s."""
+    observer.metrics_reported(node.counters())
+    asyncio.get_running_loop().call_later(every, report_metrics, node, observer, every)
+
+
+def enter(node: Node, state: str) -> None:
+    """The process has come to another state."""
+    log.info(state)
+    if node.observer is not None:
+        node.observer.process_state_changed(state)
+
+
 async def serve(
     config: Config, reread: Callable[[], Config], system: System = SOCKETS,
     ready: Callable[[], None] = lambda: None, service: ServiceFile | None = None,
@@ -129,6 +144,12 @@
         roster = configuration.share(tier, roster)
         limits = configuration.combined(table)
     node, front = assemble(config, system, limits, roster)
+    event_log = None if service is None else service.event_log(config, system)
+    if event_log is not None:
+        node.observe(event_log[0])
+        report_metrics(node, *event_log)
+    monitor = LoopMonitor(system.monotonic_ns, node.note_loop_held)
+    monitor.start()
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier, configuration)
     if configuration is not None:
@@ -158,12 +179,15 @@
     if tier is not None:
         tier.start()
     ready()
-    log.info("serving on %s:%d", *address)
+    enter(node, "serving on {}:{}".format(*address))
     await stop.wait()
-    log.info("stopping")
+    enter(node, "stopping")
     if tier is not None:
         tier.leave()
     await front.stop(*plan_end(config))
+    enter(node, "ended")
+    if event_log is not None:
+        event_log[0].metrics_reported(node.counters())
     if tier is not None:
         await tier.close()
     if kept is not None:
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -10,6 +10,7 @@
 from driftstair.net.flow import LAST_CHUNK, Stream, chunk, nothing, size
 from driftstair.net.node import Call, key_number
 from driftstair.net.request import UP, Incoming, Reader
+from driftstair.observability.reasons import AnswerReason, CloseReason
 
 if TYPE_CHECKING:
     from driftstair.net.front import Front
@@ -76,7 +77,7 @@
         if self._ends:
             self._dropped += len(data)
             if self._dropped > LINGER_BYTES:
-                self.abort()
+                self.abort(CloseReason.TOO_MUCH_AFTER_END)
             return
         reader = self._reader
         reader.feed(data)
@@ -122,7 +123,7 @@
                 self._upload.break_off()
             self._next()
         else:
-            self.close()
+            self.close(CloseReason.TOO_SLOW)
 
     def rests(self) -> str:
         """What it is at, as drains name it."""
@@ -158,7 +159,7 @@
                 # Where framing is lost nothing that follows can be read; what came before is answered.
                 self._busy = True
                 self._keep_alive = False
-                self.answer(reader.error, [], b"")
+                self._answer_itself(reader.error, AnswerReason.UNREADABLE)
             else:
                 break
         self._in_turn = False
@@ -179,7 +180,7 @@
         if self._busy:
             return
         if self._half_closed:
-            self.close()
+            self.close(CloseReason.CLIENT_ENDED)
         elif reader.is_partial():
             if not reader.in_body():
                 self._front.reads(self)
@@ -202,7 +203,7 @@
             if number:  # neither whole nor answered
                 self._front.node.client_gone(number)
                 self._keep_alive = False
-                self.answer(self._reader.error or 400, [], b"")
+                self._answer_itself(self._reader.error or 400, AnswerReason.UNREADABLE)
 
     def _free(self) -> None:
         self._front.budget.give(self._reserved)
@@ -220,7 +221,7 @@
             self.answer(200 if self._front.is_up() else 503, [], b"")
             return
         if self._front.refuses():
-            self.answer(503, [], b"")
+            self._answer_itself(503, AnswerReason.PROCESS_ENDING)
             return
         call = self._call(incoming)
         self._deadline = 0 if incoming.stream is not None else call.deadline
@@ -251,6 +252,11 @@
             asked=limits.asked(incoming.method, incoming.path, fields) if limits is not None else None,
         )
 
+    def _answer_itself(self, status: int, reason: AnswerReason) -> None:
+        """An answer to what the node never held."""
+        self._front.node.metrics.answers[reason] += 1
+        self.answer(status, [], b"")
+
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream) -> None:
         transport = self._transport
         assert transport is not None
@@ -301,7 +307,9 @@
         if transport.get_write_buffer_size():
             # A client that reads too slowly gets nothing after its deadline: it has given up by then.
             left = self._deadline - self._front.now() if self._deadline else SLOW_READER * 1e9
-            self._slow_reader = self._loop.call_later(max(0.0, left / 1e9), transport.abort)
+            self._slow_reader = self._loop.call_later(
+                max(0.0, left / 1e9), self.abort, CloseReason.SLOW_READER
+            )
         else:
             self._answered()
 
@@ -311,7 +319,7 @@
         if flow is None or transport is None or transport.is_closing():
             return
         if flow.broken:
-            transport.abort()  # so that the client can tell
+            self.abort(CloseReason.ANSWER_BROKEN)  # so that the client can tell
             return
         if transport.get_write_buffer_size():
             return  # `resume_writing` follows
@@ -356,22 +364,33 @@
         if not self._ends:
             self._next()
         elif self._half_closed:
-            transport.close()
+            self.close(CloseReason.CLIENT_ENDED)
         else:
             # Closing now would reset the connection if more has come, and might take the answer with it.
             if self._paused:
                 transport.resume_reading()
+            self._note_close(CloseReason.AFTER_ANSWER)
             transport.write_eof()
             self._front.leaves(self, self._rejected)
 
-    def close(self) -> None:
-        if self._transport is not None:
+    def close(self, reason: CloseReason) -> None:
+        """With what is written."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._note_close(reason)
             self._transport.close()
 
-    def abort(self) -> None:
-        if self._transport is not None:
+    def abort(self, reason: CloseReason) -> None:
+        """At once: what is not with the kernel yet is lost."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._note_close(reason)
             self._transport.abort()
 
+    def _note_close(self, reason: CloseReason) -> None:
+        node = self._front.node
+        node.metrics.closes[reason] += 1
+        if node.observer is not None:
+            node.observer.connection_closed(self._number, reason.value)
+
     def close_if_unused(self) -> None:
         if not self._busy and not self._reader.ready and not self._reader.is_partial():
-            self.close()
+            self.close(CloseReason.IDLE)
--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -5,13 +5,16 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from driftstair.hosts import HostList, ListError, parse_list
 from driftstair.net.documents import TEXT_MOST, Documents
 from driftstair.net.system import System
 from driftstair.net.watch import WatchConnection, Watcher
 
+if TYPE_CHECKING:
+    from driftstair.observability.observer import Observer
+
 log = logging.getLogger(__name__)
 
 # A change counts as told 6 s after discovery had it and could be reached, whatever befell the calls before.
@@ -42,6 +45,7 @@
         self._former: list[DiscoveryConnection] = []  # watches of the places before
         self._on_list = on_list
         self._on_failed = on_failed
+        self.observer: Observer | None = None  # the event log, where there is one
 
     def move(self, address: tuple[str, int]) -> None:
         """Watch at another address from now on. Versions are the other place's own, so the first line has to
@@ -77,6 +81,8 @@
 
     def request(self) -> bytes:
         host, port = self._address
+        if self.observer is not None:
+            self.observer.discovery_called(f"{host}:{port}", self.version)
         target = f"/discovery/hosts?watch=1&from={self.version}"
         return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
 
@@ -115,6 +121,9 @@
         return bool(updates)
 
     def _tell(self, watch: DiscoveryConnection, update: HostList) -> None:
+        if self.observer is not None:
+            waited = watch.age() * 1000
+            self.observer.list_received(update.version, update.full, len(update.hosts), waited)
         watch.version = update.version
         if watch is self._watch:
             self.version = update.version
@@ -124,6 +133,8 @@
             self._on_failed()  # a list is taken for news of the new watch, which has failed: once more
 
     def failed(self, watch: WatchConnection, why: str) -> None:
+        if self.observer is not None and self.follows(watch):
+            self.observer.discovery_ended(why, watch.answered, watch.age() * 1000)
         if watch in self._former:
             self._former.remove(cast(DiscoveryConnection, watch))
             watch.close()
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -14,6 +14,7 @@
 from driftstair.net.flow import SILENCE_MOST, Budget
 from driftstair.net.node import Node
 from driftstair.net.system import SOCKETS, Listener, System
+from driftstair.observability.reasons import CloseReason
 from driftstair.settings import Config
 
 if TYPE_CHECKING:
@@ -126,11 +127,11 @@
 
     def _end(self, connection: ClientConnection, how: Ending) -> None:
         if how is Ending.ABORT:
-            connection.abort()
+            connection.abort(CloseReason.TOO_SLOW)
         elif how is Ending.TIME_OUT:
             connection.time_out()
         else:
-            connection.close()
+            connection.close(CloseReason.IDLE)
 
     def _left(self) -> None:
         self._open -= 1
@@ -145,7 +146,7 @@
         for connection in [one for one, pace in self.bodies.items() if pace.is_too_slow(now)]:
             connection.time_out()
         for connection in [one for one, since in self.flows.items() if now - since > SILENCE_MOST]:
-            connection.abort()
+            connection.abort(CloseReason.SLOW_READER)
         self._thin_out()
         if self.drain is not None:
             self._let_go(self.drain)
@@ -153,7 +154,7 @@
             # Clients may hold so many connections at a node, both processes together. Guards against idle
             # ones here that leave them none to reach the other process by.
             for connection in [one for one in self._connections if one.rests() == "IDLE"]:
-                connection.close()
+                connection.close(CloseReason.IDLE)
         self._loop.call_later(SWEEP, self._sweep)
 
     def _let_go(self, drain: Drain) -> None:
@@ -164,13 +165,13 @@
         for connection in list(self._connections):
             way = drain.way(Rests[connection.rests()], now - connection.since, now)
             if way is Way.CLOSE:
-                connection.close()
+                connection.close(CloseReason.IDLE)
             elif way is Way.REFUSE:
                 connection.refuse()
 
     def _thin_out(self) -> None:
         for connection in self.places.surplus(self._loop.time()):
-            connection.close()
+            connection.close(CloseReason.IDLE)
 
     # What the connections tell.
 
@@ -237,7 +238,7 @@
         (self.places.lingers if rejected else self.places.leaves)(connection, now)
         crowded_out = self.places.crowded_out(now)
         if crowded_out is not None:
-            crowded_out.abort()
+            crowded_out.abort(CloseReason.TOO_SLOW)
 
     def _look_again(self) -> None:
         if not self._looks_again:
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -18,6 +18,8 @@
 from driftstair.net.flow import Stream, size
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Answer, Attempt, Pools
+from driftstair.observability.metrics import Metrics
+from driftstair.observability.reasons import AnswerReason
 from driftstair.settings import Config
 from lichenspring import Balancer
 from lichenspring import interface as api
@@ -28,6 +30,7 @@
     from driftstair.limits.routes import Asked
     from driftstair.limits.table import RequestTable
     from driftstair.node_configuration.tenant_limits import TenantLimits, TenantUse
+    from driftstair.observability.observer import Observer
     from driftstair.operations.roster import Roster
 
 log = logging.getLogger(__name__)
@@ -90,6 +93,7 @@
     answered: bool = False
     sent: int = 0  # attempts so far
     may_have_run: bool = False  # one of those that have ended
+    last_result: Result = Result.NOT_SENT  # of the attempt that ended last
     out: dict[int, Attempt] = field(default_factory=dict)
     counted: Counted | None = None  # in the ledger, where one is kept
     tenant: TenantUse | None = None  # whose requests in flight it is one of, where tenants have limits
@@ -107,6 +111,8 @@
         self.ledger: Keeper | None = None
         self.tenants: TenantLimits | None = None  # of the configuration
         self.told = asyncio.Event()  # a list or a change of it has come from discovery
+        self.metrics = Metrics()
+        self.observer: Observer | None = None  # the event log, where the service file has one
         self._config = config
         self._now = system.monotonic_ns
         self._pools = pools
@@ -172,12 +178,22 @@
         return {
             "requests": self._last_number, "requests_open": len(self._open),
             "servers_ready": len(self._ready), "server_connections": self._pools.sockets,
-        }  # fmt: skip
+        } | self.metrics.flat()  # fmt: skip
+
+    def note_loop_held(self, held: int) -> None:
+        """The loop did not run for so long, ns."""
+        self.metrics.loop_held_ns = max(self.metrics.loop_held_ns, held)
+        if self.observer is not None:
+            self.observer.loop_held(held / MS)
+
+    def observe(self, observer: Observer) -> None:
+        """Steps of requests and of the list are told to it from now on."""
+        self.observer = self._discovery.observer = observer
 
     def fail_all(self) -> None:
         """The process is about to end: whoever still waits is told."""
         for request in list(self._open.values()):
-            self._overdue(request)
+            self._answer_and_close(request, 504, AnswerReason.PROCESS_ENDING)
 
     # The balancer.
 
@@ -204,8 +220,8 @@
         elif isinstance(event, api.Request | api.Outcome):
             number = event.id if isinstance(event, api.Request) else event.request
             request = self._open.get(number)
-            if request is not None and not request.answered:
-                self._overdue(request, 502)
+            if request is not None:
+                self._answer_and_close(request, 502, AnswerReason.MODULE_ERROR)
         return []
 
     def _act_on(self, actions: list[api.Action]) -> None:
@@ -219,11 +235,12 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Refuse):
-            self._refuse(action.request, action.retry_after)
+            headers = _retry_after(action.retry_after)
+            self._answer(action.request, 503, headers, AnswerReason.REFUSED)
         elif isinstance(action, api.Fail):
             request = self._open.get(action.request)
             late = request is not None and self._now() >= request.call.deadline - TRANSIT
-            self._answer(action.request, 504 if late else 502, [])
+            self._answer(action.request, 504 if late else 502, [], AnswerReason.FAILED)
         elif isinstance(action, api.SetTimer):
             self._set_timer(action.at, action.token)
         elif isinstance(action, api.HangUp):
@@ -257,20 +274,23 @@
             )
         now = self._now()
         left = call.deadline - TRANSIT - now
+        if self.observer is not None:
+            waited = call.patience - (call.deadline - now)
+            self.observer.request_taken(request.number, call.identity.decode(), left / MS, waited / MS)
         rules = self.limits.find(call.asked) if self.limits is not None and call.asked is not None else None
         if left <= 0:
-            call.client.answer(504, [], b"")
+            self._reply(request, 504, [], b"", AnswerReason.NO_TIME_LEFT)
         elif call.identity in self._identities:
             # Guards against a stranger that sends another client's id: a server would take it for a copy.
-            call.client.answer(409, [], b"")
+            self._reply(request, 409, [], b"", AnswerReason.DUPLICATE_ID)
         elif len(self._open) >= self._config.open_cap:
-            call.client.answer(503, [], b"")
+            self._reply(request, 503, [], b"", AnswerReason.TOO_MANY_OPEN)
         elif rules is not None and 0 < rules.body < (size(call.body) or 0):
-            call.client.answer(413, [], b"")
+            self._reply(request, 413, [], b"", AnswerReason.BODY_TOO_LONG)
         elif self.tenants is not None and call.asked is not None and (
             (wait := self.tenants.admit(now, request, call.asked.tenant)) is not None
         ):  # fmt: skip
-            self._turn_away(call, wait)
+            self._turn_away(request, wait)
         else:
             self._open[request.number] = request
             self._identities.add(call.identity)
@@ -306,6 +326,8 @@
             return
         if request.counted is not None:
             request.counted.gone()
+        if self.observer is not None:
+            self.observer.request_abandoned(number)
         self._close(request)
 
     def withdraw(self, number: int) -> None:
@@ -314,13 +336,16 @@
         if request is None or request.answered or any(one.is_out() for one in request.out.values()):
             return
         # A client that is still there is told at once, and whether it may ask again.
-        request.call.client.answer(502 if request.may_have_run else 503, [], b"")
-        self._close(request)
+        self._answer_and_close(request, 502 if request.may_have_run else 503, AnswerReason.CLIENT_LEFT)
 
-    def _overdue(self, request: Open, status: int = 504) -> None:
+    def _overdue(self, request: Open) -> None:
         """Guards against a request that nobody answers, whatever the reason."""
+        self._answer_and_close(request, 504, AnswerReason.OVERDUE)
+
+    def _answer_and_close(self, request: Open, status: int, reason: AnswerReason) -> None:
+        """Answered by the node itself, if it is not yet; what is out for it is cancelled."""
         if not request.answered:
-            request.call.client.answer(status, [], b"")
+            self._reply(request, status, [], b"", reason)
             self._close(request)
 
     def _close(self, request: Open) -> None:
@@ -331,22 +356,31 @@
             attempt.cancel()
 
     def _answer(
-        self, number: int, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream = b""
-    ) -> None:
+        self, number: int, status: int, headers: list[tuple[bytes, bytes]], reason: AnswerReason,
+        body: bytes | Stream = b"",
+    ) -> None:  # fmt: skip
         request = self._open.get(number)
         if request is not None and not request.answered:
-            request.call.client.answer(status, headers, body)
+            self._reply(request, status, headers, body, reason)
             self._finish(request)
 
-    def _refuse(self, number: int, wait: int) -> None:
-        self._answer(number, 503, _retry_after(wait))
+    def _reply(
+        self, request: Open, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream,
+        reason: AnswerReason,
+    ) -> None:  # fmt: skip
+        """The one way by which a request gets its final answer."""
+        self.metrics.answers[reason] += 1
+        if self.observer is not None:
+            self.observer.request_answered(request.number, status, reason.value)
+        request.call.client.answer(status, headers, body)
 
-    def _turn_away(self, call: Call, wait: int) -> None:
+    def _turn_away(self, request: Open, wait: int) -> None:
         """Over a limit of its tenant, before anything is done for it; refused as over a route's. `wait`: ns
         until it may pass; 0: nobody knows."""
         settings = self._config.settings
-        told = min(wait or settings.classes[call.class_index].aim, settings.max_retry_after)
-        call.client.answer(503, _retry_after(told if settings.retry_after else 0), b"")
+        told = min(wait or settings.classes[request.call.class_index].aim, settings.max_retry_after)
+        headers = _retry_after(told if settings.retry_after else 0)
+        self._reply(request, 503, headers, b"", AnswerReason.TENANT_LIMIT)
 
     def _finish(self, request: Open) -> None:
         request.answered = True
@@ -372,6 +406,8 @@
             self.withdraw(request.number)
         index = request.sent
         request.sent += 1
+        if index:
+            self.metrics.retries[request.last_result] += 1
         pool = self._pools.get(action.server)
         body = request.call.body
         passed_on = isinstance(body, Stream) and body.begun
@@ -393,10 +429,16 @@
         begin_by = now + action.begin_within if action.begin_within else 0
         attempt = Attempt(
             pool, call.head, call.body, expires, ended, call.has_gone, action.first_byte, begin_by,
+            partial(self._written, request, index, action.server),
         )  # fmt: skip
         request.out[index] = attempt
         attempt.start()
 
+    def _written(self, request: Open, index: int, server: api.ServerId, told: int) -> None:
+        """An attempt's bytes go to its server. `told`: the deadline in them, ns."""
+        if self.observer is not None:
+            self.observer.attempt_started(request.number, index, server.hex(), told / MS)
+
     def _ended(
         self,
         request: Open,
@@ -408,12 +450,15 @@
     ) -> None:
         elapsed = self._now() - (request.out.pop(index).written_at or since)
         request.may_have_run |= result not in NEVER_RAN
+        request.last_result = result
+        if self.observer is not None:
+            self.observer.attempt_ended(request.number, index, result.value, elapsed / MS)
         if answer is not None and not request.answered:
             if result is Result.OK:
-                self._answer(request.number, 200, answer.headers, answer.body)
+                self._answer(request.number, 200, answer.headers, AnswerReason.SERVED, answer.body)
             elif result is Result.REJECTED:
                 # The request is at fault: another server would say the same, and none is worse for it.
-                self._answer(request.number, answer.status, [], b"")
+                self._answer(request.number, answer.status, [], AnswerReason.REJECTED_BY_SERVER)
         elif answer is not None and isinstance(answer.body, Stream):
             answer.body.abandon()
         if not request.answered and isinstance(request.call.body, Stream) and request.call.body.begun:
@@ -428,9 +473,10 @@
         if result in NEVER_RAN:
             aim = settings.classes[request.call.class_index].aim
             wait = min(aim, settings.max_retry_after) if settings.retry_after else 0
-            self._refuse(request.number, wait)
+            self._answer(request.number, 503, _retry_after(wait), AnswerReason.STREAM_BROKEN)
         else:
-            self._answer(request.number, 504 if result is Result.TIMEOUT else 502, [])
+            status = 504 if result is Result.TIMEOUT else 502
+            self._answer(request.number, status, [], AnswerReason.STREAM_BROKEN)
 
     def _report(self, text: bytes) -> tuple[float, ...]:
         """The load report in the order of the settings; nothing, if a field is missing or unreadable."""
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -40,15 +40,16 @@
     """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
 
     __slots__ = (
-        "_begin_by", "_body", "_connection", "_dial", "_has_gone", "_head", "_on_end", "_patience", "_timer",
-        "done", "expires", "first_byte", "moved", "pool", "written_at",
+        "_begin_by", "_body", "_connection", "_dial", "_has_gone", "_head", "_on_end", "_on_write",
+        "_patience", "_timer", "done", "expires", "first_byte", "moved", "pool", "written_at",
     )  # fmt: skip
 
     def __init__(
         self, pool: Pool, head: bytes, body: bytes | Stream, expires: int,
         on_end: Callable[[Result, Answer | None], None], has_gone: Callable[[], bool], first_byte: int = 0,
-        begin_by: int = 0,
+        begin_by: int = 0, on_write: Callable[[int], None] = lambda told: None,
     ) -> None:  # fmt: skip
+        """`on_write` hears of the deadline that the server is told, in ns, as the bytes go out."""
         self.pool = pool
         self.expires = expires  # monotonic ns
         self.first_byte = first_byte  # ns until the answer must have begun; 0: no such limit, or it has
@@ -59,6 +60,7 @@
         self._head = head
         self._body = body
         self._on_end = on_end
+        self._on_write = on_write
         self._has_gone = has_gone  # the client, while this was dialed
         self._begin_by = begin_by  # monotonic ns; 0: no such limit
         self._connection: Connection | None = None
@@ -149,6 +151,7 @@
             self._connection, self.moved = connection, now
             self._expires_at(now + UPLOAD_LOOK)
             patience = self._patience // 1000
+            self._on_write(self._patience)
             connection.send(self, b"%sX-Deadline: %du\r\n\r\n" % (self._head, patience), self._body)
             return
         left = self.expires - now
@@ -159,6 +162,7 @@
         self._connection = connection
         first = self.pool.pools.now() + self.first_byte if self.first_byte else self.expires
         self._expires_at(min(first, self.expires))
+        self._on_write(left)
         connection.send(self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, left // 1000, self._body))
 
     def _expires_at(self, at: int) -> None:
--- a/driftstair/net/watch.py
+++ b/driftstair/net/watch.py
@@ -126,13 +126,17 @@
         self._paused = False
         self.answered = False  # a line, or a part of one, has come
         loop = asyncio.get_running_loop()
-        self._heard = loop.time()
+        self._heard = self._began = loop.time()
         self._timer = loop.call_later(answer_within, self._check)
 
     def is_up(self) -> bool:
         """Whether its connection stands, and its call has been made."""
         return self._transport is not None
 
+    def age(self) -> float:
+        """Since it was begun, in s."""
+        return asyncio.get_running_loop().time() - self._began
+
     def close(self) -> None:
         self._timer.cancel()
         if self._transport is not None:
--- /dev/null
+++ b/driftstair/observability/event_log.py
@@ -0,0 +1,114 @@
+"""The event log: one line of JSON for each event, by the standard library's logging.
+
+A line has `at_ms` (wall clock), `mono_ns` (monotonic clock: what is subtracted), `node`, `event` and the
+event's own fields. Lines of all nodes sort by `at_ms` as far as their clocks agree.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
+
+LOGGER = "driftstair.events"
+
+
+class EventLevel(Enum):
+    STATE = "state"  # lists, the process, the loop, violations, counts
+    REQUESTS = "requests"  # and each step of each request
+
+
+class EventLog:
+    """Observes one node (`Observer`). Owns a logger, which hands nothing on to the daemon's log."""
+
+    def __init__(
+        self,
+        node: str,
+        level: EventLevel,
+        monotonic_ns: Callable[[], int],
+        wall_ns: Callable[[], int],
+        handler: logging.Handler | None = None,
+    ) -> None:
+        """`handler`: where lines go; left out: standard error."""
+        self._node = node
+        self._wants_requests = level is EventLevel.REQUESTS
+        self._monotonic_ns = monotonic_ns
+        self._wall_ns = wall_ns
+        self._logger = logging.Logger(LOGGER)
+        handler = handler or logging.StreamHandler(sys.stderr)
+        handler.setFormatter(logging.Formatter("%(message)s"))
+        self._logger.addHandler(handler)
+
+    def _write(self, event: str, **fields: object) -> None:
+        line = {
+            "at_ms": self._wall_ns() // 1_000_000,
+            "mono_ns": self._monotonic_ns(),
+            "node": self._node,
+            "event": event,
+            **fields,
+        }
+        self._logger.info(json.dumps(line, separators=(",", ":")))
+
+    def _write_of_request(self, event: str, **fields: object) -> None:
+        if self._wants_requests:
+            self._write(event, **fields)
+
+    # Requests.
+
+    def request_taken(self, request: int, request_id: str, left_ms: float, waited_ms: float) -> None:
+        self._write_of_request(
+            "request_taken", request=request, request_id=request_id, left_ms=left_ms, waited_ms=waited_ms
+        )
+
+    def attempt_started(self, request: int, attempt: int, server: str, told_ms: float) -> None:
+        self._write_of_request(
+            "attempt_started", request=request, attempt=attempt, server=server, told_ms=told_ms
+        )
+
+    def attempt_not_begun(self, request: int, attempt: int, why: str) -> None:
+        self._write_of_request("attempt_not_begun", request=request, attempt=attempt, why=why)
+
+    def attempt_ended(self, request: int, attempt: int, result: str, elapsed_ms: float) -> None:
+        self._write_of_request(
+            "attempt_ended", request=request, attempt=attempt, result=result, elapsed_ms=elapsed_ms
+        )
+
+    def request_answered(self, request: int, status: int, reason: str) -> None:
+        self._write_of_request("request_answered", request=request, status=status, reason=reason)
+
+    def request_abandoned(self, request: int) -> None:
+        self._write_of_request("request_abandoned", request=request)
+
+    def connection_closed(self, request: int, reason: str) -> None:
+        self._write_of_request("connection_closed", request=request, reason=reason)
+
+    # Lists, and the process.
+
+    def discovery_called(self, address: str, version: int) -> None:
+        self._write("discovery_called", address=address, version=version)
+
+    def list_received(self, version: int, full: bool, servers: int, waited_ms: float) -> None:
+        self._write("list_received", version=version, full=full, servers=servers, waited_ms=waited_ms)
+
+    def discovery_ended(self, why: str, answered: bool, lasted_ms: float) -> None:
+        self._write("discovery_ended", why=why, answered=answered, lasted_ms=lasted_ms)
+
+    def process_state_changed(self, state: str) -> None:
+        self._write("process_state_changed", state=state)
+
+    def loop_held(self, held_ms: float) -> None:
+        self._write("loop_held", held_ms=held_ms)
+
+    def invariant_violated(self, invariant: str, request: int, detail: str) -> None:
+        self._write("invariant_violated", invariant=invariant, request=request, detail=detail)
+
+    def metrics_reported(self, counts: dict[str, int]) -> None:
+        self._write("metrics_reported", counts=counts)
+
+
+def file_handler(path: Path) -> logging.Handler:
+    """Appends to a file. Raises OSError where it can't be opened."""
+    return logging.FileHandler(path, encoding="utf-8")
--- /dev/null
+++ b/driftstair/observability/metrics.py
@@ -0,0 +1,35 @@
+"""Counts of what a node did, by reason. Always kept: one addition an event. No I/O, no clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from driftstair.observability.reasons import AnswerReason, CloseReason
+from lichenspring.interface import Result
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Counts since the process began; durations in ns."""
+
+    answers: Counter[AnswerReason] = field(default_factory=Counter)
+    closes: Counter[CloseReason] = field(default_factory=Counter)
+    retries: Counter[Result] = field(default_factory=Counter)  # by the result of the attempt before
+    attempts_not_begun: Counter[str] = field(default_factory=Counter)  # by what forbade them
+    violations: Counter[str] = field(default_factory=Counter)  # of invariants, by name
+    loop_held_ns: int = 0  # the longest time for which the event loop did not run
+
+    def flat(self) -> dict[str, int]:
+        """Name and reason in one key, as operators' tools read them."""
+        counts: dict[str, int] = {"loop_held_ms": self.loop_held_ns // 1_000_000}
+        for name, counter in (
+            ("answers", self.answers),
+            ("closes", self.closes),
+            ("retries", self.retries),
+            ("attempts_not_begun", self.attempts_not_begun),
+            ("violations", self.violations),
+        ):
+            for reason, count in counter.items():
+                counts[f"{name}.{reason if isinstance(reason, str) else reason.value}"] = count
+        return counts
--- a/driftstair/service/schema.py
+++ b/driftstair/service/schema.py
@@ -108,6 +108,14 @@
     every: SomeTime
 
 
+class Events(Table):
+    """An event log: lines of JSON, and counts now and then."""
+
+    level: Literal["state", "requests"] = "state"
+    file: Annotated[str, Field(min_length=1)] | None = None  # left out: standard error
+    metrics_every: SomeTime = 10_000_000_000
+
+
 class Ledger(Table):
     """What tenants used, for billing: kept in a folder that outlives the process."""
 
@@ -165,6 +173,7 @@
     route: tuple[Route, ...] = ()
     fleet: Fleet = Fleet()
     tally: Tally | None = None
+    events: Events | None = None
     ledger: Ledger | None = None
     tier: Tier | None = None
     control: Control | None = None
--- a/driftstair/service/use.py
+++ b/driftstair/service/use.py
@@ -20,6 +20,7 @@
     from driftstair.ledger.keeper import Keeper
     from driftstair.net.system import System
     from driftstair.node_configuration.service import NodeConfiguration
+    from driftstair.observability.event_log import EventLog
     from driftstair.tier.ownership.permits import Rules
     from driftstair.tier.service import Tier
     from driftstair.tier.shared.budget import Spec
@@ -158,6 +159,24 @@
                 path = ("tier", "budgets", spec.name, "burst")
                 raise ServiceError([loaded.problem(path, why, instead=f'"{least:g}s"')])
 
+    def event_log(self, config: Config, system: System) -> tuple[EventLog, float] | None:
+        """The event log that the file asks for, and the s between two reports of counts. Raises ServiceError
+        for a file that can't be written."""
+        loaded = self.load()
+        wanted = loaded.service.events
+        if wanted is None:
+            return None
+        from driftstair.observability.event_log import EventLevel, EventLog, file_handler
+
+        try:
+            handler = None if wanted.file is None else file_handler(Path(wanted.file))
+        except OSError as problem:
+            why = f"{wanted.file} can't be written: {problem.strerror}; another path would do"
+            raise ServiceError([loaded.problem(("events", "file"), why)]) from None
+        level = EventLevel(wanted.level)
+        log_of_events = EventLog(config.name, level, system.monotonic_ns, system.time_ns, handler)
+        return log_of_events, wanted.metrics_every / 1e9
+
     def keeper(self, config: Config, system: System) -> tuple[Keeper, float] | None:
         """The ledger that the file asks for, opened, and the s between two commits. Raises ServiceError for
         one that can't be kept."""
