--- /dev/null
+++ b/tests/acceptance/test_stalled_process.py
@@ -0,0 +1,159 @@
+"""A process that does not run for a while: what happened meanwhile counts from when it happened, not from
+when it is read. Whole daemons, stopped by SIGSTOP and resumed by SIGCONT; each order is forced by what is
+already with the kernel when the process goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from time import monotonic
+
+import pytest
+from rig import (
+    PATIENCE,
+    Client,
+    Message,
+    Server,
+    answer,
+    configuration,
+    request,
+    run,
+    status,
+    until,
+)
+from test_process import Program, program
+
+STALL = 0.6  # s
+SLACK = 0.15  # s that a server may be told beyond what the client has left
+GONE = 0.1  # s after a client's close in which an attempt may still begin
+GRACE = 0.5  # s after its time in which an answer only earns nothing
+
+
+@asynccontextmanager
+async def stopped(node: Program) -> AsyncIterator[None]:
+    """The process does not run within, and all that is done within is with the kernel when it goes on."""
+    node.process.send_signal(signal.SIGSTOP)
+    try:
+        await until(lambda: _state(node) == "T")
+        yield
+    finally:
+        node.process.send_signal(signal.SIGCONT)
+
+
+def _state(node: Program) -> str:
+    """Of the process, as proc(5) names it."""
+    return Path(f"/proc/{node.process.pid}/stat").read_text().rsplit(") ", 1)[1][0]
+
+
+def told(message: Message) -> float:
+    """The deadline that a server was told, in s."""
+    return int(message.headers["x-deadline"].removesuffix("u")) / 1e6
+
+
+class Timed:
+    """A script that notes when each attempt came, and answers the first one when it is let."""
+
+    def __init__(self, first: bytes) -> None:
+        self.first = first
+        self.release = asyncio.Event()
+        self.came: list[float] = []
+
+    async def __call__(self, _: Message, writer: asyncio.StreamWriter) -> None:
+        self.came.append(monotonic())
+        if len(self.came) == 1:
+            await self.release.wait()
+            writer.write(self.first)
+        else:
+            writer.write(answer())
+
+
+@pytest.mark.parametrize("connection", ["kept", "new", "pipelined"])
+def test_a_server_is_told_what_is_left_of_the_clients_time(connection: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            client = await node.client()
+            assert status(await client.ask(request())) == 200
+            requests = [request(X_Deadline="2000m") for _ in range(2 if connection == "pipelined" else 1)]
+            async with stopped(node):
+                if connection == "new":
+                    client = await node.client()
+                began = monotonic()
+                client.writer.write(b"".join(requests))
+                await asyncio.sleep(STALL)
+            for _ in requests:
+                assert status(await client.read()) == 200
+            for message in server.seen[1:]:
+                assert told(message) <= 2.0 - STALL + SLACK, f"{monotonic() - began:.3f} s after its request"
+
+    run(test())
+
+
+def test_a_request_whose_time_ended_meanwhile_is_not_forwarded(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            client = await node.client()
+            async with stopped(node):
+                client.writer.write(request(X_Deadline="200m"))
+                await asyncio.sleep(STALL)
+            assert status(await client.read()) == 504
+            assert not server.seen
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["close", "half-close"])
+def test_nothing_begins_for_a_client_that_left_meanwhile(how: str, tmp_path: Path) -> None:
+    """Its end and the failure of its attempt wait with the kernel, in this order, and are read at once."""
+
+    async def test() -> None:
+        script = Timed(answer(500))
+        async with (
+            Server("s-1", script) as one,
+            Server("s-2", script) as two,
+            program(configuration(one, two), tmp_path) as node,
+        ):
+            client = await node.client()
+            client.writer.write(request())
+            await until(lambda: script.came)
+            async with stopped(node):
+                left = monotonic()
+                if how == "close":
+                    client.writer.close()
+                else:
+                    client.writer.write_eof()
+                await asyncio.sleep(STALL / 2)
+                script.release.set()
+                await asyncio.sleep(STALL / 2)
+            other = await node.client()
+            assert status(await other.ask(request())) == 200  # what waited has been dealt with before
+            late = [at - left for at in script.came[1:-1] if at - left > GONE]
+            assert not late, "attempts begun so long after the close"
+
+    run(test())
+
+
+def test_an_answer_comes_in_time_where_a_retry_was_due_meanwhile(tmp_path: Path) -> None:
+    """An attempt fails while the process stands still: the next one is told what is left by then."""
+
+    async def test() -> None:
+        script = Timed(answer(500))
+        async with (
+            Server("s-1", script) as one,
+            Server("s-2", script) as two,
+            program(configuration(one, two), tmp_path) as node,
+        ):
+            client: Client = await node.client()
+            client.writer.write(request(X_Deadline="2000m"))
+            await until(lambda: script.came)
+            async with stopped(node):
+                script.release.set()
+                await asyncio.sleep(STALL)
+            async with asyncio.timeout(PATIENCE):
+                assert status(await client.read()) in (200, 502, 503)
+            for message in (one.seen + two.seen)[1:]:
+                assert told(message) <= 2.0 - STALL + SLACK
+
+    run(test())
