Requests and clients' ends are dated by when they came, not by when they are read

Cause: Reader.feed stamped bytes, ClientConnection.eof_received the end of a client, and Node.whole the last byte of a long body with the time of their reading (class: an event dated by its handling). A process that did not run for 0.6 s told 0.6 s too much, forwarded what was over, and let an attempt begin for a client long gone. Change: the kernel tells how old the newest data are (tcp_info); requests ahead of it in one read count from when nothing was left with the kernel. The loop's own ticks bound what the kernel has no time of.

--- a/benchmarks/scale/hollow/system.py
+++ b/benchmarks/scale/hollow/system.py
@@ -120,3 +120,6 @@
 
     def departure(self, transport: asyncio.Transport) -> Callable[[], int | None]:
         raise NotImplementedError
+
+    def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
+        raise NotImplementedError
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -13,7 +13,6 @@
 from driftstair.admission.places import Limits
 from driftstair.config import ConfigError
 from driftstair.net.front import Front
-from driftstair.net.loop_monitor import LoopMonitor
 from driftstair.net.node import Node
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Pools
@@ -148,8 +147,6 @@
     if event_log is not None:
         node.observe(event_log[0])
         report_metrics(node, *event_log)
-    monitor = LoopMonitor(system.monotonic_ns, node.note_loop_held)
-    monitor.start()
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_files, node, config, reread, service, tier, configuration)
     if configuration is not None:
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -46,17 +46,22 @@
         self._rejected = False  # by the last answer
         self._half_closed = False  # the client sends no more
         self._departed: Callable[[], int | None] = lambda: None
+        self._last_arrival: Callable[[], int] = int  # ns since data came; 0 until it is up
+        self._drained_at = self._front.now()  # nothing of the client's was with the kernel then, monotonic ns
         self._left_at: int | None = None  # when the client closed, or ended its sending, monotonic ns
         self._dropped = 0  # bytes that came after the end
         self._deadline = 0
         self._slow_reader: asyncio.TimerHandle | None = None
         self._in_turn = False  # _next is at work
         self._paused = False
+        self._paused_at = 0  # since when what comes was left with the kernel, monotonic ns; 0: it is read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         transport.set_write_buffer_limits(high=0)  # to be told when an answer's last byte is out
         self._departed = self._front.departure(transport)
+        self._last_arrival = self._front.last_arrival(transport)
+        self._drained_at = self._front.monitor.earliest()
         self._front.on_connect(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -80,22 +85,38 @@
                 self.abort(CloseReason.TOO_MUCH_AFTER_END)
             return
         reader = self._reader
-        reader.feed(data)
+        reader.feed(data, *self._arrival())
         if reader.in_body():
             self._front.receives(self, len(data))
         elif self in self._front.bodies:
             self._front.received(self)
         self._next()
 
+    def _arrival(self) -> tuple[int, int]:
+        """Between when and when (monotonic ns) the data came that are read now: the newest by the kernel's
+        word, the oldest since nothing was left there. Guards against a process that did not run, or did not
+        read, for a while: a request that waited meanwhile has that much less time left."""
+        now = self._front.now()
+        newest = now - self._last_arrival()
+        oldest = min(newest, max(self._drained_at, self._front.monitor.earliest()))
+        if self._paused_at:
+            oldest = min(newest, self._paused_at)
+            self._paused_at = self._paused_at if self._paused else 0
+        self._drained_at = now
+        return oldest, newest
+
     def eof_received(self) -> bool:
         """A client that closes and one that ends its sending and waits (half-close, RFC 9112) look alike:
         attempts that are out are waited for, and their answer is passed on; what has not begun soon after
         never begins, and is answered as refused. Both get what is theirs."""
         self._half_closed = True
+        gone_for = 0.0
         if self._left_at is None:
-            self._left_at = self._front.now()
+            # Read late, it is no younger for that: the process may have stood still since.
+            self._left_at = self._front.now() - (self._departed() or 0)
+            gone_for = (self._front.now() - self._left_at) / 1e9
         if self._number:
-            self._loop.call_later(GONE_AFTER, self._withdraw, self._number)
+            self._loop.call_later(max(0.0, GONE_AFTER - gone_for), self._withdraw, self._number)
         if self._upload is not None and not self._upload.ended:
             return False  # the rest of the body will never come
         waits = self._busy or bool(self._reader.ready) or self._reader.has_unread()
@@ -171,6 +192,7 @@
             pace = self._front.bodies.get(self)
             if self._paused:
                 transport.pause_reading()
+                self._paused_at = self._front.now()
                 if pace is not None:
                     pace.stop(self._loop.time())
             else:
@@ -196,7 +218,7 @@
             self._upload = None
             upload.on_room = nothing
             if self._number:
-                self._front.node.whole(self._number)
+                self._front.node.whole(self._number, self._reader.newest)
         elif upload.broken:
             self._upload = None
             number, self._number = self._number, 0
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -12,6 +12,7 @@
 from driftstair.admission.places import Ending, Limits, Places
 from driftstair.net.client_connection import ClientConnection
 from driftstair.net.flow import SILENCE_MOST, Budget
+from driftstair.net.loop_monitor import LoopMonitor
 from driftstair.net.node import Node
 from driftstair.net.system import SOCKETS, Listener, System
 from driftstair.observability.reasons import CloseReason
@@ -40,6 +41,8 @@
         self.config = config
         self.now = system.monotonic_ns
         self.departure = system.departure
+        self.last_arrival = system.last_arrival
+        self.monitor = LoopMonitor(system.monotonic_ns, node.note_loop_held)
         self._system = system
         self.closing = False  # answers end their connections
         self.stopping = False  # `/up` sends clients elsewhere
@@ -65,6 +68,7 @@
         self._handed_over = later
         self._listener = listener or self._system.listen(self.config.listen, BACKLOG)
         self._resume()
+        self.monitor.start()
         self._loop.call_later(SWEEP, self._sweep)
         return self._listener.address
 
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -313,11 +313,11 @@
         left = request.call.deadline - self._now()
         request.watchdog = self._loop.call_later(left / 1e9, self._overdue, request)
 
-    def whole(self, number: int) -> None:
-        """The last byte of a request's stream has come: its time counts from now on."""
+    def whole(self, number: int, arrived: int) -> None:
+        """The last byte of a request's stream has come: its time counts from then on (monotonic ns)."""
         request = self._open.get(number)
         if request is not None and not request.answered:
-            request.call.deadline = self._now() + request.call.patience
+            request.call.deadline = arrived + request.call.patience
             self._watch_over(request)
 
     def client_gone(self, number: int) -> None:
--- a/driftstair/net/request.py
+++ b/driftstair/net/request.py
@@ -141,9 +141,9 @@
         self._config = config
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._rest = b""
-        self._fed_at = (
-            0  # when the newest bytes came, monotonic ns: a request that waits here has come by then
-        )
+        self._oldest = 0  # when the oldest bytes came that are not parsed yet, at the soonest; monotonic ns
+        self.newest = 0  # when the newest bytes came
+        self._latest: Incoming | None = None  # the request that became whole last, while more may follow it
         self._incoming: Incoming | None = None
         self._in_body = False
 
@@ -162,9 +162,13 @@
             self._budget.give(self._incoming.reserved)
             self._incoming.reserved = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes, oldest: int = 0, newest: int = 0) -> None:
+        """Bytes that came between two times (monotonic ns); left out: now."""
+        newest = newest or self._now()
+        if not self._rest:
+            self._oldest = oldest or newest
+        self.newest = newest
         self._rest = self._rest + data if self._rest else data
-        self._fed_at = self._now()
         self.go_on()
 
     def go_on(self) -> None:
@@ -176,6 +180,15 @@
             size = SLICE if self.streaming is None else SLICE_BODY
             piece, self._rest = self._rest[:size], self._rest[size:]
             self._parse(piece)
+        if not self._rest:
+            self._date_latest()
+
+    def _date_latest(self) -> None:
+        """All that has come is parsed. A request that ends with it ended with the newest bytes; of one that
+        others follow it is only known that it came no sooner than the oldest, and that counts."""
+        latest, self._latest = self._latest, None
+        if latest is not None and self._incoming is None:
+            latest.arrived = self.newest
 
     def _parse(self, piece: bytes) -> None:
         assert self._parser is not None
@@ -280,7 +293,7 @@
         incoming.stream.put(bytes(incoming.body))
         incoming.body.clear()
         self._give_back()
-        incoming.arrived = self._fed_at
+        incoming.arrived = self.newest
         self.ready.append(incoming)
 
     def on_message_complete(self) -> None:
@@ -291,5 +304,6 @@
             incoming.stream.end()
             return
         incoming.keep_alive = self._parser.should_keep_alive()
-        incoming.arrived = self._fed_at
+        incoming.arrived = self._oldest
+        self._latest = incoming
         self.ready.append(incoming)
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -23,6 +23,8 @@
 TCP_INFO_SIZE, LAST_DATA_RECV_AT, LAST_DATA_RECV = 104, 52, struct.Struct("=I")
 """Of Linux's tcp_info (tcp(7), linux/tcp.h): how many ms ago data came last."""
 LONG_AGO = 1 << 60  # ns
+ARRIVAL_LEAST = 20_000_000  # ns: two of the kernel's ticks at its slowest (100 Hz)
+ARRIVAL_MOST = 3_600_000_000_000  # ns: data that wait for longer than any client are a system's nonsense
 
 Factory = Callable[[], asyncio.BaseProtocol]
 
@@ -87,6 +89,10 @@
         """What is returned tells for how long (ns) at most a connection's peer has closed it or ended its
         sending, whether or not the loop has read so far; None while it has not."""
 
+    def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
+        """What is returned tells how long ago (ns) the newest data came on a connection, whether or not they
+        were read at once; 0 where the system does not tell."""
+
     async def aside(self, what: Callable[[], None]) -> None:
         """Do what waits for a disk, off the loop's turn."""
 
@@ -137,6 +143,15 @@
     return own
 
 
+def data_age(own: socket.socket) -> int | None:
+    """How long ago (ns) data came last on a connection, by the kernel; None where it does not tell."""
+    with suppress(OSError, struct.error):
+        told = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        if told[0]:  # the connection's state: some systems under the process fill nothing in
+            return int(LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) * 1_000_000
+    return None
+
+
 class SocketSystem:
     """Real clocks and sockets."""
 
@@ -176,14 +191,21 @@
             if not found or not found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
                 return None
             # An end comes behind the last data. That it came alone, and later, can't be seen.
-            with suppress(OSError, struct.error):
-                told = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
-                if told[0]:  # the connection's state: some systems under the process fill nothing in
-                    return int(LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) * 1_000_000
-            return LONG_AGO
+            age = data_age(own)
+            return LONG_AGO if age is None else age
 
         return departed
 
+    def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
+        own = transport.get_extra_info("socket")
+
+        def age() -> int:
+            found = data_age(own)
+            # The kernel counts in ticks of up to 10 ms: a small age may be none.
+            return found if found is not None and ARRIVAL_LEAST <= found <= ARRIVAL_MOST else 0
+
+        return age
+
     async def aside(self, what: Callable[[], None]) -> None:
         await asyncio.to_thread(what)
 
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -54,6 +54,9 @@
 
         return departed
 
+    def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
+        return lambda: 0  # what a stopped process finds is not dated in this world
+
     async def aside(self, what: Callable[[], None]) -> None:
         """At once: a thread would not be in step with this world's time."""
         what()
