The end counts from SIGTERM, connections rest 50 ms, requests read behind an end are answered

Causes: Front.stop counted from the handling of SIGTERM, which a process that did not run does late (now the last tick before bounds it); Pool.take used a connection again 5 ms after an answer (now 50 ms, and four times what was seen on a connection at rest, up to 1 s); ClientConnection.answer closed over requests read behind a 4xx or a last answer (now they are answered first). Dials that fail for this machine's want (ENOBUFS, ENOMEM, EAGAIN, EADDRNOTAVAIL) are made again twice and not held against the server.

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -111,6 +111,13 @@
     asyncio.get_running_loop().call_later(every, report_metrics, node, observer, every)
 
 
+def note_end(told_to_end: asyncio.Future[int], earliest: Callable[[], int]) -> None:
+    """SIGTERM or SIGINT is handled. It may have come while the process did not run: what ends the process
+    counts from then, and no signal says when it was sent."""
+    if not told_to_end.done():
+        told_to_end.set_result(earliest())
+
+
 def enter(node: Node, state: str) -> None:
     """The process has come to another state."""
     log.info(state)
@@ -127,9 +134,9 @@
     if that can't be used at the start."""
     table = None if service is None else service.table(config, shares(config)[0])
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    told_to_end: asyncio.Future[int] = loop.create_future()  # when, at the soonest, monotonic ns
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, note_end, told_to_end, system.monotonic_ns)
     operations = operate(config, system)
     if operations is not None:
         config = operations.config
@@ -143,6 +150,8 @@
         roster = configuration.share(tier, roster)
         limits = configuration.combined(table)
     node, front = assemble(config, system, limits, roster)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, note_end, told_to_end, front.monitor.earliest)
     event_log = None if service is None else service.event_log(config, system)
     if event_log is not None:
         node.observe(event_log[0])
@@ -177,11 +186,11 @@
         tier.start()
     ready()
     enter(node, "serving on {}:{}".format(*address))
-    await stop.wait()
+    since = await told_to_end
     enter(node, "stopping")
     if tier is not None:
         tier.leave()
-    await front.stop(*plan_end(config))
+    await front.stop(*plan_end(config), since)
     enter(node, "ended")
     if event_log is not None:
         event_log[0].metrics_reported(node.counters())
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -290,7 +290,9 @@
             return
         # A client whose request is at fault would ask the same again at once, as fast as it is answered.
         rejected = 400 <= status < 500
-        keep = self._keep_alive and not rejected and self._front.keeps(self)
+        # What was read behind it is answered first: closed now, it would be lost.
+        more = bool(self._reader.ready or self._reader.error) or self._reader.has_unread()
+        keep = self._keep_alive and (more or (not rejected and self._front.keeps(self)))
         if self._upload is not None:
             keep = keep and self._upload.ended  # what is left of it would be read as the next request
             self._upload.on_room = nothing
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -144,6 +144,10 @@
 
     def _sweep(self) -> None:
         """Guards against clients that say nothing, stop half way, send slowly or keep what they don't use."""
+        if self.monitor.was_held():
+            # What they sent meanwhile is to be read first: nobody is late for what the node did not read.
+            self._loop.call_later(LOOK, self._sweep)
+            return
         for connection, how in self.places.overdue(self._loop.time()):
             self._end(connection, how)
         now = self._loop.time()
@@ -269,11 +273,13 @@
             self._loop.call_later(BESIDE, setattr, self.places, "limits", self._limits)
             self._resume()
 
-    async def stop(self, serve_on: float, within: float) -> None:
-        """Serve on for a while, since clients go on coming; then finish what is held, and end."""
+    async def stop(self, serve_on: float, within: float, since: int = 0) -> None:
+        """Serve on for a while, since clients go on coming; then finish what is held, and end. `serve_on`
+        and `within` count, in s, from `since` (monotonic ns; 0: now), when the process was told to end."""
         self.stopping = self.places.ending = True
-        end = self._loop.time() + within
-        await asyncio.sleep(serve_on)
+        passed = (self.now() - since) / 1e9 if since else 0.0
+        end = self._loop.time() + within - passed
+        await asyncio.sleep(max(0.0, serve_on - passed))
         self.closing = True
         for _ in range(BACKLOG // ACCEPTS):
             self._accept()  # what waits in the kernel's queue would be reset with the socket
--- a/driftstair/net/loop_monitor.py
+++ b/driftstair/net/loop_monitor.py
@@ -21,6 +21,7 @@
         self._now = monotonic_ns
         self._on_held = on_held
         self._last_tick = monotonic_ns()
+        self._held_since = 0  # of a hold that has only just ended, the tick before it; 0: there was none
         self._loop = asyncio.get_running_loop()
 
     def start(self) -> None:
@@ -29,6 +30,8 @@
 
     def _tick(self) -> None:
         held = self._held(self._now())
+        # Until the next tick: the loop runs its timers, this one among them, before it reads what waits.
+        self._held_since = self._last_tick if held else 0
         self.start()
         if held:
             self._on_held(held)
@@ -41,4 +44,8 @@
         """The earliest time (monotonic ns) at which what is handled now can have happened: now, or where the
         loop has not run, the last tick before."""
         now = self._now()
-        return self._last_tick if self._held(now) else now
+        return self._held_since or (self._last_tick if self._held(now) else now)
+
+    def was_held(self) -> bool:
+        """Whether the loop has only just gone on: what came meanwhile may be unread."""
+        return bool(self._held_since) or bool(self._held(self._now()))
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -9,13 +9,21 @@
 
 import httptools
 
+from driftstair.net.connection_rest import ConnectionRest
 from driftstair.net.flow import INLINE_MOST, LAST_CHUNK, LONGEST, SILENCE_MOST, Stream, chunk, nothing
 from driftstair.net.system import SOCKETS, System
 from lichenspring.interface import Result, ServerId
 
 HEAD_MOST = 16 << 10
 INTERIM_MOST = 16  # 1xx answers ahead of one
-REST = 5_000_000  # ns that a connection is left alone after an answer: what is behind it may be on its way
+LOCAL_ERRORS = frozenset((
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EADDRNOTAVAIL, errno.EINTR,
+))  # fmt: skip
+"""Errors of connect(2) and socket(2) that tell of this machine, not of the server: nothing left it."""
+MOMENTARY_ERRORS = LOCAL_ERRORS | {errno.ENETUNREACH}
+"""Those worth another try at once. A network that stays out of reach is the server's, to be avoided."""
+LOCAL_DIALS = 3  # tries at one dial that fails for such a reason: most are over in a moment
+LOCAL_PAUSE = 0.01  # s between two of them
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
 NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
 NEWS_LOOKS = 10  # of them: the next turn of the loop reads, so what is unread for longer is none
@@ -115,13 +123,10 @@
     async def _connect(self) -> None:
         self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
         try:
-            connection = cast(
-                Connection,
-                await self.pool.pools.system.dial(lambda: Connection(self.pool), self.pool.address),
-            )
+            connection = await self._dialed()
         except OSError as problem:
             self._dial = None
-            local = problem.errno in (errno.EMFILE, errno.ENFILE)
+            local = problem.errno in LOCAL_ERRORS
             self.end(Result.NOT_SENT if local else Result.CONNECT_FAILED)
             return
         finally:
@@ -145,6 +150,19 @@
                 self._timer.cancel()
             self._write(connection)
 
+    async def _dialed(self) -> Connection:
+        """A connection that came up. Raises OSError; one of LOCAL_ERRORS only after some tries."""
+        pools = self.pool.pools
+        for left in reversed(range(LOCAL_DIALS)):
+            try:
+                protocol = await pools.system.dial(lambda: Connection(self.pool), self.pool.address)
+                return cast(Connection, protocol)
+            except OSError as problem:
+                if problem.errno not in MOMENTARY_ERRORS or not left:
+                    raise
+            await asyncio.sleep(LOCAL_PAUSE)
+        raise AssertionError("the last try has returned or raised")
+
     def _write(self, connection: Connection) -> None:
         now = self.pool.pools.now()
         if isinstance(self._body, Stream):
@@ -352,6 +370,8 @@
     def data_received(self, data: bytes) -> None:
         attempt = self._attempt
         if (attempt is None and self._flow is None) or self._parser is None:  # nothing was asked
+            pools = self._pool.pools
+            pools.rest.on_unasked_bytes(pools.now(), pools.now() - self.idle_since)
             self.close()
             return
         if attempt is not None and attempt.first_byte:
@@ -544,9 +564,10 @@
 
     def take(self) -> Connection | None:
         now = self.pools.now()
+        rested = now - self.pools.rest.needed(now)
         for index in range(len(self.idle) - 1, -1, -1):
             connection = self.idle[index]
-            if connection.idle_since > now - REST:
+            if connection.idle_since > rested:
                 continue
             del self.idle[index]
             if (
@@ -594,6 +615,7 @@
         self.system = system
         self.now = system.monotonic_ns
         self.sockets = 0  # open or being dialed
+        self.rest = ConnectionRest()
         self.has_news: Callable[[], bool] = bool  # of the servers has come what is not read yet
         self.flows: dict[Connection, None] = {}  # whose answers are passed on as they come
         self.dial_timeout = dial_timeout
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 
@@ -24,8 +25,9 @@
 )
 
 from driftstair.hosts import parse_list
-from driftstair.net import upstream
+from driftstair.net import connection_rest
 from driftstair.net.node import digest
+from driftstair.net.system import Factory, SocketSystem
 from lichenspring import interface as api
 from lichenspring.interface import Result
 
@@ -40,7 +42,7 @@
 
 
 def test_connections_are_used_again_the_latest_first(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "REST", 0)
+    monkeypatch.setattr(connection_rest, "REST_LEAST", 0)
 
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
@@ -62,7 +64,7 @@
 ) -> None:
     """A second copy of an answer came behind it, and was with the kernel when the next request went out: its
     client was served with the other one's answer."""
-    monkeypatch.setattr(upstream, "REST", 10**12)
+    monkeypatch.setattr(connection_rest, "REST_LEAST", 10**12)
 
     async def test() -> None:
         writers: list[asyncio.StreamWriter] = []
@@ -76,7 +78,7 @@
             assert (await client.ask(request(body=b"one"))).body == b"one"
             assert (await client.ask(request(body=b"two"))).body == b"two"
             assert server.connections == 2  # the first one rests
-            monkeypatch.setattr(upstream, "REST", 0)
+            monkeypatch.setattr(connection_rest, "REST_LEAST", 0)
             (pool,) = rig.node._pools._pools.values()
             # Both are sent at once, before the loop can see what has come with them.
             for connection in pool.idle:
@@ -273,3 +275,73 @@
 @pytest.mark.parametrize("late_ms", [6, 10, 20])
 def test_a_second_answer_that_comes_late_is_not_given_to_the_next_client(late_ms: int) -> None:
     assert wrong_answers(late_ms / 1000, requests=60) == 0
+
+
+def test_the_rest_follows_what_comes_unasked_and_fades() -> None:
+    rest = connection_rest.ConnectionRest()
+    second = 1_000_000_000
+    assert rest.needed(0) == connection_rest.REST_LEAST
+    rest.on_unasked_bytes(second, 100_000_000)
+    assert rest.needed(second) == 400_000_000
+    rest.on_unasked_bytes(2 * second, 1_000_000)  # an earlier one tells nothing against the late one
+    assert rest.needed(2 * second) == 400_000_000
+    rest.on_unasked_bytes(3 * second, 3600 * second)
+    assert rest.needed(3 * second) == connection_rest.REST_MOST
+    faded = [rest.needed(3 * second + fades * connection_rest.REST_FADES) for fades in (1, 2, 1000)]
+    assert faded == [
+        connection_rest.REST_MOST // 2,
+        connection_rest.REST_MOST // 4,
+        connection_rest.REST_LEAST,
+    ]
+
+
+class FailingDials(SocketSystem):
+    """The first dials fail as connect(2) and socket(2) may."""
+
+    def __init__(self, error: int, times: int) -> None:
+        self.error = error
+        self.times = times
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        self.times -= 1
+        if self.times >= 0:
+            raise OSError(self.error, os.strerror(self.error))
+        return await super().dial(factory, address)
+
+
+@pytest.mark.parametrize("error", ["ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "ENOMEM", "EAGAIN", "EMFILE"])
+def test_a_dial_that_fails_for_a_moment_is_made_again(error: str) -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            rig.node._pools.system = FailingDials(getattr(errno, error), 2)
+            client = await rig.client()
+            assert status(await client.ask(request())) == 200
+            assert [one.result for one in rig.spy.outcomes()] == [Result.OK]
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("error", "result"),
+    [
+        ("ENOBUFS", Result.NOT_SENT),
+        ("EADDRNOTAVAIL", Result.NOT_SENT),
+        ("ENOMEM", Result.NOT_SENT),
+        ("EAGAIN", Result.NOT_SENT),
+        ("ENFILE", Result.NOT_SENT),
+        ("ENETUNREACH", Result.CONNECT_FAILED),
+        ("EHOSTUNREACH", Result.CONNECT_FAILED),
+        ("ETIMEDOUT", Result.CONNECT_FAILED),
+        ("ECONNREFUSED", Result.CONNECT_FAILED),
+    ],
+)
+def test_what_this_machine_lacks_is_not_held_against_a_server(error: str, result: Result) -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            rig.node._pools.system = FailingDials(getattr(errno, error), 1000)
+            client = await rig.client()
+            assert status(await client.ask(request())) == 503
+            assert {one.result for one in rig.spy.outcomes()} == {result}
+            assert rig.node._pools.sockets == 0
+
+    run(test())
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -8,7 +8,7 @@
 from rig import Client, Message, Rig, Server, answer, configuration, request, run, status, until
 
 from driftstair.admission.pace import GRACE, RATE_LEAST, Pace
-from driftstair.net import flow, upstream
+from driftstair.net import connection_rest, flow, upstream
 from driftstair.net.flow import HELD_MOST, Budget, Stream
 from lichenspring.interface import Result
 
@@ -48,7 +48,7 @@
 def test_a_long_answer_comes_whole_in_every_framing(
     data: bytes, closes: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(upstream, "REST", 0)
+    monkeypatch.setattr(connection_rest, "REST_LEAST", 0)
 
     async def script(_: Message, writer: asyncio.StreamWriter) -> None:
         writer.write(data)
