--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1101,3 +1101,25 @@
     assert backend.idle
     assert api.HangUp(second.server) in node.end(second, Result.FULL)
     assert not backend.idle
+
+
+def test_a_watch_that_had_been_answered_is_opened_anew_at_once() -> None:
+    """Its end may stand in the place of news, and a whole fleet that pauses first queues at discovery for
+    longer than a grace. One that ends as soon as it is answered is no reason to call ten times a second."""
+    for seed in range(40):
+        balancer = Balancer(settings(list_mode=api.ListMode.ON_REQUEST), seed)
+        (_, first) = balancer.start(START)
+        assert isinstance(first, api.SetTimer)
+        now = first.at
+        pauses = []
+        for stands in (8 * SECOND, 30 * SECOND, 0, 0, 0, 0, 0, 0, 9 * SECOND, 9 * SECOND):
+            assert balancer.handle(now, api.Timer(ASK_TOKEN)) == [api.Watch()]
+            balancer.handle(now + 10 * MS, whole(server(1)))
+            now += 10 * MS + stands
+            (again,) = balancer.handle(now, api.ServerList(api.ListKind.FAILED, ()))
+            assert isinstance(again, api.SetTimer)
+            pauses.append(again.at - now)
+            now = again.at
+        assert max(*pauses[:3], *pauses[-2:]) <= SECOND // 10
+        assert SECOND // 2 <= max(pauses) <= 2 * SECOND
+        assert sum(pauses[2:8]) >= 2 * SECOND
