A watch that had been answered is opened anew after at most 0.1 s

Class: a success is accounted as a failure. Ruled out: the reading of lists, whose lines were used at once. Watches that end within 1 s of their answer double the pause up to 1.6 s, so that no call storm follows.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -89,6 +89,8 @@
 ASK_FIRST_PAUSE = SECOND  # doubles with each failed call
 ASK_MOST = 2 * SECOND  # as far as this: what discovery has once it is back counts as told 6 s later
 ASK_LEAST = SECOND // 2  # after a call that was waited for so long that its pause is over
+AGAIN_SOON = SECOND // 10  # after a watch that had been answered; doubles where they end again and again
+WATCH_STANDS = SECOND  # a watch that ended sooner after its answer is one that ends again and again
 DOUBLINGS = 4  # of that pause and of an ejection, at most
 
 TICK_TOKEN, ASK_TOKEN, LATER_TOKEN = 1, 2, 3
@@ -229,6 +231,8 @@
         self._rate = 0.0  # attempts per nanosecond and unit of a warm server's weight, lately
         self._watching = False
         self._failed_calls = 0
+        self._answered_at = 0  # when the watch that stands was answered; 0: none stands
+        self._short_watches = 0  # in a row that ended soon after they were answered
         self._asked = 0  # when the call that is not answered yet was made; 0: there is none
         self._actions: list[api.Action] = []
 
@@ -837,13 +841,11 @@
     def _follow(self, now: int, update: api.ServerList) -> None:
         if update.kind is ListKind.FAILED:
             self._watching = False
-            pause = min(ASK_FIRST_PAUSE << self._failed_calls, ASK_MOST, self._settings.ask_within)
-            waited = now - self._asked if self._asked else 0  # a call without an answer is a pause itself
-            self._failed_calls = min(DOUBLINGS, self._failed_calls + 1)
-            self._asked = 0
-            self._ask_after(now, max(ASK_LEAST, pause - waited))
+            self._ask_after(now, self._pause_before_call(now))
             return
         if update.kind is not ListKind.CACHED:
+            if not self._answered_at:
+                self._answered_at = now
             self._watching = True
             self._failed_calls = self._asked = 0
         listed = {server.id: server for server in update.servers}
@@ -857,6 +859,21 @@
         if not self._ready and not self._watching and self._settings.list_mode is ListMode.ON_REQUEST:
             self._ask_after(now, ASK_FIRST_PAUSE)  # restarted with nothing to serve from: sooner than others
 
+    def _pause_before_call(self, now: int) -> int:
+        """After the end of a watch, or of a call that was not answered; at most."""
+        if self._answered_at:
+            # Discovery can be reached, and may have ended the watch in place of telling. All nodes lose
+            # theirs at once then, and stand in line: a pause adds to the time in which a drain is not known.
+            short = now - self._answered_at < WATCH_STANDS
+            self._short_watches = min(DOUBLINGS + 1, self._short_watches + 1) if short else 0
+            self._answered_at = 0
+            return AGAIN_SOON << max(0, self._short_watches - 1)
+        pause = min(ASK_FIRST_PAUSE << self._failed_calls, ASK_MOST, self._settings.ask_within)
+        waited = now - self._asked if self._asked else 0  # a call without an answer is a pause itself
+        self._failed_calls = min(DOUBLINGS, self._failed_calls + 1)
+        self._asked = 0
+        return max(ASK_LEAST, pause - waited)
+
     def _ask_after(self, now: int, pause: int) -> None:
         self._actions.append(api.SetTimer(now + self._jittered(pause, 0.5), ASK_TOKEN))
 
