One guard for what begins, repeats, is answered and closed; violations are counted at run time

Need: the broken rule as an invariant. RequestGuard (no I/O) is asked by each attempt in the very moment before its bytes go out (client gone, answered, time, window, server leaving, effect, process ended) and is told of each write, answer and close, which it checks whatever decided them: twelve invariants, counted, logged, and raised in tests. A half-closed client's long answer goes on while it is written, also where its connection ends with it.

--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -19,6 +19,8 @@
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 GONE_AFTER = 0.08  # s from a client's close, or end of sending: nothing begins for it any more
 
+OF_THE_CLIENT = (CloseReason.SLOW_READER, CloseReason.ANSWER_BROKEN, CloseReason.TOO_MUCH_AFTER_END)
+"""Closes that leave nothing unanswered which the client could still be told."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NUMBERED = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
 
@@ -119,18 +121,24 @@
             self._loop.call_later(max(0.0, GONE_AFTER - gone_for), self._withdraw, self._number)
         if self._upload is not None and not self._upload.ended:
             return False  # the rest of the body will never come
-        waits = self._busy or bool(self._reader.ready) or self._reader.has_unread()
-        return waits and not self._ends
+        if self._busy:
+            return True  # its answer is to come, or goes out still
+        return not self._ends and (bool(self._reader.ready) or self._reader.has_unread())
 
     def has_gone(self) -> bool:
         """Whether the client has left, and that so long ago that nothing may begin for it. Asked before each
         attempt: its end may be with the kernel still, behind what waited there with it, or unread."""
+        gone_for = self.gone_for()
+        return bool(gone_for) and gone_for >= GONE_AFTER * 1e9
+
+    def gone_for(self) -> int:
+        """How long ago (ns) the client closed, or ended its sending; 0: it has not."""
         if self._left_at is None:
             ago = self._departed()
             if ago is None:
-                return False
+                return 0
             self._left_at = self._front.now() - ago
-        return self._front.now() - self._left_at >= GONE_AFTER * 1e9
+        return max(1, self._front.now() - self._left_at)
 
     def _withdraw(self, number: int) -> None:
         if number == self._number:
@@ -262,6 +270,7 @@
         return Call(
             client=self,
             has_gone=self.has_gone,
+            gone_for=self.gone_for,
             identity=fields[b"x-request-id"],
             head=incoming.forwarded_head(),
             body=bytes(incoming.body) if incoming.stream is None else incoming.stream,
@@ -412,6 +421,9 @@
     def _note_close(self, reason: CloseReason) -> None:
         node = self._front.node
         node.metrics.closes[reason] += 1
+        if reason not in OF_THE_CLIENT:
+            # What follows a request that itself says `close` is none (RFC 9112, section 9.6).
+            node.guard.closed(self._number, len(self._reader.ready) if self._keep_alive else 0, reason.value)
         if node.observer is not None:
             node.observer.connection_closed(self._number, reason.value)
 
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -14,6 +14,7 @@
 from driftstair.net.flow import SILENCE_MOST, Budget
 from driftstair.net.loop_monitor import LoopMonitor
 from driftstair.net.node import Node
+from driftstair.net.request_guard import ProcessState
 from driftstair.net.system import SOCKETS, Listener, System
 from driftstair.observability.reasons import CloseReason
 from driftstair.settings import Config
@@ -277,6 +278,7 @@
         """Serve on for a while, since clients go on coming; then finish what is held, and end. `serve_on`
         and `within` count, in s, from `since` (monotonic ns; 0: now), when the process was told to end."""
         self.stopping = self.places.ending = True
+        self.node.guard.state = ProcessState.STOPPING
         passed = (self.now() - since) / 1e9 if since else 0.0
         end = self._loop.time() + within - passed
         await asyncio.sleep(max(0.0, serve_on - passed))
@@ -293,6 +295,7 @@
             connection.close_if_unused()
         while self._connections and self._loop.time() < end:
             await asyncio.sleep(DRAIN_LOOK)
+        self.node.guard.state = ProcessState.ENDED
         self._ended = True  # before anything is answered: the next request may be here already
         self.node.fail_all()
         await asyncio.sleep(DRAIN_LOOK)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -16,6 +16,13 @@
 from driftstair.net.backoff import Backoff
 from driftstair.net.discovery import ANSWER, ANSWER_PUSHED, Discovery
 from driftstair.net.flow import Stream, size
+from driftstair.net.request_guard import (
+    AttemptPermit,
+    GuardedRequest,
+    Invariant,
+    NotBegun,
+    RequestGuard,
+)
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Answer, Attempt, Pools
 from driftstair.observability.metrics import Metrics
@@ -80,6 +87,7 @@
     deadline: int  # monotonic ns; that of a stream counts from its last byte, and is later
     patience: int  # ns from the last byte to the deadline
     has_gone: Callable[[], bool]  # the client has left: nothing may begin for it
+    gone_for: Callable[[], int]  # ns since it closed or ended its sending; 0: it has not
     asked: Asked | None = None  # in the terms of routes, where there are any
 
 
@@ -112,6 +120,7 @@
         self.tenants: TenantLimits | None = None  # of the configuration
         self.told = asyncio.Event()  # a list or a change of it has come from discovery
         self.metrics = Metrics()
+        self.guard = RequestGuard(self._note_violation)
         self.observer: Observer | None = None  # the event log, where the service file has one
         self._config = config
         self._now = system.monotonic_ns
@@ -294,6 +303,7 @@
         else:
             self._open[request.number] = request
             self._identities.add(call.identity)
+            self._guard_request(request)
             if not isinstance(call.body, Stream):
                 self._watch_over(request)
             self._tell(
@@ -309,6 +319,18 @@
             )
         return request.number
 
+    def _guard_request(self, request: Open) -> None:
+        call = request.call
+        kind = self._config.settings.classes[call.class_index]
+        deadline = 0 if isinstance(call.body, Stream) else call.deadline
+        self.guard.start(request.number, GuardedRequest(kind, call.key != 0, deadline, call.gone_for))
+
+    def _note_violation(self, invariant: Invariant, number: int, detail: str) -> None:
+        self.metrics.violations[invariant.value] += 1
+        log.error("invariant violated: %s: request %d: %s", invariant.value, number, detail)
+        if self.observer is not None:
+            self.observer.invariant_violated(invariant.value, number, detail)
+
     def _watch_over(self, request: Open) -> None:
         left = request.call.deadline - self._now()
         request.watchdog = self._loop.call_later(left / 1e9, self._overdue, request)
@@ -318,6 +340,7 @@
         request = self._open.get(number)
         if request is not None and not request.answered:
             request.call.deadline = arrived + request.call.patience
+            self.guard.dated(number, request.call.deadline)
             self._watch_over(request)
 
     def client_gone(self, number: int) -> None:
@@ -328,6 +351,7 @@
             request.counted.gone()
         if self.observer is not None:
             self.observer.request_abandoned(number)
+        self.guard.abandoned(number)
         self._close(request)
 
     def withdraw(self, number: int) -> None:
@@ -369,6 +393,7 @@
         reason: AnswerReason,
     ) -> None:  # fmt: skip
         """The one way by which a request gets its final answer."""
+        self.guard.answered(request.number, status)
         self.metrics.answers[reason] += 1
         if self.observer is not None:
             self.observer.request_answered(request.number, status, reason.value)
@@ -393,6 +418,7 @@
     def _forget_if_done(self, request: Open) -> None:
         if request.answered and not request.out and self._open.pop(request.number, None) is not None:
             self._identities.discard(request.call.identity)
+            self.guard.forget(request.number)
 
     # Attempts.
 
@@ -413,6 +439,8 @@
         passed_on = isinstance(body, Stream) and body.begun
         over = gone or request.answered or passed_on
         if pool is None or over or index >= self._config.settings.max_attempts:
+            why = self.guard.forbids(request.number, index, action.server, self._now())
+            self._not_begun(request.number, index, NotBegun.CLIENT_LEFT if gone else why)
             self._tell(
                 api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
             )
@@ -426,18 +454,26 @@
         expires = min(latest, now + action.time_out) if action.time_out else latest
         ended = partial(self._ended, request, index, action.server, now)
         call = request.call
-        begin_by = now + action.begin_within if action.begin_within else 0
-        attempt = Attempt(
-            pool, call.head, call.body, expires, ended, call.has_gone, action.first_byte, begin_by,
-            partial(self._written, request, index, action.server),
+        permit = AttemptPermit(
+            self.guard, request.number, index, action.server,
+            now + action.begin_within if action.begin_within else 0,
+            call.has_gone, self._not_begun, self._written,
         )  # fmt: skip
+        attempt = Attempt(pool, call.head, call.body, expires, ended, permit, action.first_byte)
         request.out[index] = attempt
         attempt.start()
 
-    def _written(self, request: Open, index: int, server: api.ServerId, told: int) -> None:
+    def _not_begun(self, number: int, index: int, why: NotBegun | None) -> None:
+        """`why`; None: all that the module may spend on it is spent, or part of its body is."""
+        reason = "no_attempt_left" if why is None else why.value
+        self.metrics.attempts_not_begun[reason] += 1
+        if self.observer is not None:
+            self.observer.attempt_not_begun(number, index, reason)
+
+    def _written(self, number: int, index: int, server: api.ServerId, told: int) -> None:
         """An attempt's bytes go to its server. `told`: the deadline in them, ns."""
         if self.observer is not None:
-            self.observer.attempt_started(request.number, index, server.hex(), told / MS)
+            self.observer.attempt_started(number, index, server.hex(), told / MS)
 
     def _ended(
         self,
@@ -451,6 +487,7 @@
         elapsed = self._now() - (request.out.pop(index).written_at or since)
         request.may_have_run |= result not in NEVER_RAN
         request.last_result = result
+        self.guard.ended(request.number, index, result)
         if self.observer is not None:
             self.observer.attempt_ended(request.number, index, result.value, elapsed / MS)
         if answer is not None and not request.answered:
@@ -555,6 +592,7 @@
                 leaving.pop(server.id, None)
             else:
                 leaving[server.id] = None
+        self.guard.servers_ready(identity for identity in self._pools.servers() if identity not in leaving)
         # The module is told before the others are retired: what ends by that may be sent elsewhere at once.
         self._tell(api.ServerList(kind, servers))
         for identity in leaving:
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -11,6 +11,7 @@
 
 from driftstair.net.connection_rest import ConnectionRest
 from driftstair.net.flow import INLINE_MOST, LAST_CHUNK, LONGEST, SILENCE_MOST, Stream, chunk, nothing
+from driftstair.net.request_guard import AttemptPermit
 from driftstair.net.system import SOCKETS, System
 from lichenspring.interface import Result, ServerId
 
@@ -48,29 +49,27 @@
     """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
 
     __slots__ = (
-        "_begin_by", "_body", "_connection", "_dial", "_has_gone", "_head", "_on_end", "_on_write",
-        "_patience", "_timer", "done", "expires", "first_byte", "moved", "pool", "written_at",
+        "_body", "_connection", "_dial", "_head", "_on_end", "_patience", "_permit", "_timer", "_told",
+        "done", "expires", "first_byte", "moved", "pool", "written_at",
     )  # fmt: skip
 
     def __init__(
         self, pool: Pool, head: bytes, body: bytes | Stream, expires: int,
-        on_end: Callable[[Result, Answer | None], None], has_gone: Callable[[], bool], first_byte: int = 0,
-        begin_by: int = 0, on_write: Callable[[int], None] = lambda told: None,
+        on_end: Callable[[Result, Answer | None], None], permit: AttemptPermit, first_byte: int = 0,
     ) -> None:  # fmt: skip
-        """`on_write` hears of the deadline that the server is told, in ns, as the bytes go out."""
+        """`permit` is asked right before the bytes go out, however long that takes."""
         self.pool = pool
         self.expires = expires  # monotonic ns
         self.first_byte = first_byte  # ns until the answer must have begun; 0: no such limit, or it has
         self.done = False
         self.written_at = 0  # when the last byte of a stream was out, monotonic ns
         self.moved = 0  # when a stream last got on
+        self._told = 0  # the deadline that the server is told, ns
         self._patience = expires - pool.pools.now()  # for a stream: from its last byte on
         self._head = head
         self._body = body
         self._on_end = on_end
-        self._on_write = on_write
-        self._has_gone = has_gone  # the client, while this was dialed
-        self._begin_by = begin_by  # monotonic ns; 0: no such limit
+        self._permit = permit
         self._connection: Connection | None = None
         self._dial: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -98,15 +97,11 @@
         self.pool.dialing.pop(self, None)
         if self._timer is not None:
             self._timer.cancel()
-        if self._may_not_begin():
+        if self._permit.forbids(self.pool.pools.now()) is not None:
             self.end(Result.NOT_SENT)
         else:
             self._begin()
 
-    def _may_not_begin(self) -> bool:
-        """Its client has left meanwhile, or its effect might be a second one."""
-        return self._has_gone() or 0 < self._begin_by <= self.pool.pools.now()
-
     def _begin(self) -> None:
         connection = self.pool.take()
         if connection is not None:
@@ -137,9 +132,6 @@
             connection.close()
         elif connection.closed:
             self.end(Result.CONNECT_FAILED)
-        elif self._may_not_begin():
-            self.pool.put(connection)
-            self.end(Result.NOT_SENT)
         elif self.pool.pools.has_news():
             if self._timer is not None:
                 self._timer.cancel()
@@ -165,11 +157,15 @@
 
     def _write(self, connection: Connection) -> None:
         now = self.pool.pools.now()
+        if self._permit.forbids(now) is not None:
+            self.pool.put(connection)
+            self.end(Result.NOT_SENT)
+            return
         if isinstance(self._body, Stream):
             self._connection, self.moved = connection, now
             self._expires_at(now + UPLOAD_LOOK)
             patience = self._patience // 1000
-            self._on_write(self._patience)
+            self._told = self._patience
             connection.send(self, b"%sX-Deadline: %du\r\n\r\n" % (self._head, patience), self._body)
             return
         left = self.expires - now
@@ -180,7 +176,7 @@
         self._connection = connection
         first = self.pool.pools.now() + self.first_byte if self.first_byte else self.expires
         self._expires_at(min(first, self.expires))
-        self._on_write(left)
+        self._told = left
         connection.send(self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, left // 1000, self._body))
 
     def _expires_at(self, at: int) -> None:
@@ -202,6 +198,10 @@
         written = self._connection is not None and self._connection.written
         self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
 
+    def wrote(self) -> None:
+        """Its first bytes are with the kernel."""
+        self._permit.wrote(self.pool.pools.now(), self._told)
+
     def uploaded(self) -> None:
         """The last byte of a stream is out: its time counts from now on."""
         self.written_at = self.pool.pools.now()
@@ -289,6 +289,7 @@
         self._reusable = self.written = self._stuffed = self._told = False
         self._forget_answer()
         transport.write(data)
+        attempt.wrote()
         if rest is None:
             self.written = not transport.is_closing() and not transport.get_write_buffer_size()
         else:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -257,6 +257,7 @@
 
             limits = ServiceFile("service.toml", self._service).table(self.config, 541)
         self.node, self.front = assemble(self.config, limits=limits)
+        self.node.guard.strict = True
         self.spy = Spy(self.node)
         self.node._balancer.start = self.spy._balancer.start  # type: ignore[method-assign]
         self.address = self.front.listen()
@@ -265,6 +266,7 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.front.stop(0.0, 0.0)
+        assert not self.node.metrics.violations
         self.node._discovery.close()
 
     async def client(self) -> Client:
--- /dev/null
+++ b/tests/test_request_guard.py
@@ -0,0 +1,354 @@
+"""The guard of requests: each broken invariant is found, nothing passes it by, it forbids what it must."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from rig import Message, Rig, Server, answer, configuration, request, run, status, until
+from world import KEYED, SAFE, UNSAFE
+
+from driftstair.net import client_connection
+from driftstair.net.client_connection import ClientConnection
+from driftstair.net.request_guard import (
+    AttemptPermit,
+    GuardedRequest,
+    Invariant,
+    InvariantError,
+    NotBegun,
+    ProcessState,
+    RequestGuard,
+)
+from lichenspring import interface as api
+from lichenspring.interface import Result
+
+MS = 1_000_000
+SECOND = 1000 * MS
+SERVER, OTHER = b"one", b"other"
+DEADLINE = 10 * SECOND
+NET = Path(__file__).parent.parent / "driftstair" / "net"
+
+
+class Guarded:
+    """A guard with one request that it knows, and what it found."""
+
+    def __init__(self, kind: api.RequestClass = SAFE) -> None:
+        self.found: list[Invariant] = []
+        self.gone_for = 0
+        self.guard = RequestGuard(lambda invariant, number, detail: self.found.append(invariant))
+        self.guard.servers_ready([SERVER])
+        self.guard.start(1, GuardedRequest(kind, True, DEADLINE, lambda: self.gone_for))
+
+    def write(self, index: int = 0, now: int = SECOND, told: int = SECOND, server: bytes = SERVER) -> None:
+        self.guard.wrote(1, index, server, now, told)
+
+
+def unknown(one: Guarded) -> None:
+    one.guard.wrote(2, 0, SERVER, SECOND, SECOND)
+
+
+def after_answer(one: Guarded) -> None:
+    one.guard.answered(1, 503)
+    one.write()
+
+
+def after_client_left(one: Guarded) -> None:
+    one.gone_for = 101 * MS
+    one.write()
+
+
+def after_deadline(one: Guarded) -> None:
+    one.write(now=DEADLINE + 151 * MS, told=0)
+
+
+def beyond_clients(one: Guarded) -> None:
+    one.write(now=DEADLINE - SECOND, told=SECOND + 151 * MS)
+
+
+def to_leaving_server(one: Guarded) -> None:
+    one.write(server=OTHER)
+
+
+def unsafe_repeat(one: Guarded) -> None:
+    one.write(0)
+    one.guard.ended(1, 0, Result.RESET)
+    one.write(1)
+
+
+def after_window(one: Guarded) -> None:
+    one.write(0, now=SECOND)
+    one.guard.ended(1, 0, Result.TIMEOUT)
+    one.write(1, now=SECOND + KEYED.window + 1)
+
+
+def second_answer(one: Guarded) -> None:
+    one.guard.answered(1, 200)
+    one.guard.answered(1, 200)
+
+
+def refusal(one: Guarded) -> None:
+    one.write(0)
+    one.guard.ended(1, 0, Result.TIMEOUT)
+    one.guard.answered(1, 503)
+
+
+def close_open(one: Guarded) -> None:
+    one.guard.closed(1, 0, "idle")
+
+
+def close_read(one: Guarded) -> None:
+    one.guard.closed(0, 1, "idle")
+
+
+def start_after_end(one: Guarded) -> None:
+    one.guard.state = ProcessState.ENDED
+    one.guard.start(2, GuardedRequest(SAFE, False, DEADLINE, int))
+
+
+BROKEN: list[tuple[Callable[[Guarded], None], api.RequestClass, Invariant]] = [
+    (unknown, SAFE, Invariant.NO_ATTEMPT_WITHOUT_REQUEST),
+    (after_answer, SAFE, Invariant.NO_ATTEMPT_AFTER_ANSWER),
+    (after_client_left, SAFE, Invariant.NO_ATTEMPT_AFTER_CLIENT_LEFT),
+    (after_deadline, SAFE, Invariant.NO_ATTEMPT_AFTER_DEADLINE),
+    (beyond_clients, SAFE, Invariant.NO_DEADLINE_BEYOND_CLIENTS),
+    (to_leaving_server, SAFE, Invariant.NO_ATTEMPT_TO_LEAVING_SERVER),
+    (unsafe_repeat, UNSAFE, Invariant.NO_REPEAT_OF_UNSAFE),
+    (after_window, KEYED, Invariant.NO_REPEAT_AFTER_WINDOW),
+    (second_answer, SAFE, Invariant.NO_SECOND_ANSWER),
+    (refusal, UNSAFE, Invariant.NO_REFUSAL_AFTER_EFFECT),
+    (refusal, KEYED, Invariant.NO_REFUSAL_AFTER_EFFECT),  # a cell drops its repeats, not every server
+    (close_open, SAFE, Invariant.NO_CLOSE_UNANSWERED),
+    (close_read, SAFE, Invariant.NO_CLOSE_UNANSWERED),
+    (start_after_end, SAFE, Invariant.NO_START_AFTER_END),
+]
+
+
+@pytest.mark.parametrize(("what", "kind", "invariant"), BROKEN, ids=lambda one: getattr(one, "__name__", ""))
+def test_each_broken_invariant_is_counted_and_raises_in_tests(
+    what: Callable[[Guarded], None], kind: api.RequestClass, invariant: Invariant
+) -> None:
+    counted = Guarded(kind)
+    what(counted)
+    assert counted.found == [invariant]
+    strict = Guarded(kind)
+    strict.guard.strict = True
+    with pytest.raises(InvariantError, match=invariant.value):
+        what(strict)
+
+
+def test_all_invariants_are_covered_above() -> None:
+    assert {invariant for _, _, invariant in BROKEN} == set(Invariant)
+
+
+def test_what_the_rules_allow_breaks_nothing() -> None:
+    for kind, result in ((SAFE, Result.RESET), (UNSAFE, Result.FULL), (KEYED, Result.TIMEOUT)):
+        one = Guarded(kind)
+        one.gone_for = 99 * MS
+        one.write(0)
+        one.guard.ended(1, 0, result)
+        assert one.guard.forbids(1, 1, SERVER, SECOND + MS) is None
+        one.write(1, now=SECOND + MS, told=DEADLINE - SECOND)
+        one.guard.answered(1, 502)
+        one.guard.closed(0, 0, "idle")
+        one.guard.forget(1)
+        assert not one.found
+    every_server = Guarded(replace(KEYED, group=api.Group.ALL))
+    refusal(every_server)
+    assert not every_server.found
+
+
+def test_what_must_not_begin_is_forbidden_with_its_reason() -> None:
+    one = Guarded(UNSAFE)
+    forbids = one.guard.forbids
+    assert forbids(1, 0, SERVER, SECOND) is None
+    assert forbids(2, 0, SERVER, SECOND) is NotBegun.UNKNOWN_REQUEST
+    assert forbids(1, 0, OTHER, SECOND) is NotBegun.SERVER_LEAVING
+    assert forbids(1, 0, SERVER, DEADLINE) is NotBegun.NO_TIME_LEFT
+    one.write(0)
+    assert forbids(1, 1, SERVER, SECOND) is NotBegun.MAY_HAVE_RUN
+    one.guard.ended(1, 0, Result.FULL)
+    assert forbids(1, 1, SERVER, SECOND) is None
+    keyed = Guarded(KEYED)
+    keyed.write(0, now=SECOND)
+    assert keyed.guard.forbids(1, 1, SERVER, SECOND + KEYED.window) is NotBegun.WINDOW_OVER
+    one.guard.state = ProcessState.ENDED
+    assert forbids(1, 1, SERVER, SECOND) is NotBegun.PROCESS_ENDED
+    one.guard.answered(1, 504)
+    assert forbids(1, 1, SERVER, SECOND) is NotBegun.ANSWERED
+
+
+# Nothing passes it by: planted bypasses on real sockets; where bytes go out and connections end.
+
+
+def test_a_planted_decision_that_forgets_the_client_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    held = asyncio.Event()
+
+    async def fails_later(_: Message, writer: asyncio.StreamWriter) -> None:
+        await held.wait()
+        writer.write(answer(500))
+
+    async def test() -> None:
+        async with (
+            Server("s-1", fails_later) as one,
+            Server("s-2", fails_later) as two,
+            Rig(configuration(one, two)) as rig,
+        ):
+            monkeypatch.setattr(ClientConnection, "has_gone", lambda self: False)
+            monkeypatch.setattr(client_connection, "GONE_AFTER", 9.0)
+            rig.node.guard.strict = False
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: one.seen or two.seen)
+            (connection,) = rig.front._connections
+            client.writer.close()
+            await until(lambda: connection.gone_for() > 150 * MS)
+            held.set()
+            await until(lambda: rig.node.metrics.violations)
+            assert set(rig.node.metrics.violations) == {Invariant.NO_ATTEMPT_AFTER_CLIENT_LEFT.value}
+            rig.node.metrics.violations.clear()
+
+    run(test())
+
+
+def test_a_planted_repeat_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The module, or whoever stands in its place, sends an unsafe request again after a 500."""
+
+    async def fails(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(500))
+
+    async def test() -> None:
+        async with Server("s-1", fails) as server, Rig(configuration(server)) as rig:
+            (known,) = rig.node._pools.servers()
+
+            def again(event: api.Event) -> list[api.Action] | None:
+                if isinstance(event, api.Outcome) and event.attempt == 0:
+                    return [api.Send(event.request, known, 0)]
+                return None
+
+            rig.spy.instead = again
+            client = await rig.client()
+            assert status(await client.ask(request(body=b"once", X_Deadline="400m"))) == 504  # forbidden
+            assert len(server.seen) == 1
+            assert rig.node.counters()["attempts_not_begun.may_have_run"] == 1
+            monkeypatch.setattr(AttemptPermit, "forbids", lambda self, now: None)
+            rig.node.guard.strict = False
+            assert status(await client.ask(request(body=b"twice", X_Deadline="400m"))) == 504
+            assert len(server.seen) == 3
+            assert set(rig.node.metrics.violations) == {Invariant.NO_REPEAT_OF_UNSAFE.value}
+            rig.node.metrics.violations.clear()
+
+    run(test())
+
+
+def test_a_planted_close_over_a_request_is_found() -> None:
+    async def holds(_: Message, writer: asyncio.StreamWriter) -> None:
+        return
+
+    async def test() -> None:
+        async with Server("s-1", holds) as server, Rig(configuration(server)) as rig:
+            rig.node.guard.strict = False
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: server.seen)
+            (connection,) = rig.front._connections
+            connection.close(client_connection.CloseReason.IDLE)
+            assert set(rig.node.metrics.violations) == {Invariant.NO_CLOSE_UNANSWERED.value}
+            rig.node.metrics.violations.clear()
+            await client.ended()
+
+    run(test())
+
+
+ALLOWED = {
+    ("upstream.py", "write"): {"Connection.send", "Connection._pump"},
+    ("upstream.py", "send"): {"Attempt._write"},
+    ("client_connection.py", "write"): {
+        "ClientConnection._next",  # 100 Continue
+        "ClientConnection._serve",  # likewise
+        "ClientConnection.answer",
+        "ClientConnection._pass_on",
+    },
+    ("client_connection.py", "close"): {
+        "ClientConnection.close",
+        "ClientConnection.connection_lost",  # its reader
+        "ClientConnection.time_out",
+        "ClientConnection._next",
+        "ClientConnection._answered",
+        "ClientConnection.close_if_unused",
+    },
+    ("client_connection.py", "abort"): {
+        "ClientConnection.abort",
+        "ClientConnection.data_received",
+        "ClientConnection._pass_on",
+    },
+    ("client_connection.py", "write_eof"): {"ClientConnection._answered"},
+    ("node.py", "answer"): {"Node._reply"},
+    ("node.py", "Attempt"): {"Node._send"},
+}
+"""Where bytes go to a server or a client, connections to clients end, and requests are answered: in each of
+these the guard is asked or told."""
+
+
+def calls(source: str) -> dict[str, set[str]]:
+    """Names of what is called, and in which functions (Class.function)."""
+    found: dict[str, set[str]] = {}
+
+    def walk(node: ast.AST, where: str) -> None:
+        for child in ast.iter_child_nodes(node):
+            inside = where
+            if isinstance(child, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef):
+                inside = f"{where}.{child.name}".lstrip(".")
+            if isinstance(child, ast.Call):
+                function = child.func
+                name = function.attr if isinstance(function, ast.Attribute) else getattr(function, "id", "")
+                found.setdefault(name, set()).add(where)
+            walk(child, inside)
+
+    walk(ast.parse(source), "")
+    return found
+
+
+@pytest.mark.parametrize(("file", "name"), ALLOWED)
+def test_bytes_answers_and_ends_have_no_way_round_the_guard(file: str, name: str) -> None:
+    assert calls((NET / file).read_text())[name] == ALLOWED[file, name]
+
+
+def test_a_planted_way_round_is_seen() -> None:
+    source = (NET / "upstream.py").read_text()
+    planted = source.replace(
+        "    def is_quiet(self)",
+        "    def sneak(self) -> None:\n        self._transport.write(b'')\n\n    def is_quiet(self)",
+    )
+    assert planted != source
+    assert calls(planted)["write"] - ALLOWED["upstream.py", "write"] == {"Connection.sneak"}
+
+
+def test_each_of_those_places_tells_the_guard() -> None:
+    """By name: `wrote` behind each first write, `answered` in the one answer, `closed` behind each end."""
+    upstream, node = (NET / "upstream.py").read_text(), (NET / "node.py").read_text()
+    connection = (NET / "client_connection.py").read_text()
+    assert "Connection.send" in calls(upstream)["wrote"] and "Attempt._write" in calls(upstream)["forbids"]
+    assert "Node._reply" in calls(node)["answered"]
+    ends = {"ClientConnection.close", "ClientConnection.abort", "ClientConnection._answered"}
+    assert calls(connection)["_note_close"] == ends
+    assert calls(connection)["closed"] == {"ClientConnection._note_close"}
+
+
+def test_the_client_is_asked_for_again_in_the_moment_of_the_write() -> None:
+    one = Guarded()
+    gone = False
+    refused: list[NotBegun] = []
+    permit = AttemptPermit(
+        one.guard, 1, 0, SERVER, 0, lambda: gone, lambda number, index, why: refused.append(why),
+        lambda *_: None,
+    )  # fmt: skip
+    assert permit.forbids(SECOND) is None
+    gone = True
+    assert permit.forbids(SECOND) is NotBegun.CLIENT_LEFT
+    assert refused == [NotBegun.CLIENT_LEFT]
