--- /dev/null
+++ b/benchmarks/soak/planted.py
@@ -0,0 +1,140 @@
+"""Daemons with a defect on purpose: `python -m benchmarks.soak.planted NAME` is the daemon with one. Each
+stands for a mistake that a change could make; the soak test has to find each within ten seeds."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from driftstair.net import client_connection, connection_rest, front, node, request_guard, upstream
+
+
+def _guard_forbids_nothing() -> None:
+    """As where the guard was taken out: what it would have held back goes through."""
+    request_guard.AttemptPermit.forbids = lambda self, now: None  # type: ignore[method-assign]
+
+
+def attempt_after_close() -> None:
+    """The client's end is not looked at before an attempt."""
+    client_connection.ClientConnection.has_gone = lambda self: False  # type: ignore[method-assign]
+    client_connection.ClientConnection.eof_received = lambda self: True  # type: ignore[method-assign]
+    client_connection.ClientConnection.gone_for = lambda self: 0  # type: ignore[method-assign]
+
+
+def deadline_from_reading() -> None:
+    """A request's time counts from when it is read."""
+
+    def now(self: client_connection.ClientConnection) -> tuple[int, int]:
+        return self._front.now(), self._front.now()
+
+    client_connection.ClientConnection._arrival = now  # type: ignore[method-assign]
+
+
+def close_over_request() -> None:
+    """Some connections are closed as if they were idle, though a request was read on them."""
+    works = front.Front.works
+    turn = [0]
+
+    def close_some(self: front.Front, connection: client_connection.ClientConnection) -> None:
+        works(self, connection)
+        turn[0] += 1
+        if turn[0] % 40 == 0:
+            self._loop.call_later(0.002, connection.close, client_connection.CloseReason.IDLE)
+
+    front.Front.works = close_some  # type: ignore[method-assign]
+
+
+def answer_to_wrong_client() -> None:
+    """A connection is used again at once, whatever its server still writes."""
+    connection_rest.REST_LEAST = 0
+    connection_rest.ConnectionRest.on_unasked_bytes = lambda self, now, lateness: None  # type: ignore[method-assign]
+    upstream.Connection.is_quiet = lambda self: True  # type: ignore[method-assign]
+
+
+def unsafe_repeat() -> None:
+    """A request of a class that must not run twice is sent again after a failure."""
+    from lichenspring import balance
+
+    _guard_forbids_nothing()
+    balance.Open.may_send_to = lambda self, server, now: True  # type: ignore[method-assign]
+
+
+def send_to_draining() -> None:
+    """A server that drains is taken for one that is ready."""
+    follow = node.Node._follow
+
+    def ready(self: node.Node, kind: Any, hosts: Any) -> None:
+        state = node.ServerState
+        follow(
+            self,
+            kind,
+            tuple(one._replace(state=state.READY) if one.state is state.DRAINING else one for one in hosts),
+        )
+
+    node.Node._follow = ready  # type: ignore[method-assign]
+
+
+def wall_clock_in_deadlines() -> None:
+    """The time of a request is taken from the wall clock."""
+    off = time.time_ns() - time.monotonic_ns()
+
+    def wall(self: client_connection.ClientConnection) -> tuple[int, int]:
+        now = time.time_ns() - off
+        return now, now
+
+    client_connection.ClientConnection._arrival = wall  # type: ignore[method-assign]
+
+
+def end_at_once() -> None:
+    """SIGTERM ends the process without waiting for what it holds."""
+
+    async def stop(self: front.Front, *_: Any) -> None:
+        self.stopping = True
+
+    front.Front.stop = stop  # type: ignore[method-assign]
+
+
+def second_answer() -> None:
+    """A request that is overdue is answered though it has been."""
+
+    def overdue(self: node.Node, request: node.Open) -> None:
+        self._reply(request, 504, [], b"", node.AnswerReason.OVERDUE)
+
+    finish = node.Node._finish
+
+    def keep_watchdog(self: node.Node, request: node.Open) -> None:
+        watchdog, request.watchdog = request.watchdog, None
+        finish(self, request)
+        request.watchdog = watchdog
+
+    node.Node._overdue = overdue  # type: ignore[method-assign]
+    node.Node._finish = keep_watchdog  # type: ignore[method-assign]
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    "attempt-after-close": attempt_after_close,
+    "deadline-from-reading": deadline_from_reading,
+    "close-over-request": close_over_request,
+    "answer-to-wrong-client": answer_to_wrong_client,
+    "unsafe-repeat": unsafe_repeat,
+    "send-to-draining": send_to_draining,
+    "wall-clock-in-deadlines": wall_clock_in_deadlines,
+    "end-at-once": end_at_once,
+    "second-answer": second_answer,
+}
+
+
+def main() -> int:
+    if len(sys.argv) != 2 or sys.argv[1] not in DEFECTS:
+        print(f"planted: {sys.argv[1:]}: one of {', '.join(DEFECTS)} would do", file=sys.stderr)
+        return 2
+    DEFECTS[sys.argv.pop()]()
+    from driftstair.__main__ import main as daemon
+
+    return daemon()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/soak/records.py
@@ -0,0 +1,99 @@
+"""What was seen from outside, as types. Times are s of this machine's monotonic clock, which all processes on
+it share; `Lags` says how late the observer itself may have been."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """One request at one server."""
+
+    server: str
+    began: float  # its first byte came, by the kernel's word
+    told: float | None  # the deadline in it
+    whole: float | None = None
+    not_run: bool = False  # the server said so
+    cut: bool = False  # the server broke off in the middle of its answer
+
+
+@dataclass(slots=True)
+class AnswerRecord:
+    at: float
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    id: str
+    node: int
+    kind: str
+    effect: str  # safe, keyed or unsafe
+    patience: float
+    sent: float  # its last byte was with the kernel
+    fresh: bool  # the first request of its connection
+    left_at: float | None = None  # its client closed, or ended its sending
+    half_closed: bool = False  # it ended its sending, and waits for the answer
+    ended_at: float | None = None  # the connection ended before an answer was whole
+    begun: bool = False  # the head of an answer came
+    answers: list[AnswerRecord] = field(default_factory=list)
+    attempts: list[AttemptRecord] = field(default_factory=list)
+
+    def deadline(self) -> float:
+        return self.sent + self.patience
+
+
+@dataclass(slots=True)
+class Span:
+    """`until`: infinity while it lasts."""
+
+    since: float
+    until: float
+
+    def touches(self, since: float, until: float) -> bool:
+        return self.since <= until and since <= self.until
+
+
+@dataclass(slots=True)
+class NodeRecord:
+    stalls: list[Span] = field(default_factory=list)
+    terminated: list[float] = field(default_factory=list)  # SIGTERM was sent
+    killed: list[float] = field(default_factory=list)  # SIGKILL was sent, or the process had ended
+    told_leaving: dict[str, float] = field(default_factory=dict)  # servers, when discovery wrote it
+    crashes: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)  # lines of its log
+    calls_fail: bool = False  # system calls of its process do, those on connections to servers too
+    held_attempts: set[tuple[str, int]] = field(default_factory=set)  # held up between look and write
+
+    def stalled(self, since: float, until: float) -> float:
+        """The end of the last stall that touches a span; 0: none does."""
+        return max((one.until for one in self.stalls if one.touches(since, until)), default=0.0)
+
+
+@dataclass(slots=True)
+class Lags:
+    """How late the observer's loop was, and when; kept where it was late at all."""
+
+    at: list[float] = field(default_factory=list)
+    late: list[float] = field(default_factory=list)
+
+    def note(self, at: float, late: float) -> None:
+        self.at.append(at)
+        self.late.append(late)
+
+    def around(self, when: float) -> float:
+        """The longest lag within a second of a moment."""
+        first = bisect_left(self.at, when - 1.0)
+        last = bisect_left(self.at, when + 1.0)
+        return max(self.late[first:last], default=0.0)
+
+
+@dataclass(slots=True)
+class Records:
+    nodes: list[NodeRecord]
+    requests: dict[str, RequestRecord] = field(default_factory=dict)
+    strangers: list[str] = field(default_factory=list)  # what servers were sent that no client asked for
+    lags: Lags = field(default_factory=Lags)
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -470,10 +470,11 @@
         if self.observer is not None:
             self.observer.attempt_not_begun(number, index, reason)
 
-    def _written(self, number: int, index: int, server: api.ServerId, told: int) -> None:
-        """An attempt's bytes go to its server. `told`: the deadline in them, ns."""
+    def _written(self, number: int, index: int, server: api.ServerId, told: int, held: int) -> None:
+        """An attempt's bytes have gone out. `told`: the deadline in them; `held`: between the last look at
+        whether they may go and their being written; ns."""
         if self.observer is not None:
-            self.observer.attempt_started(number, index, server.hex(), told / MS)
+            self.observer.attempt_started(number, index, server.hex(), told / MS, held / MS)
 
     def _ended(
         self,
--- a/driftstair/net/request_guard.py
+++ b/driftstair/net/request_guard.py
@@ -239,10 +239,12 @@
     begin_by: int  # a repeat must not be written from then on, monotonic ns; 0: no such limit
     has_gone: Callable[[], bool]  # the client: nothing may begin for it
     on_refused: Callable[[int, int, NotBegun], None]
-    on_written: Callable[[int, int, ServerId, int], None]
+    on_written: Callable[[int, int, ServerId, int, int], None]
+    asked_at: int = 0  # when it was last asked, monotonic ns
 
     def forbids(self, now: int) -> NotBegun | None:
         """Asked in the very moment before the write; says so to `on_refused` where it forbids."""
+        self.asked_at = now
         reason = self._reason(now)
         if reason is not None:
             self.on_refused(self.request, self.index, reason)
@@ -258,4 +260,4 @@
     def wrote(self, now: int, told: int) -> None:
         """`told`: the deadline (ns) that went out with the first bytes."""
         self.guard.wrote(self.request, self.index, self.server, now, told)
-        self.on_written(self.request, self.index, self.server, told)
+        self.on_written(self.request, self.index, self.server, told, now - self.asked_at)
--- a/driftstair/observability/event_log.py
+++ b/driftstair/observability/event_log.py
@@ -63,9 +63,16 @@
             "request_taken", request=request, request_id=request_id, left_ms=left_ms, waited_ms=waited_ms
         )
 
-    def attempt_started(self, request: int, attempt: int, server: str, told_ms: float) -> None:
+    def attempt_started(
+        self, request: int, attempt: int, server: str, told_ms: float, held_ms: float
+    ) -> None:
         self._write_of_request(
-            "attempt_started", request=request, attempt=attempt, server=server, told_ms=told_ms
+            "attempt_started",
+            request=request,
+            attempt=attempt,
+            server=server,
+            told_ms=told_ms,
+            held_ms=held_ms,
         )
 
     def attempt_not_begun(self, request: int, attempt: int, why: str) -> None:
--- a/driftstair/observability/observer.py
+++ b/driftstair/observability/observer.py
@@ -14,8 +14,11 @@
     def request_taken(self, request: int, request_id: str, left_ms: float, waited_ms: float) -> None:
         """`left_ms`: until the client's deadline; `waited_ms`: between its arrival and its reading."""
 
-    def attempt_started(self, request: int, attempt: int, server: str, told_ms: float) -> None:
-        """Its bytes go to a server, which is told this deadline."""
+    def attempt_started(
+        self, request: int, attempt: int, server: str, told_ms: float, held_ms: float
+    ) -> None:
+        """Its bytes have gone to a server, which is told this deadline; `held_ms`: between the last look at
+        whether they may go and their being written."""
 
     def attempt_not_begun(self, request: int, attempt: int, why: str) -> None: ...
 
