--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -75,6 +75,9 @@
         stalled = node.stalled(request.sent - SOCKET_SLACK, latest)
         if stalled:
             latest = max(latest, stalled + ANSWER_LATE)
+        if request.ahead is not None and request.ahead.answers:
+            # HTTP/1.1 answers in order: not before the one that was sent ahead of it.
+            latest = max(latest, request.ahead.answers[0].at + ANSWER_LATE)
         latest += self._records.lags.around(latest)
         if request.answers:
             late = request.answers[0].at - latest
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -35,6 +35,7 @@
     patience: float
     sent: float  # its last byte was with the kernel
     fresh: bool  # the first request of its connection
+    ahead: RequestRecord | None = None  # sent just before on the same connection, and answered first
     left_at: float | None = None  # its client closed, or ended its sending
     half_closed: bool = False  # it ended its sending, and waits for the answer
     ended_at: float | None = None  # the connection ended before an answer was whole
