Starts of servers are held against what the lists prove, not against the wall clock alone

A start in the future shows a clock that is behind, and a start that is news on a watch that was heard all along, but old, one that is ahead: both count as now, and correct the offset.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -41,6 +41,7 @@
     ) -> None:
         super().__init__(address, system, log)
         self.version = version
+        self.heard_at = 0  # when something came of a watch, before what is read now; monotonic ns; 0: never
         self.answer_within = answer_within
         self._former: list[DiscoveryConnection] = []  # watches of the places before
         self._on_list = on_list
@@ -149,6 +150,7 @@
 
     def __init__(self, owner: Discovery, version: int, system: System) -> None:
         super().__init__(owner, owner.answer_within, SILENCE, TEXT_MOST)
+        self._discovery = owner
         self.version = version
         self.documents = Documents()
         self.is_quiet: Callable[[], bool] = lambda: True  # not once it is up
@@ -156,5 +158,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self._owner.is_current(self):
+        if self._discovery.is_current(self):
             self.is_quiet = self._system.prepare(cast(asyncio.Transport, transport))
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        self._discovery.heard_at = self._system.monotonic_ns()
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -23,6 +23,7 @@
     NotBegun,
     RequestGuard,
 )
+from driftstair.net.start_times import StartTimes
 from driftstair.net.system import SOCKETS, System
 from driftstair.net.upstream import Answer, Attempt, Pools
 from driftstair.observability.metrics import Metrics
@@ -137,8 +138,7 @@
         self._last_number = 0
         self._warned = False  # of load reports
         self._ready: set[api.ServerId] = set()
-        # Fixed: a start time must translate alike each time.
-        self._to_monotonic = system.monotonic_ns() - system.time_ns()
+        self._starts = StartTimes(system.monotonic_ns() - system.time_ns())
         # Where the module is not asked.
         self._watch_again = Backoff(WATCH_PAUSE, WATCH_PAUSE_MOST, config.seed)
         pushed = config.settings.list_mode is ListMode.PUSHED
@@ -585,6 +585,8 @@
 
     def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
         servers = tuple(self._server(host) for host in hosts)
+        if kind is ListKind.FULL:
+            self._starts.forget_others({host.id for host in hosts})
         # In the order of the list: a set's order would differ from one process to the next.
         leaving = {} if kind is ListKind.DELTA else dict.fromkeys(self._pools.servers())
         for host, server in zip(hosts, servers, strict=True):
@@ -601,9 +603,7 @@
         self._ready = set(self._pools.servers())
 
     def _server(self, host: Host) -> api.Server:
-        started = host.started_ms * MS + self._to_monotonic if host.started_ms else 0
-        if host.started_ms and not started:
-            started = 1  # 0 stands for long ago
+        started = self._starts.translate(self._now(), host.id, host.started_ms, self._discovery.heard_at)
         zones, kinds = self._config.zones, self._config.kinds
         return api.Server(
             digest(host.id), zones.get(host.zone, len(zones)), host.cell, host.state, host.weight, started,
