--- a/driftstair/net/start_times.py
+++ b/driftstair/net/start_times.py
@@ -1,10 +1,10 @@
 """When servers started, on the monotonic clock.
 
-Discovery tells starts as wall time. A node's own wall clock may be off by an hour when it starts, and it steps:
-so it is read once, and then held against what the lists themselves prove. No server has started in the future,
-and a start that is news on a watch that was heard all along is not old. One that does not fit counts as now:
-taken for colder than it is, a server is spared; taken for warmer, it could be pushed over. Pure; its clock is
-handed in.
+Discovery tells starts as wall time. A node's own wall clock may be off by an hour when it starts, and it
+steps: so it is read once, and then held against what the lists themselves prove. No server has started in the
+future, and a start that is news on a watch that was heard all along is not old. One that does not fit counts
+as now: taken for colder than it is, a server is spared; taken for warmer, it could be pushed over. Pure; its
+clock is handed in.
 """
 
 from __future__ import annotations
