--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1123,3 +1123,18 @@
         assert max(*pauses[:3], *pauses[-2:]) <= SECOND // 10
         assert SECOND // 2 <= max(pauses) <= 2 * SECOND
         assert sum(pauses[2:8]) >= 2 * SECOND
+
+
+def test_no_repeat_is_begun_so_late_that_a_held_up_write_would_miss_its_window() -> None:
+    """Between the clock's reading and the write a node may be held up for 0.15 s."""
+    for elapsed, again in ((400 * MS, True), (549 * MS, True), (551 * MS, False), (690 * MS, False)):
+        kind = replace(KEYED, aim=4 * SECOND, group=api.Group.ALL)  # repeats are dropped for 700 ms
+        node = Node(settings(classes=(kind,)), servers=6)
+        send = node.ask(key=7, time_left=5 * SECOND)[-1]
+        assert isinstance(send, api.Send)
+        node.now += elapsed
+        actions = node.end(send, Result.ERROR, elapsed)
+        (more,) = [one for one in actions if isinstance(one, api.Send)] or [None]
+        assert (more is not None) is again
+        if more is not None:
+            assert more.begin_within <= kind.window - elapsed - 150 * MS
