--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -53,6 +53,7 @@
         self.node = node
         self.reader = reader
         self.writer = writer
+        self.since = monotonic()
         self.used = False
         self.ends = False  # the node has said so
 
@@ -155,7 +156,14 @@
             patience = self._random.uniform(*SHORT)
         identity = f"{next(self._numbers):016x}"
         record = RequestRecord(
-            identity, connection.node, kind.name, kind.effect, patience, 0.0, not connection.used
+            identity,
+            connection.node,
+            kind.name,
+            kind.effect,
+            patience,
+            0.0,
+            connection.since,
+            not connection.used,
         )
         connection.used = True
         return self._bytes(kind, identity, patience), record
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -34,6 +34,7 @@
     effect: str  # safe, keyed or unsafe
     patience: float
     sent: float  # its last byte was with the kernel
+    connected: float  # its connection came up
     fresh: bool  # the first request of its connection
     ahead: RequestRecord | None = None  # sent just before on the same connection, and answered first
     left_at: float | None = None  # its client closed, or ended its sending
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -229,7 +229,7 @@
 
     def outcome(self) -> Outcome:
         for daemon in self._daemons:
-            daemon.note_held_attempts()
+            daemon.read_events()
         answers: dict[int, int] = {}
         for request in self.records.requests.values():
             status = request.answers[0].status if request.answers else 0
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -17,6 +17,7 @@
 
 LINGER_BYTES = 1 << 20  # that are read of what a rejected client still sends, so that it gets its answer
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
+STILL_THERE = 1_000_000  # ns for which a look at the kernel holds: a few of them are made for each request
 GONE_AFTER = 0.08  # s from a client's close, or end of sending: nothing begins for it any more
 
 OF_THE_CLIENT = (CloseReason.SLOW_READER, CloseReason.ANSWER_BROKEN, CloseReason.TOO_MUCH_AFTER_END)
@@ -51,6 +52,7 @@
         self._last_arrival: Callable[[], int] = int  # ns since data came; 0 until it is up
         self._drained_at = self._front.now()  # nothing of the client's was with the kernel then, monotonic ns
         self._left_at: int | None = None  # when the client closed, or ended its sending, monotonic ns
+        self._there_at = -STILL_THERE  # when the kernel was last asked and had seen no end, monotonic ns
         self._dropped = 0  # bytes that came after the end
         self._deadline = 0
         self._slow_reader: asyncio.TimerHandle | None = None
@@ -133,12 +135,16 @@
 
     def gone_for(self) -> int:
         """How long ago (ns) the client closed, or ended its sending; 0: it has not."""
+        now = self._front.now()
         if self._left_at is None:
+            if now - self._there_at < STILL_THERE:
+                return 0
             ago = self._departed()
             if ago is None:
+                self._there_at = now
                 return 0
-            self._left_at = self._front.now() - ago
-        return max(1, self._front.now() - self._left_at)
+            self._left_at = now - ago
+        return max(1, now - self._left_at)
 
     def _withdraw(self, number: int) -> None:
         if number == self._number:
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -145,10 +145,12 @@
 
 def data_age(own: socket.socket) -> int | None:
     """How long ago (ns) data came last on a connection, by the kernel; None where it does not tell."""
-    with suppress(OSError, struct.error):
+    try:
         told = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
         if told[0]:  # the connection's state: some systems under the process fill nothing in
             return int(LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) * 1_000_000
+    except (OSError, struct.error):
+        pass
     return None
 
 
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+from bisect import bisect_right
 from collections.abc import Callable
 from typing import NamedTuple, cast
 
@@ -566,11 +567,10 @@
     def take(self) -> Connection | None:
         now = self.pools.now()
         rested = now - self.pools.rest.needed(now)
-        for index in range(len(self.idle) - 1, -1, -1):
-            connection = self.idle[index]
-            if connection.idle_since > rested:
-                continue
-            del self.idle[index]
+        # They stand in the order in which they came to rest: those that have rested long enough come first.
+        able = bisect_right(self.idle, rested, key=lambda one: one.idle_since)
+        for index in range(able - 1, -1, -1):
+            connection = self.idle.pop(index)
             if (
                 not connection.closed
                 and connection.idle_since >= now - self.pools.idle_limit
