--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+import tomllib
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -299,3 +300,41 @@
         assert (process.returncode, stderr.count(b"\n"), b"BALANCER_CONFIG" in stderr) == (2, 1, True)
 
     run(test())
+
+
+def test_a_new_configuration_while_the_program_comes_up_neither_ends_it_nor_is_lost(tmp_path: Path) -> None:
+    """Started as the platform starts it. SIGHUP comes from the moment the interpreter runs, before a handler
+    can stand; its default would end the process, and what the file says by then has to count."""
+    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    command = command.replace(".venv/bin/python", sys.executable)
+
+    async def test() -> None:
+        async with Discovery() as old, Discovery() as new, Server("s-1") as server:
+            document = configuration(server, discovery=old.address)
+            document["settings"]["Contract"]["AskWithin"] = 10**8
+            path, newer = tmp_path / "config.json", tmp_path / "newer.json"
+            path.write_text(json.dumps(document))
+            process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", command, cwd=ROOT, env={**os.environ, "BALANCER_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )  # fmt: skip
+            try:
+                name = Path(f"/proc/{process.pid}/comm")
+                await until(lambda: name.read_text().strip() != "sh")
+                assert process.stderr is not None
+                serving = asyncio.ensure_future(process.stderr.readline())
+                while not serving.done() and process.returncode is None:
+                    process.send_signal(signal.SIGHUP)
+                    if not newer.exists():
+                        newer.write_text(json.dumps(document | {"discovery": new.address}))
+                        os.link(newer, tmp_path / "whole")
+                        (tmp_path / "whole").replace(path)
+                    await asyncio.sleep(0.002)
+                assert b"serving on" in await serving or b"discovery is at" in await serving
+                await until(lambda: new.open)
+                assert process.returncode is None
+            finally:
+                process.kill()
+                await process.wait()
+
+    run(test())
