A program that comes up ignores SIGHUP until its handler stands, and then looks at the file again

Cause: until loop.add_signal_handler the default of SIGHUP ends the process (class: a window before a guard stands).

--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import signal
 import sys
 from functools import partial
 
@@ -17,12 +18,21 @@
 
 
 def daemon(service_file: str = "") -> int:
+    # Its default would end a process that is coming up. The file is looked at again once its handler stands.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     import uvloop
 
-    from driftstair.config import ConfigError, load, reload
+    from driftstair.config import ConfigError, load, reload, stamp
     from driftstair.daemon import serve
 
+    reread = partial(reload, os.environ)
+    read = stamp(os.environ)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+
+    def has_changed() -> bool:
+        """The configuration's file, since it was read."""
+        return stamp(os.environ) != read
+
     try:
         config = load(os.environ)
     except ConfigError as problem:
@@ -31,14 +41,14 @@
     service_file = service_file or os.environ.get("DRIFTSTAIR_SERVICE", "")
     if not service_file:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            return runner.run(serve(config, partial(reload, os.environ), ready=settle))
+            return runner.run(serve(config, reread, ready=settle, has_changed=has_changed))
     from driftstair.service.load import ServiceError  # not loaded without such a file
     from driftstair.service.use import ServiceFile
 
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             service = ServiceFile(service_file)
-            return runner.run(serve(config, partial(reload, os.environ), ready=settle, service=service))
+            return runner.run(serve(config, reread, ready=settle, service=service, has_changed=has_changed))
     except ServiceError as problem:
         for one in problem.problems:
             print(f"driftstair: {one}", file=sys.stderr)
--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping
 from typing import Any
 
@@ -34,6 +35,15 @@
     return read(environment, document)
 
 
+def stamp(environment: Mapping[str, str]) -> tuple[int, int, int] | None:
+    """What tells one state of the configuration's file from another; None where there is no file."""
+    try:
+        found = os.stat(environment.get("BALANCER_CONFIG", ""))
+    except OSError:
+        return None
+    return found.st_ino, found.st_size, found.st_mtime_ns
+
+
 def reload(environment: Mapping[str, str]) -> Config:
     """The configuration as its file tells it now. The environment is as old as the process: the file's
     address of discovery is the newer one."""
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -128,8 +128,10 @@
 async def serve(
     config: Config, reread: Callable[[], Config], system: System = SOCKETS,
     ready: Callable[[], None] = lambda: None, service: ServiceFile | None = None,
+    has_changed: Callable[[], bool] = bool,
 ) -> int:  # fmt: skip
     """The node's life; its exit status. `reread`: the configuration as it is told now, or ConfigError;
+    `has_changed`: whether its file is another one by now than `config` was read from;
     `ready` is called once clients are served; `service`: what the platform does not tell. Raises ServiceError
     if that can't be used at the start."""
     table = None if service is None else service.table(config, shares(config)[0])
@@ -174,6 +176,9 @@
         node.ledger = kept[0]
         committing = loop.create_task(kept[0].run(kept[1], ended))
     node.start()
+    if has_changed():
+        # SIGHUP was ignored until its handler stood.
+        follow_files(node, config, reread, service, tier, configuration)
     if operations is not None:
         try:
             await operations.start(node, front)
