--- a/benchmarks/soak/daemons.py
+++ b/benchmarks/soak/daemons.py
@@ -20,6 +20,7 @@
 ROOT = Path(__file__).parent.parent.parent
 READY_WITHIN = 20.0  # s
 KILLED_AFTER = 0.7  # s after SIGTERM and the longest deadline
+AS_DEPLOYED = ("/bin/sh", "-c", 'trap \'\' HUP; exec "$0" "$@"')  # as the deploy file's `run` does
 TRACE_MOST = 30  # lines of a crash that are kept
 HELD_MS = 20.0  # between a look and the write behind it: the machine's own noise is less
 PLANTED = "benchmarks.soak.planted"
@@ -71,7 +72,7 @@
         service.write_text(f'version = 1\n[events]\nlevel = "requests"\nfile = "{events}"\n')
         module = [PLANTED, self._planted] if self._planted else ["driftstair"]
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", module[0], *module[1:], cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            *AS_DEPLOYED, sys.executable, "-m", *module, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             env={
                 **{key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")},
                 **self._environment, "BALANCER_CONFIG": str(self._config()),
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,231 @@
+"""The soak test itself: three fixed seeds on real daemons, planted defects that it has to find, its judge on
+records that a test writes, and what it says of options that are none."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from benchmarks.soak.faults import FaultKind, Size, draw
+from benchmarks.soak.judge import Judge, Terms, timeline
+from benchmarks.soak.planted import DEFECTS
+from benchmarks.soak.records import AnswerRecord, AttemptRecord, NodeRecord, Records, RequestRecord, Span
+from benchmarks.soak.run import play
+from benchmarks.soak.shim import Options, ShimError, build, environment, parse
+
+ROOT = Path(__file__).parents[2]
+SMALL = Size(nodes=8, servers=6, clients=32, seconds=6.0)
+SEEDS = (1, 2, 3)
+MOST = 10  # seeds in which a planted defect has to be found
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_real_daemons_keep_the_rules_under_overlapping_faults(seed: int) -> None:
+    outcome = play(draw(seed, Size()))
+    assert outcome.requests > 1000 and outcome.answers[200] > outcome.requests / 2
+    told = [
+        "\n".join([f"{one.rule}: {one.detail}", *timeline(outcome.records.requests[one.request])])
+        if one.request
+        else f"{one.rule}: node {one.node}: {one.detail}"
+        for one in outcome.violations
+    ]
+    assert not told, "\n".join(told[:3])
+
+
+FOUND_BY: dict[str, tuple[frozenset[FaultKind], set[str]]] = {
+    "attempt-after-close": (
+        frozenset({FaultKind.ERRORS, FaultKind.FULL}),
+        {"attempt after close", "invariant"},
+    ),
+    "deadline-from-reading": (frozenset({FaultKind.STALL}), {"deadline told", "late answer"}),
+    "close-over-request": (frozenset({FaultKind.ERRORS}), {"no answer", "invariant"}),
+    "answer-to-wrong-client": (frozenset({FaultKind.SECOND_ANSWERS}), {"wrong answer"}),
+    "unsafe-repeat": (frozenset({FaultKind.ERRORS, FaultKind.RESETS}), {"effect twice", "invariant"}),
+    "send-to-draining": (frozenset({FaultKind.DRAIN}), {"drain"}),
+    "wall-clock-in-deadlines": (frozenset({FaultKind.CLOCK}), {"deadline told", "late answer", "no answer"}),
+    "end-at-once": (frozenset({FaultKind.TERMINATE, FaultKind.HANG}), {"no answer"}),
+    "second-answer": (
+        frozenset({FaultKind.HANG}),
+        {"second answer", "invariant", "wrong answer", "no answer"},
+    ),
+}
+"""The faults that bring a planted defect out, and the rules that it may break."""
+
+
+def test_each_planted_defect_has_its_test() -> None:
+    assert set(FOUND_BY) == set(DEFECTS) and len(DEFECTS) >= 8
+
+
+@pytest.mark.parametrize("defect", FOUND_BY)
+def test_a_planted_defect_is_found_within_ten_seeds(defect: str) -> None:
+    kinds, rules = FOUND_BY[defect]
+    for seed in range(1, MOST + 1):
+        plan = draw(seed, replace(SMALL, seconds=6.0), kinds)
+        found = {one.rule for one in play(plan, defect).violations}
+        if found:
+            assert found & rules, found
+            return
+    pytest.fail(f"{defect} was not found in {MOST} seeds")
+
+
+# The judge.
+
+TERMS = Terms(drain_grace=0.8, window=1.2)
+
+
+def judged(effect: str = "safe", node: NodeRecord | None = None, **changes: object) -> list[str]:
+    """The rules that one request broke."""
+    request = RequestRecord("a1", 0, "read", effect, 1.0, 100.0, 99.0, True)
+    for name, value in changes.items():
+        setattr(request, name, value)
+    records = Records([node or NodeRecord()], {"a1": request})
+    assert timeline(request)
+    return [one.rule for one in Judge(records, TERMS).violations()]
+
+
+def attempt(began: float, told: float = 0.5, **changes: object) -> AttemptRecord:
+    made = AttemptRecord("s-1", began, told, began + 0.001)
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def answers(at: float, status: int = 200, body: bytes = b"a1/7") -> list[AnswerRecord]:
+    return [AnswerRecord(at, status, body)]
+
+
+def test_the_judge_tells_what_is_broken_from_what_is_allowed() -> None:
+    assert judged(answers=answers(100.2), attempts=[attempt(100.1)]) == []
+    assert judged(answers=answers(100.2, body=b"b2/7")) == ["wrong answer"]
+    assert judged(answers=answers(100.2) * 2) == ["second answer"]
+    assert judged(answers=answers(101.5)) == []
+    assert judged(answers=answers(101.6)) == ["late answer"]
+    assert judged(answers=answers(101.6), node=NodeRecord([Span(100.9, 101.4)])) == []
+    assert judged() == ["no answer"]
+    assert judged(ended_at=100.1) == ["no answer"]
+    assert judged(ended_at=100.1, fresh=False) == []  # it crossed the end of a resting connection
+    assert judged(ended_at=100.1, fresh=False, attempts=[attempt(100.05)]) == ["no answer"]
+    assert judged(ended_at=100.1, begun=True, attempts=[attempt(100.05, cut=True)]) == []
+    assert judged(node=NodeRecord(killed=[100.3])) == []
+    assert judged(node=NodeRecord(killed=[103.7], terminated=[100.0])) == ["no answer"]
+    assert judged(left_at=100.3) == []
+    assert judged(left_at=100.3, attempts=[attempt(100.39)]) == []
+    assert judged(left_at=100.3, attempts=[attempt(100.42)]) == ["attempt after close"]
+    assert judged(left_at=100.0, half_closed=True) == ["no answer"]
+    late = {"answers": answers(100.2), "attempts": [attempt(100.1), attempt(100.4)]}
+    assert judged(**late) == ["attempt after answer"]
+    assert judged(answers=answers(100.9), attempts=[attempt(100.5, told=0.7)]) == ["deadline told"]
+    assert judged(answers=answers(100.9), attempts=[attempt(100.5, told=0.6)]) == []
+    draining = NodeRecord(told_leaving={"s-1": 99.2})
+    assert judged(answers=answers(100.2), attempts=[attempt(100.0)], node=draining) == []
+    assert judged(answers=answers(100.2), attempts=[attempt(100.1)], node=draining) == ["drain"]
+
+
+def test_the_judge_counts_effects() -> None:
+    twice = [attempt(100.1), attempt(100.3)]
+    assert judged("unsafe", answers=answers(100.5), attempts=twice) == ["effect twice"]
+    assert judged("keyed", answers=answers(100.5), attempts=twice) == []
+    after_window = [attempt(100.1), attempt(101.4)]
+    assert judged("keyed", answers=answers(101.5), attempts=after_window, patience=2.0) == ["effect twice"]
+    turned_away = [attempt(100.1, not_run=True), attempt(100.3)]
+    assert judged("unsafe", answers=answers(100.5), attempts=turned_away) == []
+    refused = answers(100.5, 503, b"")
+    assert judged("unsafe", answers=refused, attempts=[attempt(100.1)]) == ["refused after effect"]
+    assert judged("unsafe", answers=refused, attempts=[attempt(100.1, not_run=True)]) == []
+
+
+def test_a_seed_draws_the_same_faults_and_others_draw_others() -> None:
+    assert draw(5, Size()) == draw(5, Size()) != draw(6, Size())
+    kinds = {fault.kind for seed in range(40) for fault in draw(seed, Size()).faults}
+    assert kinds == set(FaultKind)
+
+
+# The shim.
+
+
+def test_the_shim_puts_the_wall_clock_off_and_fails_calls(tmp_path: Path) -> None:
+    library = build(tmp_path)
+    code = (
+        "import socket, time\n"
+        "failed = 0\n"
+        "for _ in range(400):\n"
+        "    try:\n"
+        "        socket.socket().close()\n"
+        "    except OSError:\n"
+        "        failed += 1\n"
+        "print(failed, time.time() - time.monotonic())\n"
+    )
+    plain, shimmed = (
+        subprocess.run(
+            [sys.executable, "-c", code], env=env, capture_output=True, text=True, check=True
+        ).stdout.split()
+        for env in ({}, environment(library, Options(after=0.0, calls=0.1, clock_off=3600.0)))
+    )
+    assert plain[0] == "0" and 10 < int(shimmed[0]) < 100
+    assert 3500 < float(shimmed[1]) - float(plain[1]) < 3700
+
+
+def test_the_shim_fails_writes_of_files_and_leaves_some_half_done(tmp_path: Path) -> None:
+    library = build(tmp_path)
+    code = (
+        "import os, sys\n"
+        "file = os.open(sys.argv[1], os.O_WRONLY | os.O_CREAT)\n"
+        "errors, short = set(), 0\n"
+        "for _ in range(200):\n"
+        "    try:\n"
+        "        short += os.write(file, b'x' * 100) < 100\n"
+        "        os.fsync(file)\n"
+        "    except OSError as problem:\n"
+        "        errors.add(problem.errno)\n"
+        "print(len(errors), short)\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code, str(tmp_path / "file")],
+        env=environment(library, Options(after=0.0, disk=0.3)), capture_output=True, text=True, check=True,
+    )  # fmt: skip
+    errors, short = map(int, done.stdout.split())
+    assert errors == 2 and short > 5  # ENOSPC, EIO
+
+
+@pytest.mark.parametrize(
+    ("text", "names"),
+    [("speed=3", "speed"), ("calls=much", "much"), ("calls=2", "calls"), ("disk=-1", "disk")],
+)
+def test_an_option_of_the_shim_that_is_none_is_refused_by_name(text: str, names: str) -> None:
+    with pytest.raises(ShimError, match=names) as refused:
+        parse(text)
+    assert "would do" in str(refused.value) and "\n" not in str(refused.value)
+
+
+def test_options_of_the_shim_are_read_as_they_are_written() -> None:
+    options = Options(seed=9, calls=0.25, clock_step=-3600.0)
+    assert parse(options.text()) == options
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["--only", "rain"],
+        ["--planted", "nothing"],
+        ["--nodes", "0"],
+        ["--nodes", "many"],
+        ["--seconds", "1e9"],
+        ["--keep", "/nowhere"],
+        ["--speed", "9"],
+    ],
+)
+def test_bad_use_is_one_line_and_status_2(words: list[str]) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "benchmarks.soak", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 2 and not done.stdout
+    (line,) = done.stderr.splitlines()
+    assert line.startswith("soak: ") and words[0] in line
