--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -20,6 +20,7 @@
     "added_time",
     "beside",
     "faults",
+    "growth",
     "slopes",
     "steady",
     "watchers",
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,57 @@
+"""The list of tests that are known to fail: what it may hold, and that a run passes over just those."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import KnownRed, read_known_red
+
+HERE = Path(__file__).parent
+LINE = "tests/test_it.py::test_fails | it is broken | 57"
+TESTS = """
+import pytest
+
+@pytest.mark.parametrize("one", [1, 2])
+def test_fails(one):
+    assert one == 0
+
+def test_passes():
+    pass
+"""
+
+
+def listed(folder: Path, text: str) -> list[KnownRed]:
+    path = folder / "KNOWN-RED.txt"
+    path.write_text(text)
+    return read_known_red(path)
+
+
+def test_a_list_holds_three_lines_of_one_form(tmp_path: Path) -> None:
+    assert read_known_red(tmp_path / "none") == []
+    assert listed(tmp_path, LINE) == [KnownRed("tests/test_it.py::test_fails", "it is broken", "57")]
+    for bad in ("\n".join([LINE] * 4), "tests/test_it.py::test_fails | it is broken", "a | | 57"):
+        with pytest.raises(pytest.UsageError, match="KNOWN-RED"):
+            listed(tmp_path, bad)
+
+
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [("", 1), (LINE, 0), (LINE.replace("fails", "passes"), 1)],
+    ids=["none", "red", "green"],
+)
+def test_a_run_passes_over_just_what_is_listed_and_prints_it(line: str, status: int, tmp_path: Path) -> None:
+    """One that is listed and passes fails the run too."""
+    tests = tmp_path / "tests"
+    tests.mkdir()
+    (tests / "conftest.py").write_text((HERE / "conftest.py").read_text())
+    (tests / "test_it.py").write_text(TESTS)
+    (tmp_path / "KNOWN-RED.txt").write_text(line)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "--rootdir", str(tmp_path), "-p", "no:cacheprovider", "tests"],
+        cwd=tmp_path, capture_output=True, text=True, check=False,
+    )  # fmt: skip
+    assert done.returncode == status, done.stdout
+    assert ("known red: tests/test_it.py::test_" in done.stdout) is bool(line)
