The ledger tells late answers by the monotonic clock

Cause: Counted measured a duration between two readings of the wall clock. Class: a span on a clock that steps.

--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -12,6 +12,7 @@
 import asyncio
 import errno
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any, Protocol
@@ -38,19 +39,20 @@
 class Counted:
     """Stands before a client: the first end that its request comes to is counted, and no other."""
 
-    __slots__ = ("_aim", "_arrived", "_client", "_ended", "_keeper", "tenant")
+    __slots__ = ("_aim", "_arrived", "_began", "_client", "_ended", "_keeper", "tenant")
 
     def __init__(self, keeper: Keeper, client: Client, tenant: str, aim: int) -> None:
         self._keeper = keeper
         self._client = client
         self._arrived = keeper.now()
-        self._aim = aim // MS
+        self._began = keeper.monotonic()
+        self._aim = aim
         self._ended = False
         self.tenant = tenant
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: Any) -> None:
         if status == 200:
-            in_time = self._keeper.now() - self._arrived <= self._aim
+            in_time = self._keeper.monotonic() - self._began <= self._aim
             self._end(Word.SERVED if in_time else Word.LATE)
         else:
             self._end(Word.REFUSED if status in REFUSED else Word.FAILED)
@@ -76,15 +78,16 @@
 class Keeper:
     def __init__(
         self, node: str, store: Store, calendar: Calendar, uncertainty: int, sync: bool,
-        clock: Callable[[], int], aside: Aside,
+        clock: Callable[[], int], aside: Aside, monotonic: Callable[[], int] = time.monotonic_ns,
     ) -> None:  # fmt: skip
         """`uncertainty`: ms that the clock may be off; `sync`: what is committed survives the machine too;
-        `clock`: Unix time in ns."""
+        `clock`: Unix time in ns; `monotonic`: ns of a clock that never steps, which durations go by."""
         self.book = Book(node, calendar)
         self._store = store
         self._uncertainty = uncertainty
         self._sync = sync
         self._clock = clock
+        self.monotonic = monotonic
         self._aside = aside
         self._open = False
         self._trouble = ""  # the last one that was logged
--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -64,7 +64,8 @@
 
 
 def keeper(folder: Path, clock: Clock, **seams: Any) -> Keeper:
-    found = Keeper("n0", Store(folder, "n0", **seams), Calendar("UTC"), 50, False, clock, inline)
+    store = Store(folder, "n0", **seams)
+    found = Keeper("n0", store, Calendar("UTC"), 50, False, clock, inline, clock.monotonic)
     found.open()
     return found
 
