What the loop has not told of a write yet may have run

Cause: Connection said that a request never ran wherever its write buffer was not told empty. Class: a claim of never without proof. Two turns later what is left is known to be here, as before.

--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -29,6 +29,7 @@
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
 NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
 NEWS_LOOKS = 10  # of them: the next turn of the loop reads, so what is unread for longer is none
+WRITE_TURNS = 2  # of the loop, after which what is left of a write is known to be here
 UPLOAD_LOOK = 1_000_000_000  # ns between two looks at whether a long body gets on
 IDLE_SWEEPS = 20  # in that time
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
@@ -196,8 +197,8 @@
         if uploads and now - self.moved < SILENCE_MOST * 1e9:
             self._expires_at(now + UPLOAD_LOOK)  # its time counts from its last byte
             return
-        written = self._connection is not None and self._connection.written
-        self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
+        may_be_whole = self._connection is not None and self._connection.may_be_whole
+        self.end(Result.TIMEOUT if may_be_whole else Result.CONNECT_FAILED)
 
     def wrote(self) -> None:
         """Its first bytes are with the kernel."""
@@ -250,7 +251,8 @@
         self._quiet: Callable[[], bool] = bool  # not once it is up
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._attempt: Attempt | None = None
-        self.written = False  # the last byte of the request is with the kernel
+        self.written = False  # the last byte of the request is with the kernel, as far as the loop has told
+        self.may_be_whole = False  # it may be, though the loop has not told: never ran is not proven
         self.closed = False
         self.idle_since = 0
         self._reusable = False
@@ -287,18 +289,36 @@
         transport = self._transport
         assert transport is not None
         self._attempt = attempt
-        self._reusable = self.written = self._stuffed = self._told = False
+        self._reusable = self.written = self.may_be_whole = self._stuffed = self._told = False
         self._forget_answer()
         transport.write(data)
         attempt.wrote()
         if rest is None:
-            self.written = not transport.is_closing() and not transport.get_write_buffer_size()
+            self._note_handed(attempt)
         else:
             self._upload = rest
             rest.on_more = self._pump
             self._stuffed = bool(transport.get_write_buffer_size())
             self._pump()
 
+    def _note_handed(self, attempt: Attempt) -> None:
+        """The last byte is with the transport. What the kernel did not take at once goes out in the next turn
+        of the loop, which tells of that in the one after; what is still here then is truly here."""
+        transport = self._transport
+        assert transport is not None
+        self.may_be_whole = not transport.is_closing()  # one that closes in a write has not sent all of it
+        self.written = self.may_be_whole and not transport.get_write_buffer_size()
+        if self.may_be_whole and not self.written:
+            asyncio.get_running_loop().call_soon(self._look_at_write, attempt, WRITE_TURNS)
+
+    def _look_at_write(self, attempt: Attempt, turns: int) -> None:
+        if self._attempt is not attempt or self.written or self.closed:
+            return
+        if turns > 1:
+            asyncio.get_running_loop().call_soon(self._look_at_write, attempt, turns - 1)
+        elif self._transport is not None and not self._transport.is_closing():
+            self.may_be_whole = False
+
     def _pump(self) -> None:
         """Pass on what has come of a long body, as fast as the server takes it."""
         transport, rest, attempt = self._transport, self._upload, self._attempt
@@ -314,13 +334,14 @@
             rest.halt(self._stuffed)
         if rest.is_done():
             self._upload = None
+            self._note_handed(attempt)
             if not self._stuffed and not transport.is_closing():
                 self._all_written()
         else:
             rest.passed_on()
 
     def _all_written(self) -> None:
-        self.written = self._attempt is not None
+        self.written = self.may_be_whole = self._attempt is not None
         if self._attempt is not None and self._attempt.moved:
             self._attempt.uploaded()
 
@@ -410,7 +431,7 @@
             flow.break_off()
         elif attempt is not None:
             self._end_flow()
-            attempt.end(result if self.written else Result.CONNECT_FAILED)
+            attempt.end(result if self.may_be_whole else Result.CONNECT_FAILED)
         self.close()
 
     # An answer that is passed on as it comes.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -335,7 +335,7 @@
 
 
 class FailsUntold:
-    """A transport whose writes are with the kernel, and whose connection fails before the loop tells of that."""
+    """A transport whose writes are with the kernel; its connection fails before the loop tells of that."""
 
     def __init__(self, transport: asyncio.Transport, connection: Connection) -> None:
         self._transport = transport
