--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -23,6 +24,7 @@
 
 from driftstair.admission import Limits
 from driftstair.net import front
+from driftstair.net.system import SocketListener
 from lichenspring import interface as api
 
 
@@ -460,3 +462,77 @@
             await until(lambda: rig.spy.events.count(api.Timer(failed[0])) > 1)
 
     run(test())
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE])
+def test_an_accept_that_fails_for_a_moment_closes_nobody(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Room is made at the cost of another client only where the want lasts."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            idle, silent_one = await rig.client(), await rig.client()
+            assert status(await idle.ask(request())) == 200
+            await until(lambda: len(rig.front._connections) == 2)
+            accept, left = SocketListener.accept, [2]
+
+            def fails(self: SocketListener) -> socket.socket:
+                left[0] -= 1
+                if left[0] >= 0:
+                    raise OSError(error, "for a moment")
+                return accept(self)
+
+            monkeypatch.setattr(SocketListener, "accept", fails)
+            late = await rig.client()
+            assert status(await late.ask(request())) == 200
+            assert left[0] < 0 and not rig.node.metrics.closes
+            assert status(await idle.ask(request())) == status(await silent_one.ask(request())) == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["its time is over", "the node ends"])
+def test_a_newcomer_whose_request_is_not_read_yet_is_not_closed(how: str) -> None:
+    """What it has sent is with the kernel: closed now, the request would be reset with the connection."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            await until(lambda: rig.front._connections)
+            (connection,) = rig.front._connections
+            assert connection._transport is not None
+            connection._transport.pause_reading()  # as where the process did not run
+            client.writer.write(request())
+            await until(lambda: connection.has_unread())
+            if how == "the node ends":
+                connection.close_if_unused()
+            else:
+                connection.time_out()
+            connection._transport.resume_reading()
+            assert status(await client.read()) == 200
+
+    run(test())
+
+
+def test_an_answer_that_is_not_taken_yet_holds_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The node has answered; that a part of it is still to be written does not make the request open again."""
+
+    class Slow:
+        def __init__(self, transport: asyncio.Transport) -> None:
+            self._transport = transport
+
+        def __getattr__(self, name: str) -> object:
+            return getattr(self._transport, name)
+
+        def get_write_buffer_size(self) -> int:
+            return 1
+
+    async def test() -> None:
+        async with Rig(configuration()) as rig:
+            client = await rig.client()
+            await until(lambda: rig.front._connections)
+            (connection,) = rig.front._connections
+            connection._transport = Slow(connection._transport)  # type: ignore[assignment,arg-type]
+            assert status(await client.ask(request())) == 503
+            assert connection._number == 0
+
+    run(test())
