Momentary wants close nobody, unread bytes are read before a close, answered requests are not open

Causes: Front._accept made room by force at the first accept that failed (now the third in a row); time_out and close_if_unused judged a client before what it had sent was read (now the kernel is asked); Node.take gave the number of a request that it had answered already. Class: acting on one's own last look.

--- a/benchmarks/scale/hollow/system.py
+++ b/benchmarks/scale/hollow/system.py
@@ -121,5 +121,8 @@
     def departure(self, transport: asyncio.Transport) -> Callable[[], int | None]:
         raise NotImplementedError
 
+    def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        raise NotImplementedError
+
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         raise NotImplementedError
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -50,6 +50,7 @@
         self._half_closed = False  # the client sends no more
         self._departed: Callable[[], int | None] = lambda: None
         self._last_arrival: Callable[[], int] = int  # ns since data came; 0 until it is up
+        self._unread: Callable[[], bool] = bool  # not before it is up
         self._drained_at = self._front.now()  # nothing of the client's was with the kernel then, monotonic ns
         self._left_at: int | None = None  # when the client closed, or ended its sending, monotonic ns
         self._there_at = -STILL_THERE  # when the kernel was last asked and had seen no end, monotonic ns
@@ -65,6 +66,7 @@
         transport.set_write_buffer_limits(high=0)  # to be told when an answer's last byte is out
         self._departed = self._front.departure(transport)
         self._last_arrival = self._front.last_arrival(transport)
+        self._unread = self._front.unread(transport)
         self._drained_at = self._front.monitor.earliest()
         self._front.on_connect(self)
 
@@ -152,6 +154,8 @@
 
     def time_out(self) -> None:
         """The limit of the front: a client that has sent a part is told, one that has not is not."""
+        if self.has_unread():
+            return  # what it has sent is to be read first; it is looked at again
         if self._reader.is_partial():
             self._reader.error = 408
             if self._upload is not None:
@@ -262,7 +266,7 @@
         call = self._call(incoming)
         self._deadline = 0 if incoming.stream is not None else call.deadline
         number = self._front.node.take(call)
-        if self._busy and not self._ends and self._flow is None:
+        if number and self._busy and not self._ends and self._flow is None:
             self._number = number
             if incoming.stream is not None and self._reader.wants_continue():
                 assert self._transport is not None
@@ -434,5 +438,10 @@
             node.observer.connection_closed(self._number, reason.value)
 
     def close_if_unused(self) -> None:
-        if not self._busy and not self._reader.ready and not self._reader.is_partial():
+        unused = not self._busy and not self._reader.ready and not self._reader.is_partial()
+        if unused and not self.has_unread():
             self.close(CloseReason.IDLE)
+
+    def has_unread(self) -> bool:
+        """Whether the client has sent what is with the kernel still, and has not left."""
+        return self._unread()
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -27,6 +27,7 @@
 BACKLOG = 1024
 ACCEPTS = 16  # in one turn of the loop, so that a flood of connections leaves turns for the others
 LOOK = 0.02  # s until the next look at a full table, while clients wait for a place in it
+WANT_LASTS = 3  # accepts in a row that fail: a want of a moment costs no client its connection
 FULL_PAUSE = 0.05  # s until the next look at the listening socket, where no descriptor was left
 SWEEP = 0.1  # s
 DRAIN_LOOK = 0.02  # s
@@ -43,6 +44,7 @@
         self.now = system.monotonic_ns
         self.departure = system.departure
         self.last_arrival = system.last_arrival
+        self.unread = system.unread
         self.monitor = LoopMonitor(system.monotonic_ns, node.note_loop_held)
         self._system = system
         self.closing = False  # answers end their connections
@@ -58,6 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._listener: Listener | None = None
         self._accepting = False
+        self._accept_failures = 0  # in a row, for want of descriptors or memory
         self._looks_again = False
         self._open = 0
         self._connections: set[ClientConnection] = set()
@@ -101,12 +104,15 @@
                 return
             except OSError as problem:
                 if problem.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    # Without one idle connection less, those that wait would do so until a client leaves.
-                    self._make_room(forced=True)
+                    self._accept_failures += 1
+                    if self._accept_failures >= WANT_LASTS:
+                        # Without one idle connection less, those that wait would do so until a client leaves.
+                        self._make_room(forced=True)
                     self._pause()
                     self._loop.call_later(FULL_PAUSE, self._resume)
                     return
                 continue  # that one client is gone already
+            self._accept_failures = 0
             self._open += 1
             task = self._loop.create_task(self._enter(listener, accepted))
             self._tasks[task] = None
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -273,7 +273,7 @@
     # Requests.
 
     def take(self, call: Call) -> int:
-        """A client's request has come. Returns its number, for `client_gone`."""
+        """A client's request has come. Returns its number, for `client_gone`; 0 if it is answered already."""
         self._last_number += 1
         request = Open(self._last_number, call)
         if self.ledger is not None and call.asked is not None:
@@ -317,7 +317,7 @@
                     None if rules is None else rules.handed,
                 )
             )
-        return request.number
+        return 0 if request.answered or request.number not in self._open else request.number
 
     def _guard_request(self, request: Open) -> None:
         call = request.call
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -93,6 +93,10 @@
         """What is returned tells how long ago (ns) the newest data came on a connection, whether or not they
         were read at once; 0 where the system does not tell."""
 
+    def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """What is returned tells whether data wait on a connection that the loop has not read, of a peer that
+        has not ended its sending."""
+
     async def aside(self, what: Callable[[], None]) -> None:
         """Do what waits for a disk, off the loop's turn."""
 
@@ -198,6 +202,16 @@
 
         return departed
 
+    def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+
+        def waits() -> bool:
+            found = poll.poll(0)
+            return bool(found) and found[0][1] == select.POLLIN
+
+        return waits
+
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         own = transport.get_extra_info("socket")
 
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -54,6 +54,10 @@
 
         return departed
 
+    def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        endpoint = cast(Endpoint, transport)
+        return lambda: endpoint.has_unread() and endpoint.left_at is None
+
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         return lambda: 0  # what a stopped process finds is not dated in this world
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -514,7 +514,7 @@
 
 
 def test_an_answer_that_is_not_taken_yet_holds_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The node has answered; that a part of it is still to be written does not make the request open again."""
+    """The node has answered; that a part of it is still to be written opens the request no more."""
 
     class Slow:
         def __init__(self, transport: asyncio.Transport) -> None:
