--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -119,7 +119,7 @@
                 over = attempt.told - (request.deadline() - attempt.began)
                 if over > TOLD_SLACK + slack:
                     yield "deadline told", attempt.began, f"{over:.3f} s more than was left"
-            leaving = node.told_leaving.get(attempt.server)
+            leaving = node.leaving_since(attempt.server, attempt.began)
             if leaving is not None:
                 since = attempt.began - leaving
                 if since > self._terms.drain_grace + SOCKET_SLACK + slack:
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -64,12 +64,28 @@
     stalls: list[Span] = field(default_factory=list)
     terminated: list[float] = field(default_factory=list)  # SIGTERM was sent
     killed: list[float] = field(default_factory=list)  # SIGKILL was sent, or the process had ended
-    told_leaving: dict[str, float] = field(default_factory=dict)  # servers, when discovery wrote it
+    leaving: dict[str, list[Span]] = field(default_factory=dict)  # servers: from when it counts as told on
     crashes: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)  # lines of its log
     calls_fail: bool = False  # system calls of its process do, those on connections to servers too
     held_attempts: set[tuple[str, int]] = field(default_factory=set)  # held up between look and write
 
+    def told_leaving(self, server: str, at: float) -> None:
+        """It counts as told that a server leaves; the first word counts."""
+        spans = self.leaving.setdefault(server, [])
+        if not spans or spans[-1].until != float("inf"):
+            spans.append(Span(at, float("inf")))
+
+    def told_ready(self, server: str, at: float) -> None:
+        """It is told that a server may be sent to."""
+        spans = self.leaving.get(server, [])
+        if spans and spans[-1].until == float("inf"):
+            spans[-1].until = at
+
+    def leaving_since(self, server: str, at: float) -> float | None:
+        """When it was told that a server leaves, if that was in force at a moment."""
+        return next((one.since for one in self.leaving.get(server, []) if one.touches(at, at)), None)
+
     def stalled(self, since: float, until: float) -> float:
         """The end of the last stall that touches a span; 0: none does."""
         return max((one.until for one in self.stalls if one.touches(since, until)), default=0.0)
--- a/benchmarks/soak/registry.py
+++ b/benchmarks/soak/registry.py
@@ -106,18 +106,18 @@
             return
         for node in self._records.nodes:
             if not node.stalled(changed, monotonic()) and not any(at > changed for at in node.killed):
-                node.told_leaving.setdefault(server.name, monotonic())
+                node.told_leaving(server.name, monotonic())
 
     def _tell(self, writer: asyncio.StreamWriter, node: int, full: bool, entries: list[FakeServer]) -> None:
         document = {"version": self.version, "full": full, "servers": [one.entry() for one in entries]}
         text = json.dumps(document).encode() + b"\n"
         writer.write(b"%x\r\n%s\r\n" % (len(text), text))
-        told = self._records.nodes[node].told_leaving
+        told = self._records.nodes[node]
         for server in entries:
             if server.state == "Ready":
-                told.pop(server.name, None)
+                told.told_ready(server.name, monotonic())
             else:
-                told.setdefault(server.name, monotonic())
+                told.told_leaving(server.name, monotonic())
 
     async def _serve(self, node: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._open.add(writer)
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -147,7 +147,7 @@
         known = self._registry.known()
         for server in self._servers:
             if server.state == "Ready":
-                daemon.record.told_leaving.pop(server.name, None)
+                daemon.record.told_ready(server.name, monotonic())
         daemon.document = configuration(
             f"n{daemon.number}", daemon.listen(), self._registry.address(daemon.number, daemon.place),
             self._random.getrandbits(60), known, self._settings,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -110,9 +110,11 @@
     assert judged(**late) == ["attempt after answer"]
     assert judged(answers=answers(100.9), attempts=[attempt(100.5, told=0.7)]) == ["deadline told"]
     assert judged(answers=answers(100.9), attempts=[attempt(100.5, told=0.6)]) == []
-    draining = NodeRecord(told_leaving={"s-1": 99.2})
+    draining = NodeRecord(leaving={"s-1": [Span(99.2, 200.0)]})
     assert judged(answers=answers(100.2), attempts=[attempt(100.0)], node=draining) == []
     assert judged(answers=answers(100.2), attempts=[attempt(100.1)], node=draining) == ["drain"]
+    back = NodeRecord(leaving={"s-1": [Span(99.2, 100.05)]})
+    assert judged(answers=answers(100.2), attempts=[attempt(100.1)], node=back) == []
 
 
 def test_the_judge_counts_effects() -> None:
