--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -60,6 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._listener: Listener | None = None
         self._accepting = False
+        self._sweep_put_off = False  # the latest one was
         self._accept_failures = 0  # in a row, for want of descriptors or memory
         self._looks_again = False
         self._open = 0
@@ -151,10 +152,13 @@
 
     def _sweep(self) -> None:
         """Guards against clients that say nothing, stop half way, send slowly or keep what they don't use."""
-        if self.monitor.was_held():
+        if self.monitor.was_held() and not self._sweep_put_off:
             # What they sent meanwhile is to be read first: nobody is late for what the node did not read.
+            # Once: a node that is held up again and again still has to let go of those that say nothing.
+            self._sweep_put_off = True
             self._loop.call_later(LOOK, self._sweep)
             return
+        self._sweep_put_off = False
         for connection, how in self.places.overdue(self._loop.time()):
             self._end(connection, how)
         now = self._loop.time()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -536,3 +536,19 @@
             assert connection._number == 0
 
     run(test())
+
+
+def test_a_node_that_is_held_up_again_and_again_still_lets_go_of_clients_that_say_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One sweep after a hold waits for what came meanwhile; not each of them, for as long as holds follow."""
+
+    async def test() -> None:
+        async with Rig(configuration()) as rig:
+            monkeypatch.setattr(rig.front.monitor, "was_held", lambda: True)
+            monkeypatch.setattr(rig.front.places, "limits", Limits(100, new_most=0.1))
+            client = await rig.client()
+            assert await client.ended() == b""
+            assert rig.node.metrics.closes
+
+    run(test())
