Planted defects of the rehearsals go through the node's answer as it is now, and past the guard

Three tests of the kit's checker failed: their planted defects called Node._answer without its reason, and the guard holds back the attempt that one of them makes after a refusal. That one plays both now: with the guard all rules are kept, without it the checker finds the break. What the checker is asked to find stays.

--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -15,7 +15,9 @@
 from driftstair.net import front, node, upstream
 from driftstair.net.front import ClientConnection, Front
 from driftstair.net.node import Node
+from driftstair.net.request_guard import AttemptPermit
 from driftstair.net.upstream import Attempt
+from driftstair.observability.reasons import AnswerReason
 from driftstair.rehearsal import wire
 from driftstair.rehearsal.runner import Rehearsal
 from driftstair.rehearsal.wire import HostState
@@ -410,9 +412,9 @@
     complete = Node._answer
     last = [b""]
 
-    def mixes(self: Node, number: int, status: int, headers: Any, body: bytes = b"") -> None:
+    def mixes(self: Node, number: int, status: int, headers: Any, reason: Any, body: bytes = b"") -> None:
         body, last[0] = last[0], body
-        complete(self, number, status, headers, body)
+        complete(self, number, status, headers, reason, body)
 
     monkeypatch.setattr(Node, "_answer", mixes)
     run = Run(small())
@@ -421,7 +423,7 @@
 
 
 def test_a_request_sent_on_after_its_refusal_breaks_rule_1(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The answer goes out at once, and the attempt a while later all the same."""
+    """The answer goes out at once, and the attempt a while later all the same, unless the guard is asked."""
     start = Attempt.start
 
     def late(self: Attempt) -> None:
@@ -429,11 +431,13 @@
 
     def refuses(self: Node, action: Any) -> None:
         send(self, action)
-        self._answer(action.request, 503, [])
+        self._answer(action.request, 503, [], AnswerReason.REFUSED)
 
     send = Node._send
     monkeypatch.setattr(Attempt, "start", late)
     monkeypatch.setattr(Node, "_send", refuses)
+    assert Run(small()).kept()
+    monkeypatch.setattr(AttemptPermit, "forbids", lambda self, now: None)
     run = Run(small())
     assert 1 in run.rules()
     assert any("after its final answer" in one.evidence for one in run.breaks)
@@ -457,8 +461,8 @@
 def test_a_refusal_of_what_may_have_run_breaks_rule_2(monkeypatch: pytest.MonkeyPatch) -> None:
     answer = Node._answer
 
-    def refuses(self: Node, number: int, status: int, headers: Any, body: bytes = b"") -> None:
-        answer(self, number, 503 if status == 502 else status, headers, body)
+    def refuses(self: Node, number: int, status: int, *answered: Any) -> None:
+        answer(self, number, 503 if status == 502 else status, *answered)
 
     monkeypatch.setattr(Node, "_answer", refuses)
     assert Run(small({"kind": "box-dies", "boxes": 2}, **UNSAFE)).rules() == {2}
