--- a/benchmarks/scale/growth.py
+++ b/benchmarks/scale/growth.py
@@ -19,6 +19,7 @@
 
 import uvloop
 
+from benchmarks.scale.daemons import cpu_of
 from benchmarks.scale.rows import ROOT, Figure, Row, Status
 from benchmarks.soak.platform import HOST, MS, configuration, settings
 from driftstair.rehearsal import ports
@@ -203,12 +204,6 @@
                 self.seen.descriptors[index] = max(self.seen.descriptors[index], held)
 
 
-def cpu_of(pid: int) -> float:
-    """s of processor time, user and system."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def peak_of(pid: int) -> float:
     """MB of resident memory at the most."""
     text = Path(f"/proc/{pid}/status").read_text()
