Failing test: in mid-application a node reports a revision beside refusals that it ends

Seen: the last run of the whole suite failed once in test_a_set_that_only_other_nodes_know_the_class_of: revision 5 was in force and the refusal of revision 2, which it ends, was still listed. Traced to ConfigurationInForce.applying: the revision switches in one step, the refusals are taken out in the last one, and the loop runs others in between. A report to a control server in that moment carries a digest that no server has at that revision. The test asks at each step of a set, without any timing.

--- a/tests/node_configuration/test_in_force.py
+++ b/tests/node_configuration/test_in_force.py
@@ -97,6 +97,26 @@
     assert in_force.received_digest() == log.state.digest
 
 
+def test_at_each_step_of_a_set_what_is_reported_is_of_one_revision() -> None:
+    """Guards against a report in mid-application: the new revision beside refusals that it ends, and so beside
+    a digest that no server has at it."""
+    log = Log()
+    in_force = ConfigurationInForce(given())
+    apply(in_force, log.put(change(ROUTE, "r", route()), change(TENANT, "acme", TEN)))
+    apply(in_force, log.put(change(ROUTE, "r", route("elsewhere"))))
+    assert list(in_force.refusals) == [2]
+
+    def reported() -> tuple[int, int, list[int]]:
+        return in_force.revision, in_force.received_digest(), list(in_force.refusals)
+
+    before = reported()
+    logged = log.put(change(ROUTE, "r", route(in_flight=7)), *many(1, "/many"))
+    during = [reported() for _ in in_force.applying(logged, nothing)]
+    after = (3, log.state.digest, [])
+    assert reported() == after
+    assert set(map(str, during)) == {str(before), str(after)}
+
+
 def test_a_route_keeps_its_number_while_it_is_there() -> None:
     log = Log()
     in_force = ConfigurationInForce(given())
