A set's revision and the end of the refusals that it supersedes come in one step

Cause: ConfigurationInForce.applying switched the revision in one step of the loop's slices and took superseded refusals out in the last one, so that a report in between told the new revision with the old refusals and with a digest that no server has. Change: both in the step of the switch.

--- a/driftstair/node_configuration/in_force.py
+++ b/driftstair/node_configuration/in_force.py
@@ -159,11 +159,11 @@
             if self._moving is None and self.state.revision == logged.revision:
                 # From this step on all look-ups see the set, as one: its routes aren't in the index yet.
                 self._moving = assessment
+                self._supersede(keys)  # in the same step: a report tells revision, digest and refusals
                 on_switch(keys)
             yield
         yield from self.validator.taking(assessment)
         self._moving = None
-        self._supersede(keys)
         return Applied(keys, None)
 
     def _refuse(self, logged: LoggedChangeSet, violation: Violation) -> Applied:
@@ -179,6 +179,8 @@
 
     def _supersede(self, keys: Sequence[ResourceKey]) -> None:
         """A later set has these: what was refused of them before is over."""
+        if not self._received:
+            return  # a set of thousands of resources, and nothing refused: no step for it
         for key in keys:
             received = self._received.pop(key, None)
             if received is None:
--- a/tests/node_configuration/test_in_force.py
+++ b/tests/node_configuration/test_in_force.py
@@ -98,8 +98,8 @@
 
 
 def test_at_each_step_of_a_set_what_is_reported_is_of_one_revision() -> None:
-    """Guards against a report in mid-application: the new revision beside refusals that it ends, and so beside
-    a digest that no server has at it."""
+    """Guards against a report in mid-application: the new revision beside refusals that it ends, and so
+    beside a digest that no server has at it."""
     log = Log()
     in_force = ConfigurationInForce(given())
     apply(in_force, log.put(change(ROUTE, "r", route()), change(TENANT, "acme", TEN)))
