--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -52,8 +52,8 @@
 
 
 def test_a_node_compiles_nothing_at_its_start(checkout: Path) -> None:
-    """Guards against a start that takes over three times its processor time, on every node and at every
-    restart. Copying the built folder gives the files other times, and changes nothing of that."""
+    """Guards against a start that takes 1.6 times its processor time, on every node and at every restart.
+    Copying the built folder gives the files other times, and changes nothing of that."""
     build = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["build"]
     run(checkout, "/bin/sh", "-c", build)
     for package in PACKAGES:
