Failing tests: a client that stops in a long body is held beyond the 3 s it is owed

Lines to blame: Pace.is_too_slow, a rate from the body's beginning, by which 200 KB sent at once buy 5.7 s of silence. Pace.received is set by Pace.receive from now on, so that it knows when; the test of the rate calls that.

--- a/driftstair/admission/pace.py
+++ b/driftstair/admission/pace.py
@@ -6,6 +6,7 @@
 
 RATE_LEAST = 48_000  # bytes a second; clients of the platform bring 64 kB
 GRACE = 1.5  # s that a body may be behind that rate
+SILENT_MOST = 2.7  # s without a byte: a client that stops in a request is owed its error within 3 s
 
 
 @dataclass(slots=True)
@@ -14,9 +15,15 @@
 
     since: float
     received: int = 0  # bytes, with their framing
+    moved_at: float = 0.0  # when the newest of them came; 0: none has
     paused: float = 0.0  # s in which the node itself did not read
     stopped: float = 0.0  # since when it does not; 0: it reads
 
+    def receive(self, now: float, size: int) -> None:
+        """So many bytes have come."""
+        self.received += size
+        self.moved_at = now
+
     def stop(self, now: float) -> None:
         if not self.stopped:
             self.stopped = now
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -219,7 +219,7 @@
         pace = self.bodies.get(connection)
         if pace is None:
             pace = self.bodies[connection] = Pace(now)
-        pace.received += size
+        pace.receive(now, size)
         self.places.receives(connection, now)
 
     def received(self, connection: ClientConnection) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,9 +7,11 @@
 import pytest
 from rig import Client, Message, Rig, Server, answer, configuration, request, run, status, until
 
-from driftstair.admission.pace import GRACE, RATE_LEAST, Pace
+from driftstair.admission import pace as pace_of_bodies
+from driftstair.admission.pace import GRACE, RATE_LEAST, SILENT_MOST, Pace
 from driftstair.net import connection_rest, flow, upstream
 from driftstair.net.flow import HELD_MOST, Budget, Stream
+from driftstair.net.front import SWEEP
 from lichenspring.interface import Result
 
 LONG = b"".join(b"%08d" % number for number in range(384_000))  # 3 MB, and no two pieces alike
@@ -330,7 +332,7 @@
     for rate, slow in ((64_000, False), (RATE_LEAST / 2, True), (0, True)):
         pace, seen = Pace(100.0), False
         for tenth in range(100):
-            pace.received = int(rate * tenth / 10)
+            pace.receive(100.0 + tenth / 10, int(rate * tenth / 10) - pace.received)
             seen |= pace.is_too_slow(100.0 + tenth / 10)
         assert seen is slow
     pace = Pace(100.0)
@@ -340,6 +342,36 @@
     assert not pace.is_too_slow(150.0 + GRACE - 0.6) and pace.is_too_slow(150.0 + GRACE)
 
 
+def test_a_fast_beginning_buys_no_silence() -> None:
+    """Guards against a client that brings much at once and stops: it is owed its error within 3 s."""
+    pace = Pace(100.0)
+    pace.receive(100.0, 10_000_000)
+    assert not pace.is_too_slow(100.0 + SILENT_MOST - 0.1) and pace.is_too_slow(100.0 + SILENT_MOST)
+    pace.receive(102.0, 1)
+    assert not pace.is_too_slow(102.0 + SILENT_MOST - 0.1)
+    pace.stop(102.5)  # the node does not read: what it does not take is no silence
+    pace.go_on(150.0)
+    assert not pace.is_too_slow(150.0 + SILENT_MOST - 0.1) and pace.is_too_slow(150.0 + SILENT_MOST)
+    assert SILENT_MOST < 3.0 - 2 * SWEEP
+
+
+@pytest.mark.parametrize("sent", [100_000, 399_999])
+def test_a_client_that_stops_in_a_long_body_is_told(sent: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """However much it has brought before. By its rate alone it would have seconds more."""
+    monkeypatch.setattr(pace_of_bodies, "SILENT_MOST", 0.05)
+    monkeypatch.setattr(pace_of_bodies, "RATE_LEAST", 1)
+
+    async def test() -> None:
+        head, body = upload(400_000)
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(head + body[:sent])
+            assert status(await client.read()) == 408
+            assert await client.ended() == b""
+
+    run(test())
+
+
 def test_a_stream_tells_both_sides() -> None:
     told: list[str] = []
     stream = Stream()
