A client that stops in a long body is told after 2.7 s of silence, as one that stops in a head

Cause: a body's rate counted from its beginning, so what came fast bought silence. Change: Pace knows when bytes came last, and what the node itself does not read is no silence.

--- a/driftstair/admission/pace.py
+++ b/driftstair/admission/pace.py
@@ -32,9 +32,13 @@
         if self.stopped:
             self.paused += now - self.stopped
             self.stopped = 0.0
+            self.moved_at = now  # what came meanwhile was left with the kernel
 
     def is_too_slow(self, now: float) -> bool:
-        """Guards against clients that begin a body and never bring it, whatever length they have told."""
+        """Guards against clients that begin a body and never bring it, whatever length they have told, and
+        against those that bring much at once and stop."""
         if self.stopped:
             return False
+        if now - max(self.since, self.moved_at) >= SILENT_MOST:
+            return True
         return self.received < RATE_LEAST * (now - self.since - self.paused - GRACE)
