Bytes of a long request that lay with the client's machine are dated by the hold, not by their reading

Change: driftstair/net/arrival.py, sans I/O, holds the dates of one connection (it was spread over ClientConnection); what follows the read of a full receive window after a hold without a gap counts from that hold, up to the request's end, and so does the client's end behind it. Of a slow sender, or after a gap of 5 ms, the kernel's word holds (tests).

--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from driftstair.net import client_connection, connection_rest, front, node, request_guard, upstream
+from driftstair.net.arrival import Arrival
 
 
 def _guard_forbids_nothing() -> None:
@@ -26,8 +27,8 @@
 def deadline_from_reading() -> None:
     """A request's time counts from when it is read."""
 
-    def now(self: client_connection.ClientConnection) -> tuple[int, int]:
-        return self._front.now(), self._front.now()
+    def now(self: client_connection.ClientConnection, size: int) -> Arrival:
+        return Arrival(self._front.now(), self._front.now())
 
     client_connection.ClientConnection._arrival = now  # type: ignore[method-assign]
 
@@ -80,9 +81,9 @@
     """The time of a request is taken from the wall clock."""
     off = time.time_ns() - time.monotonic_ns()
 
-    def wall(self: client_connection.ClientConnection) -> tuple[int, int]:
+    def wall(self: client_connection.ClientConnection, size: int) -> Arrival:
         now = time.time_ns() - off
-        return now, now
+        return Arrival(now, now)
 
     client_connection.ClientConnection._arrival = wall  # type: ignore[method-assign]
 
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
+from driftstair.net.arrival import Arrival, ArrivalDates
 from driftstair.net.flow import LAST_CHUNK, Stream, chunk, nothing, size
 from driftstair.net.node import Call, key_number
 from driftstair.net.request import UP, Incoming, Reader
@@ -51,7 +52,7 @@
         self._departed: Callable[[], int | None] = lambda: None
         self._last_arrival: Callable[[], int] = int  # ns since data came; 0 until it is up
         self._unread: Callable[[], bool] = bool  # not before it is up
-        self._drained_at = self._front.now()  # nothing of the client's was with the kernel then, monotonic ns
+        self._arrivals = ArrivalDates(self._front.now())
         self._left_at: int | None = None  # when the client closed, or ended its sending, monotonic ns
         self._there_at = -STILL_THERE  # when the kernel was last asked and had seen no end, monotonic ns
         self._dropped = 0  # bytes that came after the end
@@ -59,7 +60,6 @@
         self._slow_reader: asyncio.TimerHandle | None = None
         self._in_turn = False  # _next is at work
         self._paused = False
-        self._paused_at = 0  # since when what comes was left with the kernel, monotonic ns; 0: it is read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -67,7 +67,7 @@
         self._departed = self._front.departure(transport)
         self._last_arrival = self._front.last_arrival(transport)
         self._unread = self._front.unread(transport)
-        self._drained_at = self._front.monitor.earliest()
+        self._arrivals.drained_at = self._front.monitor.earliest()
         self._front.on_connect(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -91,25 +91,19 @@
                 self.abort(CloseReason.TOO_MUCH_AFTER_END)
             return
         reader = self._reader
-        reader.feed(data, *self._arrival())
+        reader.feed(data, *self._arrival(len(data)))
         if reader.in_body():
             self._front.receives(self, len(data))
-        elif self in self._front.bodies:
+        else:
+            self._arrivals.end_backlog()
+        if not reader.in_body() and self in self._front.bodies:
             self._front.received(self)
         self._next()
 
-    def _arrival(self) -> tuple[int, int]:
-        """Between when and when (monotonic ns) the data came that are read now: the newest by the kernel's
-        word, the oldest since nothing was left there. Guards against a process that did not run, or did not
-        read, for a while: a request that waited meanwhile has that much less time left."""
-        now = self._front.now()
-        newest = now - self._last_arrival()
-        oldest = min(newest, max(self._drained_at, self._front.monitor.earliest()))
-        if self._paused_at:
-            oldest = min(newest, self._paused_at)
-            self._paused_at = self._paused_at if self._paused else 0
-        self._drained_at = now
-        return oldest, newest
+    def _arrival(self, size: int) -> Arrival:
+        """When the bytes came that are read now."""
+        now, earliest = self._front.now(), self._front.monitor.earliest()
+        return self._arrivals.on_read(now, size, self._last_arrival(), earliest, self._paused)
 
     def eof_received(self) -> bool:
         """A client that closes and one that ends its sending and waits (half-close, RFC 9112) look alike:
@@ -119,7 +113,7 @@
         gone_for = 0.0
         if self._left_at is None:
             # Read late, it is no younger for that: the process may have stood still since.
-            self._left_at = self._front.now() - (self._departed() or 0)
+            self._left_at = self._arrivals.end_came(self._front.now(), self._departed() or 0)
             gone_for = (self._front.now() - self._left_at) / 1e9
         if self._number:
             self._loop.call_later(max(0.0, GONE_AFTER - gone_for), self._withdraw, self._number)
@@ -145,7 +139,7 @@
             if ago is None:
                 self._there_at = now
                 return 0
-            self._left_at = now - ago
+            self._left_at = self._arrivals.end_came(now, ago)
         return max(1, now - self._left_at)
 
     def _withdraw(self, number: int) -> None:
@@ -210,7 +204,7 @@
             pace = self._front.bodies.get(self)
             if self._paused:
                 transport.pause_reading()
-                self._paused_at = self._front.now()
+                self._arrivals.pause(self._front.now())
                 if pace is not None:
                     pace.stop(self._loop.time())
             else:
