--- /dev/null
+++ b/tests/test_arrival.py
@@ -0,0 +1,89 @@
+"""When bytes came that are read now, after holds of the process: whose machine they lay with."""
+
+from __future__ import annotations
+
+import pytest
+
+from driftstair.net.arrival import (
+    BACKLOG_READ_LEAST,
+    GAP_MOST,
+    HELD_LEAST,
+    MS,
+    WINDOW_LEAST,
+    Arrival,
+    ArrivalDates,
+)
+
+HELD_SINCE, RESUMED = 1000 * MS, 1600 * MS
+FULL = 64 << 10  # bytes of a read that empties a full receive window
+
+
+def held() -> ArrivalDates:
+    """A connection that had been read until a hold, and whose full window is read after it."""
+    dates = ArrivalDates(900 * MS)
+    first = dates.on_read(RESUMED, FULL, age=500 * MS, earliest=HELD_SINCE, is_paused=False)
+    assert first == Arrival(HELD_SINCE, RESUMED - 500 * MS)  # of these the kernel knows
+    return dates
+
+
+def read(dates: ArrivalDates, now: int, size: int) -> Arrival:
+    """A read of bytes that have only just reached the kernel, by a process that runs."""
+    return dates.on_read(now, size, age=0, earliest=now, is_paused=False)
+
+
+def test_what_follows_a_full_window_without_a_gap_counts_from_the_hold() -> None:
+    dates, now = held(), RESUMED
+    for size in (FULL, BACKLOG_READ_LEAST, FULL, 700):  # the last one is what was left
+        now += MS
+        assert read(dates, now, size) == Arrival(HELD_SINCE, HELD_SINCE)
+    assert dates.end_came(now + MS, age=MS) == HELD_SINCE  # it lay behind them
+
+
+def test_a_slow_sender_is_dated_by_the_kernel_again() -> None:
+    """Guards against a body of seconds that is dated by a hold at its beginning: it would be cut off."""
+    dates, now = held(), RESUMED
+    now += MS
+    assert read(dates, now, 1300).newest == HELD_SINCE  # may have been ready
+    for _ in range(100):
+        now += MS
+        assert read(dates, now, 1300).newest == now
+    assert dates.end_came(now + MS, age=MS) == now
+
+
+def test_after_a_gap_bytes_are_new() -> None:
+    dates = held()
+    now = RESUMED + GAP_MOST + MS
+    assert read(dates, now, FULL) == Arrival(now, now)
+
+
+def test_what_comes_after_a_whole_request_is_new() -> None:
+    dates = held()
+    assert read(dates, RESUMED + MS, FULL).newest == HELD_SINCE
+    dates.end_backlog()
+    assert read(dates, RESUMED + 2 * MS, FULL).newest == RESUMED + 2 * MS
+
+
+@pytest.mark.parametrize(
+    ("size", "hold"), [(WINDOW_LEAST - 1, 600 * MS), (FULL, HELD_LEAST - MS), (FULL, 0)],
+)  # fmt: skip
+def test_without_a_full_window_or_a_hold_the_kernel_knows_all(size: int, hold: int) -> None:
+    dates = ArrivalDates(900 * MS)
+    dates.on_read(RESUMED, size, age=0, earliest=RESUMED - hold, is_paused=False)
+    assert read(dates, RESUMED + MS, FULL).newest == RESUMED + MS
+
+
+def test_an_end_that_came_later_than_the_last_bytes_is_not_dated_with_them() -> None:
+    dates = held()
+    read(dates, RESUMED + MS, FULL)
+    later = RESUMED + 800 * MS
+    assert dates.end_came(later, age=100 * MS) == later - 100 * MS
+
+
+def test_what_was_left_with_the_kernel_counts_from_the_pause() -> None:
+    dates = ArrivalDates(900 * MS)
+    dates.pause(1000 * MS)
+    now = 1300 * MS
+    assert dates.on_read(now, 300, age=250 * MS, earliest=now, is_paused=False) == Arrival(
+        1000 * MS, 1050 * MS
+    )
+    assert read(dates, now + MS, 300) == Arrival(now + MS, now + MS)
