--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -11,9 +11,11 @@
 
 class FaultKind(Enum):
     STALL = "stall"  # a node's process is stopped and resumed
+    LONG_STALL = "long-stall"  # for some seconds
     TERMINATE = "terminate"  # SIGTERM, and a new process once it has ended
     KILL = "kill"  # SIGKILL, and a new process
     RELOAD = "reload"  # SIGHUP with a configuration that moves discovery
+    RELOADS = "reloads"  # some of them, in quick succession
     DISCOVERY_DOWN = "discovery-down"
     DISCOVERY_MUTE = "discovery-mute"  # takes calls and says nothing
     DISCOVERY_SLOW = "discovery-slow"  # answers calls in turn, one in a while
@@ -27,13 +29,17 @@
     HANG = "hang"  # servers don't answer
     REFUSE = "refuse"  # a server does not listen
     SECOND_ANSWERS = "second-answers"  # some milliseconds late
+    SPOILT = "spoilt"  # answers that can't be read, or that never end
+    IDLE_ENDS = "idle-ends"  # servers close or reset connections at rest, at moments of their own
+    FORGETS = "forgets"  # a server lets go of all its connections, and says nothing on them any more
+    CROWD = "crowd"  # idle clients come to a node by hundreds
     SYSTEM_CALLS = "system-calls"  # of a node's process fail now and then, from its start
     CLOCK = "clock"  # a node's wall clock is off, and steps while it runs
 
 
 OF_NODES = (
     FaultKind.STALL, FaultKind.TERMINATE, FaultKind.KILL, FaultKind.RELOAD, FaultKind.SYSTEM_CALLS,
-    FaultKind.CLOCK,
+    FaultKind.CLOCK, FaultKind.LONG_STALL, FaultKind.RELOADS, FaultKind.CROWD,
 )  # fmt: skip
 OF_DISCOVERY = (
     FaultKind.DISCOVERY_DOWN, FaultKind.DISCOVERY_MUTE, FaultKind.DISCOVERY_SLOW, FaultKind.WATCHES_END,
@@ -41,7 +47,7 @@
 )  # fmt: skip
 OF_SERVERS = (
     FaultKind.DRAIN, FaultKind.ERRORS, FaultKind.FULL, FaultKind.RESETS, FaultKind.CUT, FaultKind.HANG,
-    FaultKind.REFUSE, FaultKind.SECOND_ANSWERS,
+    FaultKind.REFUSE, FaultKind.SECOND_ANSWERS, FaultKind.SPOILT, FaultKind.IDLE_ENDS, FaultKind.FORGETS,
 )  # fmt: skip
 
 
@@ -67,6 +73,7 @@
     servers: int = 12
     clients: int = 60
     seconds: float = 10.0
+    quiet: float = 0.0  # s ahead of that in which no client asks
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +89,7 @@
 
 LASTS = {
     FaultKind.STALL: (0.2, 1.2),
+    FaultKind.LONG_STALL: (1.2, 4.0),
     FaultKind.DISCOVERY_DOWN: (0.5, 4.0),
     FaultKind.DISCOVERY_MUTE: (0.5, 3.0),
     FaultKind.DISCOVERY_SLOW: (2.0, 4.0),
@@ -97,6 +105,8 @@
     FaultKind.CUT: (0.05, 0.3),
     FaultKind.HANG: (0.2, 1.0),
     FaultKind.SECOND_ANSWERS: (0.2, 0.8),
+    FaultKind.SPOILT: (0.05, 0.4),
+    FaultKind.IDLE_ENDS: (0.1, 0.8),
     FaultKind.SYSTEM_CALLS: (0.01, 0.05),
 }
 STALLS_PER_NODE = 1.5
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -6,6 +6,8 @@
 from bisect import bisect_left
 from dataclasses import dataclass, field
 
+LONG = 64 << 10  # bytes
+
 
 @dataclass(slots=True)
 class AttemptRecord:
@@ -36,7 +38,9 @@
     sent: float  # its last byte was with the kernel
     connected: float  # its connection came up
     fresh: bool  # the first request of its connection
+    size: int = 0  # bytes
     ahead: RequestRecord | None = None  # sent just before on the same connection, and answered first
+    is_whole: bool = True  # False: its connection ended before its last byte was written
     left_at: float | None = None  # its client closed, or ended its sending
     half_closed: bool = False  # it ended its sending, and waits for the answer
     ended_at: float | None = None  # the connection ended before an answer was whole
@@ -47,6 +51,20 @@
     def deadline(self) -> float:
         return self.sent + self.patience
 
+    def is_long(self) -> bool:
+        """More than a node's machine takes in ahead: its end may be with the client's machine still."""
+        return self.size > LONG
+
+
+@dataclass(slots=True)
+class StoppedClientRecord:
+    """A client that stops in the middle of a request and stays."""
+
+    node: int
+    stopped: float  # its last byte was with the kernel
+    what: str  # it has sent
+    released: float | None = None  # it was told of an error, or its connection ended
+
 
 @dataclass(slots=True)
 class Span:
@@ -67,6 +85,7 @@
     leaving: dict[str, list[Span]] = field(default_factory=dict)  # servers: from when it counts as told on
     crashes: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)  # lines of its log
+    crowds: list[Span] = field(default_factory=list)  # idle clients fill its descriptors
     calls_fail: bool = False  # system calls of its process do, those on connections to servers too
     held_attempts: set[tuple[str, int]] = field(default_factory=set)  # held up between look and write
 
@@ -113,5 +132,6 @@
 class Records:
     nodes: list[NodeRecord]
     requests: dict[str, RequestRecord] = field(default_factory=dict)
+    stopped_clients: list[StoppedClientRecord] = field(default_factory=list)
     strangers: list[str] = field(default_factory=list)  # what servers were sent that no client asked for
     lags: Lags = field(default_factory=Lags)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,7 +12,15 @@
 from benchmarks.soak.faults import FaultKind, Size, draw
 from benchmarks.soak.judge import Judge, Terms, timeline
 from benchmarks.soak.planted import DEFECTS
-from benchmarks.soak.records import AnswerRecord, AttemptRecord, NodeRecord, Records, RequestRecord, Span
+from benchmarks.soak.records import (
+    AnswerRecord,
+    AttemptRecord,
+    NodeRecord,
+    Records,
+    RequestRecord,
+    Span,
+    StoppedClientRecord,
+)
 from benchmarks.soak.run import play
 from benchmarks.soak.shim import Options, ShimError, build, environment, parse
 
@@ -45,6 +53,7 @@
     "wall-clock-in-deadlines": {"deadline told", "late answer", "no answer"},
     "end-at-once": {"no answer"},
     "second-answer": {"second answer", "wrong answer", "invariant"},
+    "stopped-clients-stay": {"stopped client held"},
 }
 """The rules that a planted defect breaks, one of them at least."""
 
@@ -117,6 +126,26 @@
     assert judged(answers=answers(100.2), attempts=[attempt(100.1)], node=back) == []
 
 
+def test_the_judge_tells_which_stopped_clients_were_held_too_long() -> None:
+    def held(released: float | None, *stalls: Span) -> bool:
+        stopped = StoppedClientRecord(0, 100.0, "9 bytes", released)
+        records = Records([NodeRecord(list(stalls))], stopped_clients=[stopped])
+        return [one.rule for one in Judge(records, TERMS).violations()] == ["stopped client held"]
+
+    assert held(None) and held(103.2)
+    assert not held(102.9) and not held(103.04)
+    assert not held(104.4, Span(101.0, 101.5)) and held(104.6, Span(101.0, 101.5))
+    assert held(103.2, Span(98.0, 99.5))
+
+
+def test_a_crowd_excuses_only_new_connections_that_were_shut_unread() -> None:
+    crowded = NodeRecord(crowds=[Span(99.5, 101.0)])
+    assert judged(node=crowded, ended_at=100.1) == []
+    assert judged(node=crowded, ended_at=100.1, attempts=[attempt(100.05)]) == ["no answer"]
+    assert judged(node=crowded) == ["no answer"]
+    assert judged(node=NodeRecord(crowds=[Span(97.0, 98.0)]), ended_at=100.1) == ["no answer"]
+
+
 def test_the_judge_counts_effects() -> None:
     twice = [attempt(100.1), attempt(100.3)]
     assert judged("unsafe", answers=answers(100.5), attempts=twice) == ["effect twice"]
@@ -207,6 +236,7 @@
         ["--nodes", "many"],
         ["--seconds", "1e9"],
         ["--keep", "/nowhere"],
+        ["--quiet", "-1"],
         ["--speed", "9"],
     ],
 )
