--- a/tests/control/control_fleet.py
+++ b/tests/control/control_fleet.py
@@ -201,6 +201,7 @@
         self.folder = folder
         self.count = count
         self.clocks = clocks or {}  # hours that a server's wall clock is off
+        self.environment: dict[str, str] = {}  # of processes that are started from now on, beside this one's
         self.lines: dict[int, list[str]] = {number: [] for number in range(count)}
         self.nodes: list[Node] = []
         self.committed: dict[str, int] = {}  # by id, what clients were told
@@ -263,7 +264,7 @@
             program = ("-m", "driftstair") if hours is None else ("-c", CLOCK_OFF.format(hours=hours))
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *program, "control", "serve", str(self._settings(number)), cwd=ROOT,
-                env=os.environ.copy(), stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.DEVNULL,
+                env={**os.environ, **self.environment}, stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.DEVNULL,
             )  # fmt: skip
             self._processes[number] = process
             self.lines[number].append("--- started")
--- a/tests/control/test_control_processes.py
+++ b/tests/control/test_control_processes.py
@@ -12,7 +12,10 @@
 from control_rig import change_set
 from rig import run_for
 
+from benchmarks.soak.shim import Options, build, environment
+
 Act = Callable[[ControlFleet], Awaitable[None]]
+FAILING_SHARE = 0.1  # of writes and syncs
 TEST_S_MAX = 180.0  # s that only a test that has failed takes
 
 
@@ -231,3 +234,27 @@
         await fleet.check()
 
     played(tmp_path, 5, act)
+
+
+def test_disks_that_fail_and_write_by_halves_lose_no_committed_set(tmp_path: Path) -> None:
+    """ENOSPC, EIO and short writes on every server's log; then all are killed and come back on sound disks."""
+
+    async def act(fleet: ControlFleet) -> None:
+        library = build(tmp_path)
+        for number in range(5):
+            fleet.environment = environment(library, Options(seed=number + 1, after=0.0, disk=FAILING_SHARE))
+            await fleet.kill(number)
+            await fleet.start(number)
+        await fleet.leader()
+        for number in range(30):
+            await fleet.put(change_set(number))
+        assert any("can't be written" in line for lines in fleet.lines.values() for line in lines)
+        await fleet.kill(*range(5))
+        fleet.environment = {}
+        await fleet.start()
+        await fleet.leader()
+        last = max(fleet.committed.values())
+        await fleet.reached(last, fleet.add_nodes(3))
+        await fleet.check()
+
+    played(tmp_path, 5, act)
