--- a/tests/control/control_fleet.py
+++ b/tests/control/control_fleet.py
@@ -264,7 +264,8 @@
             program = ("-m", "driftstair") if hours is None else ("-c", CLOCK_OFF.format(hours=hours))
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *program, "control", "serve", str(self._settings(number)), cwd=ROOT,
-                env={**os.environ, **self.environment}, stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.DEVNULL,
+                env={**os.environ, **self.environment}, stderr=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.DEVNULL,
             )  # fmt: skip
             self._processes[number] = process
             self.lines[number].append("--- started")
--- a/tests/control/test_control_processes.py
+++ b/tests/control/test_control_processes.py
@@ -237,7 +237,7 @@
 
 
 def test_disks_that_fail_and_write_by_halves_lose_no_committed_set(tmp_path: Path) -> None:
-    """ENOSPC, EIO and short writes on every server's log; then all are killed and come back on sound disks."""
+    """ENOSPC, EIO and short writes on every server's log; all are killed and come back on sound disks."""
 
     async def act(fleet: ControlFleet) -> None:
         library = build(tmp_path)
