Attempts, connections, pools and the list of servers are modules of their own

upstream.py (690 lines) held three concepts: server_attempt.py, server_connection.py, connection_pools.py. node.py (611) held the list of servers too: server_directory.py; digest and key_number: identifiers.py, which the cluster imports without loading the node. No change of behaviour; IDLE_SWEEPS, which nothing used, is gone. Tests name the new places and assert what they did.

--- a/benchmarks/scale/servers.py
+++ b/benchmarks/scale/servers.py
@@ -35,8 +35,8 @@
 
 def _node(folder: Path) -> Any:
     from driftstair.config import load
+    from driftstair.net.connection_pools import Pools
     from driftstair.net.node import Node
-    from driftstair.net.upstream import Pools
 
     config = load({"BALANCER_CONFIG": str(folder / "platform.json")})
     return Node(config, Pools(500, config.dial_timeout, config.idle_close))
@@ -61,12 +61,12 @@
     node = _node(folder)
     whole = folder.joinpath("list.json").read_bytes()
     (update,), reading = measured(lambda: _read(whole))
-    _, taking = measured(lambda: node._list_came(update))
-    _, again = measured(lambda: node._list_came(_read(whole)[0]))
+    _, taking = measured(lambda: node.servers.on_list(update))
+    _, again = measured(lambda: node.servers.on_list(_read(whole)[0]))
     changes = [
         documents.line(documents.server_change(number * 7919 % size, number + 2)) for number in range(CHANGES)
     ]
-    change = median_each(lambda turn: node._list_came(_read(changes[turn])[0]), CHANGES)
+    change = median_each(lambda turn: node.servers.on_list(_read(changes[turn])[0]), CHANGES)
     table = node._core._table
     return {
         "list_bytes": len(whole), "accepted": float(len(whole) <= TEXT_MOST), "read_cpu_s": reading.cpu_s,
@@ -82,7 +82,7 @@
     """Servers that keys lead to, over one round of nodes, among which all servers are shared out: those that
     stand in the table of one of them. The others get requests only where none of a table may be used."""
     from driftstair.config import load
-    from driftstair.net.node import digest
+    from driftstair.net.identifiers import digest
     from lichenspring import Balancer
     from lichenspring import interface as api
     from lichenspring.subset import ROUND
@@ -110,7 +110,7 @@
 
     node = _node(folder)
     update = _read(folder.joinpath("list.json").read_bytes())[0]
-    node._list_came(update)
+    node.servers.on_list(update)
     balancer = node._core
     plain = _Requests(balancer)
     tick = median_each(lambda _: balancer.handle(plain.tick(), api.Timer(1)), TICKS)
--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -8,7 +8,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from driftstair.net import client_connection, connection_rest, front, node, request_guard, upstream
+from driftstair.net import (
+    client_connection,
+    connection_rest,
+    front,
+    node,
+    request_guard,
+    server_connection,
+    server_directory,
+)
 from driftstair.net.arrival import Arrival
 
 
@@ -51,7 +59,7 @@
     """A connection is used again at once, whatever its server still writes."""
     connection_rest.REST_LEAST = 0
     connection_rest.ConnectionRest.on_unasked_bytes = lambda self, now, lateness: None  # type: ignore[method-assign]
-    upstream.Connection.is_quiet = lambda self: True  # type: ignore[method-assign]
+    server_connection.Connection.is_quiet = lambda self: True  # type: ignore[method-assign]
 
 
 def unsafe_repeat() -> None:
@@ -64,17 +72,17 @@
 
 def send_to_draining() -> None:
     """A server that drains is taken for one that is ready."""
-    follow = node.Node._follow
+    follow = server_directory.ServerDirectory._follow
 
-    def ready(self: node.Node, kind: Any, hosts: Any) -> None:
-        state = node.ServerState
+    def ready(self: server_directory.ServerDirectory, kind: Any, hosts: Any) -> None:
+        state = server_directory.ServerState
         follow(
             self,
             kind,
             tuple(one._replace(state=state.READY) if one.state is state.DRAINING else one for one in hosts),
         )
 
-    node.Node._follow = ready  # type: ignore[method-assign]
+    server_directory.ServerDirectory._follow = ready  # type: ignore[method-assign]
 
 
 def wall_clock_in_deadlines() -> None:
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -12,10 +12,10 @@
 
 from driftstair.admission.places import Limits
 from driftstair.config import ConfigError
+from driftstair.net.connection_pools import Pools
 from driftstair.net.front import Front
 from driftstair.net.node import Node
 from driftstair.net.system import SOCKETS, System
-from driftstair.net.upstream import Pools
 from driftstair.settings import Config
 
 if TYPE_CHECKING:
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -9,7 +9,8 @@
 
 from driftstair.net.arrival import Arrival, ArrivalDates
 from driftstair.net.flow import LAST_CHUNK, Stream, chunk, nothing, size
-from driftstair.net.node import Call, key_number
+from driftstair.net.identifiers import key_number
+from driftstair.net.node import Call
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.observability.reasons import AnswerReason, CloseReason
 
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -8,13 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
-from hashlib import blake2b
 from math import inf
 from typing import TYPE_CHECKING, Any, Protocol
 
-from driftstair.hosts import Host, HostList
-from driftstair.net.backoff import Backoff
-from driftstair.net.discovery import ANSWER, ANSWER_PUSHED, Discovery
+from driftstair.net.connection_pools import Pools
 from driftstair.net.flow import Stream, size
 from driftstair.net.request_guard import (
     AttemptPermit,
@@ -23,15 +20,16 @@
     NotBegun,
     RequestGuard,
 )
-from driftstair.net.start_times import StartTimes
+from driftstair.net.server_attempt import Attempt
+from driftstair.net.server_connection import Answer
+from driftstair.net.server_directory import ServerDirectory
 from driftstair.net.system import SOCKETS, System
-from driftstair.net.upstream import Answer, Attempt, Pools
 from driftstair.observability.metrics import Metrics
 from driftstair.observability.reasons import AnswerReason
 from driftstair.settings import Config
 from lichenspring import Balancer
 from lichenspring import interface as api
-from lichenspring.interface import NEVER_RAN, ListKind, ListMode, Result, ServerState
+from lichenspring.interface import NEVER_RAN, Result
 
 if TYPE_CHECKING:
     from driftstair.ledger.keeper import Counted, Keeper
@@ -47,18 +45,6 @@
 TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
 REPORT_MOST = 1024  # bytes of a load report
-# s, where lists are pushed: from the end of a watch to the next, and its longest. The agent stands on this
-# machine, and answers at no cost; what it has after an outage counts as told at once, read or not.
-WATCH_PAUSE, WATCH_PAUSE_MOST = 0.125, 0.25
-
-
-def digest(text: str | bytes) -> bytes:
-    """Eight bytes that stand for a name on every node alike: the module hashes no more than that of an id."""
-    return blake2b(text if isinstance(text, bytes) else text.encode(), digest_size=8).digest()
-
-
-def key_number(key: bytes) -> int:
-    return int.from_bytes(digest(key), "little") or 1
 
 
 def _retry_after(wait: int) -> list[tuple[bytes, bytes]]:
@@ -116,10 +102,8 @@
         roster: Roster | None = None,
     ) -> None:  # fmt: skip
         self.limits = limits  # routes of the service file
-        self._roster = roster  # what operators have ordered of servers, where they can
         self.ledger: Keeper | None = None
         self.tenants: TenantLimits | None = None  # of the configuration
-        self.told = asyncio.Event()  # a list or a change of it has come from discovery
         self.metrics = Metrics()
         self.guard = RequestGuard(self._note_violation)
         self.observer: Observer | None = None  # the event log, where the service file has one
@@ -137,25 +121,14 @@
         self._identities: set[bytes] = set()  # of the requests in _open
         self._last_number = 0
         self._warned = False  # of load reports
-        self._ready: set[api.ServerId] = set()
-        self._starts = StartTimes(system.monotonic_ns() - system.time_ns())
-        # Where the module is not asked.
-        self._watch_again = Backoff(WATCH_PAUSE, WATCH_PAUSE_MOST, config.seed)
-        pushed = config.settings.list_mode is ListMode.PUSHED
-        self._discovery = Discovery(
-            config.discovery, config.known.version, ANSWER_PUSHED if pushed else ANSWER,
-            self._list_came, self._watch_failed, system,
-        )  # fmt: skip
-        pools.has_news = self._discovery.has_news
+        self.servers = ServerDirectory(config, pools, self.guard, roster, self._tell, system)
 
     # Start and stop.
 
     def start(self) -> None:
         self._pools.start()
         self._act_on(self._balancer.start(self._now()))
-        self._list(ListKind.CACHED, self._config.known.hosts)
-        if self._config.settings.list_mode is ListMode.PUSHED:
-            self._discovery.watch()
+        self.servers.start()
 
     def reload(self, config: Config) -> None:
         """A new configuration: the watch moves to the address that it names. List and requests stay."""
@@ -167,7 +140,7 @@
             log.warning("of the new configuration only discovery is used before a restart")
         log.info("discovery is at %s:%d", *config.discovery)
         self._config = replace(self._config, discovery=config.discovery)
-        self._discovery.move(config.discovery)
+        self.servers.move(config.discovery)
 
     def limit(self, limits: RequestTable) -> None:
         """Other routes, for requests from now on. Only where there were some from the start."""
@@ -181,12 +154,12 @@
         return self.limits is not None and self.limits.serves(path)
 
     def can_serve(self) -> bool:
-        return bool(self._ready)
+        return bool(self.servers.ready)
 
     def counters(self) -> dict[str, int]:
         return {
             "requests": self._last_number, "requests_open": len(self._open),
-            "servers_ready": len(self._ready), "server_connections": self._pools.sockets,
+            "servers_ready": len(self.servers.ready), "server_connections": self._pools.sockets,
         } | self.metrics.flat()  # fmt: skip
 
     def note_loop_held(self, held: int) -> None:
@@ -197,7 +170,7 @@
 
     def observe(self, observer: Observer) -> None:
         """Steps of requests and of the list are told to it from now on."""
-        self.observer = self._discovery.observer = observer
+        self.observer = self.servers.discovery.observer = observer
 
     def fail_all(self) -> None:
         """The process is about to end: whoever still waits is told."""
@@ -257,7 +230,7 @@
             if pool is not None:
                 pool.drop_idle()
         else:
-            self._discovery.watch()
+            self.servers.watch()
 
     def _set_timer(self, at: int, token: int) -> None:
         # Rounded up to the loop's milliseconds: a timer that comes early finds nothing due yet.
@@ -532,31 +505,7 @@
                 log.warning("load reports can't be used: %r, wanted %r", text, self._config.report_fields)
             return ()
 
-    # The list of servers.
-
-    def _list_came(self, update: HostList) -> None:
-        self.told.set()
-        self._watch_again.succeeded()
-        self._list(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
-
-    def _list(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
-        if self._roster is not None:
-            hosts = self._roster.follow(kind is not ListKind.DELTA, hosts)
-        self._follow(kind, hosts)
-
-    def show(self, hosts: tuple[Host, ...]) -> None:
-        """The list as operators' orders have changed it. Guards against a module that takes it for news from
-        discovery, and asks for none any more."""
-        self._follow(ListKind.CACHED, hosts)
-
-    def watch(self) -> None:
-        """Have the list followed now; the module would ask within seconds."""
-        self._discovery.watch()
-
-    def listed(self) -> HostList:
-        """The list as discovery has told it, for a process that takes over."""
-        assert self._roster is not None
-        return HostList(self._discovery.version, True, tuple(self._roster.hosts.values()))
+    # What the module knows.
 
     def learned(self) -> dict[str, Any]:
         """What the module knows, for a process that takes over on this machine."""
@@ -572,40 +521,3 @@
             recall(self._core, self._now(), learned)
         except (KeyError, TypeError, ValueError, AttributeError) as problem:
             log.warning("what the old process had learned is not used: %r", problem)
-
-    @property
-    def discovery(self) -> tuple[str, int]:
-        return self._config.discovery
-
-    def _watch_failed(self) -> None:
-        if self._config.settings.list_mode is ListMode.PUSHED:
-            self._loop.call_later(self._watch_again.pause(), self._discovery.watch)
-        else:
-            self._tell(api.ServerList(ListKind.FAILED, ()))
-
-    def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
-        servers = tuple(self._server(host) for host in hosts)
-        if kind is ListKind.FULL:
-            self._starts.forget_others({host.id for host in hosts})
-        # In the order of the list: a set's order would differ from one process to the next.
-        leaving = {} if kind is ListKind.DELTA else dict.fromkeys(self._pools.servers())
-        for host, server in zip(hosts, servers, strict=True):
-            if host.state is ServerState.READY:
-                self._pools.enrol(server.id, host.address, server.started)
-                leaving.pop(server.id, None)
-            else:
-                leaving[server.id] = None
-        self.guard.servers_ready(identity for identity in self._pools.servers() if identity not in leaving)
-        # The module is told before the others are retired: what ends by that may be sent elsewhere at once.
-        self._tell(api.ServerList(kind, servers))
-        for identity in leaving:
-            self._pools.retire(identity)
-        self._ready = set(self._pools.servers())
-
-    def _server(self, host: Host) -> api.Server:
-        started = self._starts.translate(self._now(), host.id, host.started_ms, self._discovery.heard_at)
-        zones, kinds = self._config.zones, self._config.kinds
-        return api.Server(
-            digest(host.id), zones.get(host.zone, len(zones)), host.cell, host.state, host.weight, started,
-            kinds.get(host.kind, len(kinds)),
-        )  # fmt: skip
--- a/driftstair/net/request.py
+++ b/driftstair/net/request.py
@@ -9,7 +9,7 @@
 import httptools
 
 from driftstair.net.flow import HELD_WHOLE, INLINE_MOST, LONGEST, Budget, Stream
-from driftstair.net.upstream import HEAD_MOST, HOP_BY_HOP
+from driftstair.net.server_connection import HEAD_MOST, HOP_BY_HOP
 from driftstair.settings import Config
 from lichenspring.interface import Repeat
 
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/server_connection.py
@@ -1,37 +1,23 @@
-"""Attempts at servers, and the pools of connections that carry them."""
+"""One connection to a server: it carries one request at a time and reads its answer."""
 
 from __future__ import annotations
 
 import asyncio
-import errno
-from bisect import bisect_right
 from collections.abc import Callable
-from typing import NamedTuple, cast
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 import httptools
 
-from driftstair.net.connection_rest import ConnectionRest
-from driftstair.net.flow import INLINE_MOST, LAST_CHUNK, LONGEST, SILENCE_MOST, Stream, chunk, nothing
-from driftstair.net.request_guard import AttemptPermit
-from driftstair.net.system import SOCKETS, System
-from lichenspring.interface import Result, ServerId
+from driftstair.net.flow import INLINE_MOST, LAST_CHUNK, LONGEST, Stream, chunk, nothing
+from lichenspring.interface import Result
+
+if TYPE_CHECKING:
+    from driftstair.net.connection_pools import Pool
+    from driftstair.net.server_attempt import Attempt
 
 HEAD_MOST = 16 << 10
 INTERIM_MOST = 16  # 1xx answers ahead of one
-LOCAL_ERRORS = frozenset((
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EADDRNOTAVAIL, errno.EINTR,
-))  # fmt: skip
-"""Errors of connect(2) and socket(2) that tell of this machine, not of the server: nothing left it."""
-MOMENTARY_ERRORS = LOCAL_ERRORS | {errno.ENETUNREACH}
-"""Those worth another try at once. A network that stays out of reach is the server's, to be avoided."""
-LOCAL_DIALS = 3  # tries at one dial that fails for such a reason: most are over in a moment
-LOCAL_PAUSE = 0.01  # s between two of them
-IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
-NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
-NEWS_LOOKS = 10  # of them: the next turn of the loop reads, so what is unread for longer is none
 WRITE_TURNS = 2  # of the loop, after which what is left of a write is known to be here
-UPLOAD_LOOK = 1_000_000_000  # ns between two looks at whether a long body gets on
-IDLE_SWEEPS = 20  # in that time
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
@@ -41,207 +27,14 @@
 
 
 class Answer(NamedTuple):
+    """What a server has answered to one attempt, 1xx left out."""
+
     status: int
     headers: list[tuple[bytes, bytes]]  # end to end, as they came
     body: bytes | Stream  # one over INLINE_MOST comes on after the answer is told of
     load: bytes  # the load report; empty if there is none
 
 
-class Attempt:
-    """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
-
-    __slots__ = (
-        "_body", "_connection", "_dial", "_head", "_on_end", "_patience", "_permit", "_timer", "_told",
-        "done", "expires", "first_byte", "moved", "pool", "written_at",
-    )  # fmt: skip
-
-    def __init__(
-        self, pool: Pool, head: bytes, body: bytes | Stream, expires: int,
-        on_end: Callable[[Result, Answer | None], None], permit: AttemptPermit, first_byte: int = 0,
-    ) -> None:  # fmt: skip
-        """`permit` is asked right before the bytes go out, however long that takes."""
-        self.pool = pool
-        self.expires = expires  # monotonic ns
-        self.first_byte = first_byte  # ns until the answer must have begun; 0: no such limit, or it has
-        self.done = False
-        self.written_at = 0  # when the last byte of a stream was out, monotonic ns
-        self.moved = 0  # when a stream last got on
-        self._told = 0  # the deadline that the server is told, ns
-        self._patience = expires - pool.pools.now()  # for a stream: from its last byte on
-        self._head = head
-        self._body = body
-        self._on_end = on_end
-        self._permit = permit
-        self._connection: Connection | None = None
-        self._dial: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-
-    def start(self) -> None:
-        if self.pool.pools.has_news():
-            self._wait_for_news()
-        else:
-            self._begin()
-
-    def _wait_for_news(self) -> None:
-        """Parked as one that is dialed, and so ended by the list if that retires its server. Guards against a
-        loop that stood still: a request and the list that came after it are read in one turn, in any order,
-        and the list counts as told since it came."""
-        self.pool.dialing[self] = None
-        self._expires_at(self.expires)
-        self._dial = asyncio.get_running_loop().create_task(self._begin_after_news())
-
-    async def _begin_after_news(self) -> None:
-        for _ in range(NEWS_LOOKS):
-            await asyncio.sleep(NEWS_LOOK)
-            if not self.pool.pools.has_news():
-                break
-        self._dial = None
-        self.pool.dialing.pop(self, None)
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._permit.forbids(self.pool.pools.now()) is not None:
-            self.end(Result.NOT_SENT)
-        else:
-            self._begin()
-
-    def _begin(self) -> None:
-        connection = self.pool.take()
-        if connection is not None:
-            self._write(connection)
-        elif not self.pool.pools.room():
-            # The node's own want of descriptors is no failure of the server.
-            self.end(Result.NOT_SENT)
-        else:
-            self.pool.dialing[self] = None
-            pools = self.pool.pools
-            self._expires_at(min(self.expires, pools.now() + pools.dial_timeout))
-            self._dial = asyncio.get_running_loop().create_task(self._connect())
-
-    async def _connect(self) -> None:
-        self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
-        try:
-            connection = await self._dialed()
-        except OSError as problem:
-            self._dial = None
-            local = problem.errno in LOCAL_ERRORS
-            self.end(Result.NOT_SENT if local else Result.CONNECT_FAILED)
-            return
-        finally:
-            self.pool.pools.sockets -= 1
-        self._dial = None
-        self.pool.dialing.pop(self, None)
-        if self.done:  # it ended in the moment in which the connection came up
-            connection.close()
-        elif connection.closed:
-            self.end(Result.CONNECT_FAILED)
-        elif self.pool.pools.has_news():
-            if self._timer is not None:
-                self._timer.cancel()
-            self.pool.put(connection)
-            self._wait_for_news()
-        else:
-            if self._timer is not None:
-                self._timer.cancel()
-            self._write(connection)
-
-    async def _dialed(self) -> Connection:
-        """A connection that came up. Raises OSError; one of LOCAL_ERRORS only after some tries."""
-        pools = self.pool.pools
-        for left in reversed(range(LOCAL_DIALS)):
-            try:
-                protocol = await pools.system.dial(lambda: Connection(self.pool), self.pool.address)
-                return cast(Connection, protocol)
-            except OSError as problem:
-                if problem.errno not in MOMENTARY_ERRORS or not left:
-                    raise
-            await asyncio.sleep(LOCAL_PAUSE)
-        raise AssertionError("the last try has returned or raised")
-
-    def _write(self, connection: Connection) -> None:
-        now = self.pool.pools.now()
-        if self._permit.forbids(now) is not None:
-            self.pool.put(connection)
-            self.end(Result.NOT_SENT)
-            return
-        if isinstance(self._body, Stream):
-            self._connection, self.moved = connection, now
-            self._expires_at(now + UPLOAD_LOOK)
-            patience = self._patience // 1000
-            self._told = self._patience
-            connection.send(self, b"%sX-Deadline: %du\r\n\r\n" % (self._head, patience), self._body)
-            return
-        left = self.expires - now
-        if left <= 0:
-            self.pool.put(connection)
-            self.end(Result.CONNECT_FAILED)
-            return
-        self._connection = connection
-        first = self.pool.pools.now() + self.first_byte if self.first_byte else self.expires
-        self._expires_at(min(first, self.expires))
-        self._told = left
-        connection.send(self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, left // 1000, self._body))
-
-    def _expires_at(self, at: int) -> None:
-        # The loop counts in whole milliseconds and rounds. Guards against a time-out that comes a little
-        # early: the module would find time left, and spend a further attempt that has none on each of the
-        # other servers, to each of which it would look like a failure.
-        delay = max(0, at - self.pool.pools.now()) // 1_000_000 + 1
-        self._timer = asyncio.get_running_loop().call_later(delay / 1000, self._expire, at)
-
-    def _expire(self, at: int) -> None:
-        now = self.pool.pools.now()
-        if now < at:
-            self._expires_at(at)
-            return
-        uploads = self.moved and not self.written_at
-        if uploads and now - self.moved < SILENCE_MOST * 1e9:
-            self._expires_at(now + UPLOAD_LOOK)  # its time counts from its last byte
-            return
-        may_be_whole = self._connection is not None and self._connection.may_be_whole
-        self.end(Result.TIMEOUT if may_be_whole else Result.CONNECT_FAILED)
-
-    def wrote(self) -> None:
-        """Its first bytes are with the kernel."""
-        self._permit.wrote(self.pool.pools.now(), self._told)
-
-    def uploaded(self) -> None:
-        """The last byte of a stream is out: its time counts from now on."""
-        self.written_at = self.pool.pools.now()
-        self.expires = self.written_at + self._patience
-        if self._timer is not None:
-            self._timer.cancel()
-        if not self.done:
-            self._expires_at(self.expires)
-
-    def begins(self) -> None:
-        """The first byte of its answer has come: from now on the whole time counts."""
-        self.first_byte = 0
-        if self._timer is not None:
-            self._timer.cancel()
-        self._expires_at(self.expires)
-
-    def is_out(self) -> bool:
-        """Some of it has been written."""
-        return self._connection is not None
-
-    def cancel(self) -> None:
-        self.end(Result.CANCELLED)
-
-    def end(self, result: Result, answer: Answer | None = None) -> None:
-        if self.done:
-            return
-        self.done = True
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._dial is not None:
-            self._dial.cancel()
-        self.pool.dialing.pop(self, None)
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.release(self)
-        self._on_end(result, answer)
-
-
 class Connection(asyncio.Protocol):
     """One connection to a server; it carries one request at a time."""
 
@@ -572,119 +365,3 @@
         else:
             result = Result.ERROR
         attempt.end(result, Answer(self._status, self._headers, b"".join(self._body), self._load))
-
-
-class Pool:
-    """The idle connections to one server. After a restart or with a new address it gets another pool."""
-
-    def __init__(self, pools: Pools, address: tuple[str, int], started: int) -> None:
-        self.pools = pools
-        self.address = address
-        self.started = started
-        self.retired = False
-        self.idle: list[Connection] = []  # the most recently used last
-        self.dialing: dict[Attempt, None] = {}  # in the order in which they began
-
-    def take(self) -> Connection | None:
-        now = self.pools.now()
-        rested = now - self.pools.rest.needed(now)
-        # They stand in the order in which they came to rest: those that have rested long enough come first.
-        able = bisect_right(self.idle, rested, key=lambda one: one.idle_since)
-        for index in range(able - 1, -1, -1):
-            connection = self.idle.pop(index)
-            if (
-                not connection.closed
-                and connection.idle_since >= now - self.pools.idle_limit
-                and connection.is_quiet()
-            ):
-                return connection
-            connection.close()
-        return None
-
-    def put(self, connection: Connection) -> None:
-        if self.retired:
-            connection.close()
-        else:
-            connection.idle_since = self.pools.now()
-            self.idle.append(connection)
-
-    def lost(self, connection: Connection) -> None:
-        self.pools.sockets -= 1
-        if connection in self.idle:
-            self.idle.remove(connection)
-
-    def drop_idle(self, before: int | None = None) -> None:
-        """Close the idle connections, or those that are idle since before a time."""
-        dropped = [one for one in self.idle if before is None or one.idle_since < before]
-        self.idle = self.idle[len(dropped) :]
-        for connection in dropped:
-            connection.close()
-
-    def retire(self) -> None:
-        """The server drains, is gone or restarted: nothing new may reach it, nor what waits for a dial."""
-        self.retired = True
-        self.drop_idle()
-        for attempt in list(self.dialing):
-            attempt.end(Result.NOT_SENT)
-
-
-class Pools:
-    """All pools, within the descriptors that the node may use for servers."""
-
-    def __init__(
-        self, sockets_most: int, dial_timeout: int, idle_close: int, system: System = SOCKETS
-    ) -> None:
-        self.system = system
-        self.now = system.monotonic_ns
-        self.sockets = 0  # open or being dialed
-        self.rest = ConnectionRest()
-        self.has_news: Callable[[], bool] = bool  # of the servers has come what is not read yet
-        self.flows: dict[Connection, None] = {}  # whose answers are passed on as they come
-        self.dial_timeout = dial_timeout
-        self.idle_limit = int(idle_close * IDLE_PART)
-        self._sockets_most = sockets_most
-        self._pools: dict[ServerId, Pool] = {}
-        self._sweep_every = idle_close * (1 - IDLE_PART) / 2 / 1e9
-
-    def start(self) -> None:
-        asyncio.get_running_loop().call_later(self._sweep_every, self._sweep)
-
-    def _sweep(self) -> None:
-        before = self.now() - self.idle_limit
-        for pool in self._pools.values():
-            pool.drop_idle(before)
-        stuck = self.now() - int(SILENCE_MOST * 1e9)
-        for connection in [one for one in self.flows if one.is_stuck(stuck)]:
-            connection.give_up()
-        self.start()
-
-    def get(self, server: ServerId) -> Pool | None:
-        return self._pools.get(server)
-
-    def enrol(self, server: ServerId, address: tuple[str, int], started: int) -> None:
-        pool = self._pools.get(server)
-        if pool is not None and (pool.address, pool.started) == (address, started):
-            return
-        self._pools[server] = Pool(self, address, started)
-        if pool is not None:
-            pool.retire()
-
-    def retire(self, server: ServerId) -> None:
-        pool = self._pools.pop(server, None)
-        if pool is not None:
-            pool.retire()
-
-    def servers(self) -> list[ServerId]:
-        return list(self._pools)
-
-    def room(self) -> bool:
-        """Whether one more connection may be opened; closes the longest idle one to make room."""
-        if self.sockets < self._sockets_most:
-            return True
-        idle = [pool for pool in self._pools.values() if pool.idle]
-        if not idle:
-            return False
-        # Its descriptor is free only once the transport is gone, so one is kept in reserve for each dial.
-        oldest = min(idle, key=lambda pool: pool.idle[0].idle_since)
-        oldest.idle.pop(0).close()
-        return True
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -94,10 +94,10 @@
             self._settling = asyncio.get_running_loop().create_task(self._settle(self._predecessor))
 
     async def _settle(self, predecessor: Predecessor) -> None:
-        self._node.watch()
+        self._node.servers.watch()
         with suppress(TimeoutError):
             async with asyncio.timeout(LIST_WITHIN):
-                await self._node.told.wait()
+                await self._node.servers.told.wait()
         await predecessor.keep()
         assert self._store is not None
         state = self._store.read()
@@ -178,7 +178,7 @@
     def _apply(self, orders: Orders) -> None:
         hosts = self.roster.order(orders)
         if hosts:
-            self._node.show(hosts)
+            self._node.servers.show(hosts)
         if not orders.drained:
             self._front.drain = None
         elif self._front.drain is None:
@@ -189,7 +189,11 @@
 
     def _keep_list(self) -> None:
         assert self._store is not None
-        known, discovery, learned = self._node.listed(), _text(self._node.discovery), self._node.learned()
+        known, discovery, learned = (
+            self._node.servers.listed(),
+            _text(self._node.servers.address),
+            self._node.learned(),
+        )
         self._store.change(lambda state: State(state.orders, discovery, known, learned))
 
     def _read_again(self) -> None:
--- a/driftstair/rehearsal/tier/judgements.py
+++ b/driftstair/rehearsal/tier/judgements.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from driftstair.net.identifiers import digest
 from driftstair.rehearsal.tier.checks import SECOND, Finding
-from driftstair.tier.watching import digest, key
+from driftstair.tier.watching import key
 
 FOREVER = 1 << 62
 
--- a/driftstair/tier/sharing.py
+++ b/driftstair/tier/sharing.py
@@ -6,13 +6,14 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from driftstair.net.identifiers import digest
 from driftstair.tier.ownership.permits import Kind, Rules
 from driftstair.tier.ownership.permitting import TASK as PERMITS
 from driftstair.tier.ownership.steward import Living
 from driftstair.tier.shared.budget import Spec
 from driftstair.tier.shared.core import Action, Keep, Shared, Tell
 from driftstair.tier.shared.evidence import Judge
-from driftstair.tier.watching import Watching, digest, key
+from driftstair.tier.watching import Watching, key
 from lichenspring.interface import Module
 
 
--- a/driftstair/tier/watching.py
+++ b/driftstair/tier/watching.py
@@ -15,13 +15,6 @@
 FAILURES = frozenset((Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CONNECT_FAILED))
 
 
-def digest(name: str) -> api.ServerId:
-    """A server's identity for the module, by its name in the list."""
-    from driftstair.net.node import digest  # which loads the whole node, as a daemon has done
-
-    return digest(name)
-
-
 def key(server: api.ServerId) -> int:
     """Names a server between nodes: as much of its identity as fits a datagram well."""
     return int.from_bytes(server[:4], "big")
--- a/tests/acceptance/test_stalled_process.py
+++ b/tests/acceptance/test_stalled_process.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager, suppress
 from pathlib import Path
 from time import monotonic
 
@@ -20,6 +21,7 @@
     answer,
     configuration,
     grade,
+    read_message,
     request,
     run,
     silent,
@@ -226,3 +228,54 @@
                 assert told(message) <= 2.0 - STALL + SLACK
 
     run(test())
+
+
+SYN_SENT = "02"  # in /proc/net/tcp: a connection that is being dialed
+
+
+def dials(port: int) -> bool:
+    """Whether some connection to that port on this machine has not come up yet."""
+    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    return any(line.split()[2].endswith(f":{port:04X}") and line.split()[3] == SYN_SENT for line in lines)
+
+
+def test_a_server_is_told_what_is_left_after_a_dial_that_came_up_meanwhile(tmp_path: Path) -> None:
+    """Its accept queue is full, and empties while the node stands still: the system dials on without it."""
+
+    async def test() -> None:
+        with ExitStack() as stack:
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+            listener.setblocking(False)
+            port = listener.getsockname()[1]
+            while not dials(port):  # connections that fill its queue, and one that waits
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", port))
+            filler.close()
+            await until(lambda: not dials(port))
+            document = configuration(Server("s-1"))
+            document["known"]["servers"][0]["addr"] = f"127.0.0.1:{port}"
+            async with program(document, tmp_path) as node:
+                client = await node.client()
+                began = monotonic()
+                client.writer.write(request(X_Deadline="2500m"))
+                await until(lambda: dials(port))
+                async with stopped(node):
+                    accepted = []
+                    while dials(port):
+                        with suppress(BlockingIOError):
+                            accepted.append(stack.enter_context(listener.accept()[0]))
+                        await asyncio.sleep(0.002)
+                    with suppress(BlockingIOError):
+                        accepted.append(stack.enter_context(listener.accept()[0]))
+                    held = monotonic() - began
+                connection = accepted[-1]
+                connection.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=connection)
+                message = await read_message(reader)
+                assert told(message) <= 2.5 - held + SLACK, f"the dial took {held:.3f} s"
+                writer.write(answer())
+                assert status(await client.read()) == 200
+                writer.close()
+
+    run(test())
--- a/tests/acceptance/test_told_under_reload.py
+++ b/tests/acceptance/test_told_under_reload.py
@@ -62,7 +62,7 @@
                 await until(lambda: new.targets)
                 if when == "before the new place answers":
                     push_now(old, 9, drained)
-                    await until(lambda: len(rig.node._ready) == 1)
+                    await until(lambda: len(rig.node.servers.ready) == 1)
                 seen = len(drained.seen)
                 for _ in range(REQUESTS):
                     assert status(await client.ask(request())) == 200
--- a/tests/acceptance/test_wrong_clock.py
+++ b/tests/acceptance/test_wrong_clock.py
@@ -35,11 +35,11 @@
                 rig.watch()
                 await until(lambda: discovery.open)
                 discovery.push(8, warm, full=True)
-                await until(lambda: rig.node._discovery.version == 8)
+                await until(lambda: rig.node.servers.discovery.version == 8)
                 await asyncio.sleep(0)
                 fresh.started_ms = SocketSystem.time_ns() // MS
                 discovery.push(9, fresh)
-                await until(lambda: rig.node._discovery.version == 9)
+                await until(lambda: rig.node.servers.discovery.version == 9)
                 backends = rig.node._core._backends.values()
                 (started,) = [one.entry.started for one in backends if one.entry.started]
                 assert 0 <= rig.node._now() - started < 20 * SECOND
--- a/tests/rehearsal/test_hunt.py
+++ b/tests/rehearsal/test_hunt.py
@@ -11,6 +11,7 @@
 from test_rehearse_command import command
 
 from driftstair.net.node import Node
+from driftstair.net.server_directory import ServerDirectory
 from driftstair.rehearsal import hunt as kit
 from driftstair.rehearsal import virtual
 from driftstair.rehearsal.hunt import Finding, draw, file_text, hunt, judge, shrink
@@ -22,17 +23,17 @@
 
 def plant(monkeypatch: pytest.MonkeyPatch) -> None:
     """After a watch has broken, the node sends a request's answer nowhere, now and then."""
-    failed, answer = Node._watch_failed, Node._answer
+    failed, answer = ServerDirectory._on_watch_failed, Node._answer
 
-    def watch_failed(self: Node) -> None:
+    def watch_failed(self: ServerDirectory) -> None:
         self.planted = True  # type: ignore[attr-defined]
         failed(self)
 
     def swallows(self: Node, number: int, *answered: Any) -> None:
-        if not (getattr(self, "planted", False) and number % 10 == 0):
+        if not (getattr(self.servers, "planted", False) and number % 10 == 0):
             answer(self, number, *answered)
 
-    monkeypatch.setattr(Node, "_watch_failed", watch_failed)
+    monkeypatch.setattr(ServerDirectory, "_on_watch_failed", watch_failed)
     monkeypatch.setattr(Node, "_answer", swallows)
     # The watchdog would answer at the deadline.
     monkeypatch.setattr(Node, "_overdue", lambda *_: None)
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -12,11 +12,19 @@
 import pytest
 from stage import Run, small
 
-from driftstair.net import front, node, upstream
+from driftstair.net import (
+    connection_pools,
+    front,
+    node,
+    server_attempt,
+    server_connection,
+    server_directory,
+)
 from driftstair.net.front import ClientConnection, Front
 from driftstair.net.node import Node
 from driftstair.net.request_guard import AttemptPermit
-from driftstair.net.upstream import Attempt
+from driftstair.net.server_attempt import Attempt
+from driftstair.net.server_directory import ServerDirectory
 from driftstair.observability.reasons import AnswerReason
 from driftstair.rehearsal import wire
 from driftstair.rehearsal.runner import Rehearsal
@@ -469,15 +477,15 @@
 
 
 def test_a_node_that_does_not_heed_drains_breaks_rule_3(monkeypatch: pytest.MonkeyPatch) -> None:
-    follow = Node._follow
+    follow = ServerDirectory._follow
 
-    def heedless(self: Node, kind: Any, hosts: Any) -> None:
+    def heedless(self: ServerDirectory, kind: Any, hosts: Any) -> None:
         kept = [
             host._replace(state=ServerState.READY) for host in hosts if host.state is not ServerState.GONE
         ]
         follow(self, kind, tuple(kept))
 
-    monkeypatch.setattr(Node, "_follow", heedless)
+    monkeypatch.setattr(ServerDirectory, "_follow", heedless)
     # Alone, that the box turns all away would keep the module from it.
     monkeypatch.setattr(balance, "FULL_ABOVE", 2.0)
     monkeypatch.setattr(balance, "FULL_COUNTS", 0.0)
@@ -511,7 +519,9 @@
 
 def test_the_seam_is_all_that_the_daemon_takes_from_its_machine() -> None:
     """No module of the node's reads a clock or makes a socket of its own."""
-    for module in (front, node, upstream):
+    for module in (
+        front, node, connection_pools, server_attempt, server_connection, server_directory,
+    ):  # fmt: skip
         text = Path(module.__file__ or "").read_text()
         for own in ("import socket", "import select", "import time", "from time", "import random"):
             assert own not in text, (module.__name__, own)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -268,7 +268,7 @@
     async def __aexit__(self, *_: object) -> None:
         await self.front.stop(0.0, 0.0)
         assert not self.node.metrics.violations
-        self.node._discovery.close()
+        self.node.servers.discovery.close()
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(*self.address, limit=1 << 20))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -26,7 +26,7 @@
 
 from driftstair.hosts import parse_list
 from driftstair.net import connection_rest
-from driftstair.net.node import digest
+from driftstair.net.identifiers import digest
 from driftstair.net.system import Factory, SocketSystem
 from lichenspring import interface as api
 from lichenspring.interface import Result
@@ -166,7 +166,7 @@
             client.writer.write(request("order"))
             await until(lambda: len(server.seen) == 4)
             server.state = state
-            rig.node._list_came(change(other, full=True) if state == "absent" else change(server, other))
+            rig.node.servers.on_list(change(other, full=True) if state == "absent" else change(server, other))
             await until(lambda: server.open == 1)  # the idle ones are closed
             assert set(await ask_at_once(rig, 4)) == {200}
             assert (len(server.seen), len(other.seen)) == (4, 4)
@@ -188,7 +188,7 @@
                 server.address = later.address
             else:
                 server.started_ms = 1_700_000_000_000
-            rig.node._list_came(change(server))
+            rig.node.servers.on_list(change(server))
             await until(lambda: server.open == 0)
             assert status(await client.ask(request())) == 200
             assert (server.connections, later.connections) == ((1, 1) if moved else (2, 0))
@@ -201,7 +201,7 @@
         async with Server("s-1") as server, Server("s-2") as other, Rig(configuration(server)) as rig:
             rig.node._pools._sockets_most = 2
             assert await ask_at_once(rig, 2) == [200, 200]
-            rig.node._list_came(change(server, other))
+            rig.node.servers.on_list(change(server, other))
             rig.node._pools._sockets_most = 1
             server.script = other.script = silent
             clients = [await rig.client() for _ in range(3)]
@@ -228,7 +228,7 @@
             try:
                 # The module asks for the list at a random time of its first seconds, and here nobody answers:
                 # where that fell into this test, the parser of a watch that never came up was left over.
-                rig.node.watch()
+                rig.node.servers.watch()
                 for _ in range(20):
                     client = await rig.client()
                     assert status(await client.ask(request())) == 200
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,8 +31,9 @@
 )
 from test_process import program
 
-from driftstair.net.node import digest
-from driftstair.net.upstream import Connection, Pool
+from driftstair.net.connection_pools import Pool
+from driftstair.net.identifiers import digest
+from driftstair.net.server_connection import Connection
 from lichenspring.interface import Result
 
 MS = 1_000_000
@@ -279,7 +280,10 @@
                     rig.watch()
                     watch = stack.enter_context((await loop.run_in_executor(None, source.accept))[0])
                     watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-                    await until(lambda: rig.node._discovery._watch and rig.node._discovery._watch.answered)
+                    await until(
+                        lambda: rig.node.servers.discovery._watch
+                        and rig.node.servers.discovery._watch.answered
+                    )
                     late = LateDials()
                     if connections == "that come up":
                         rig.node._pools.system = late
@@ -303,7 +307,7 @@
                     await loop.create_connection(lambda: Holds(stands_still), sock=near)
                     far.send(b"now")
                     await answers()
-                    assert len(drained.seen) == seen and rig.node._ready == {digest("s-2")}
+                    assert len(drained.seen) == seen and rig.node.servers.ready == {digest("s-2")}
 
     run(test())
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,8 +12,8 @@
 from rig import Discovery, Holds, Rig, Server, configuration, request, run, until
 
 from driftstair.hosts import parse_address
-from driftstair.net import discovery, node
-from driftstair.net.node import digest
+from driftstair.net import discovery, server_directory
+from driftstair.net.identifiers import digest
 from driftstair.net.watch import LAST_LOOK
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
@@ -39,10 +39,10 @@
             assert (server.id, server.state) == (digest("s-2"), ServerState.READY)
             age = asyncio.get_running_loop().time() * 1e9 - server.started
             assert 4e9 < age < 30e9
-            assert rig.node._ready == {digest("s-1"), digest("s-2")}
+            assert rig.node.servers.ready == {digest("s-1"), digest("s-2")}
             source.push(12, two, full=True)
             await until(lambda: rig.spy.lists(ListKind.FULL))
-            assert rig.node._ready == {digest("s-2")}
+            assert rig.node.servers.ready == {digest("s-2")}
             source.drop()
             await until(lambda: rig.spy.lists(ListKind.FAILED))
             rig.watch()
@@ -92,7 +92,7 @@
             source.drop()
             await asyncio.sleep(0.02)
             assert len(rig.spy.lists(ListKind.FAILED)) == 1
-            assert rig.node._ready == {digest("s-1")}
+            assert rig.node.servers.ready == {digest("s-1")}
 
     run(test())
 
@@ -124,7 +124,7 @@
 @pytest.mark.parametrize("how", ["503", "end", "garbage", "refused", "silence"])
 def test_a_watch_that_ends_is_told_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     if how == "silence":
-        monkeypatch.setattr(node, "ANSWER", 0.05)  # accepted, and then mute
+        monkeypatch.setattr(server_directory, "ANSWER", 0.05)  # accepted, and then mute
 
     async def test() -> None:
         async with Discovery() as source:
@@ -167,7 +167,7 @@
             assert not rig.spy.lists(ListKind.FAILED)
             rig.node.reload(replace(rig.config, discovery=parse_address("127.0.0.1:1")))
             await until(lambda: rig.spy.lists(ListKind.FAILED))
-            assert rig.node._ready == {digest("s-1")}
+            assert rig.node.servers.ready == {digest("s-1")}
             assert (len(old.targets), len(new.targets)) == (1, 1)
 
     run(test())
@@ -195,12 +195,12 @@
             rig.node.reload(replace(rig.config, discovery=parse_address(new.address)))
             await until(lambda: new.targets)
             old.push(9, one, full=True)
-            await until(lambda: rig.node._ready == {digest("s-1")})
+            await until(lambda: rig.node.servers.ready == {digest("s-1")})
             assert "from=0 " in new.targets[0]
             new.push(2, two, full=True)  # below the old place's: its versions are its own
-            await until(lambda: rig.node._ready == {digest("s-2")})
+            await until(lambda: rig.node.servers.ready == {digest("s-2")})
             await until(lambda: old.open == 0)
-            assert rig.node._discovery.version == 2 and not rig.spy.lists(ListKind.FAILED)
+            assert rig.node.servers.discovery.version == 2 and not rig.spy.lists(ListKind.FAILED)
 
     run(test())
 
@@ -220,7 +220,7 @@
             rig.node.reload(replace(rig.config, discovery=parse_address("127.0.0.1:1")))
             await until(lambda: rig.spy.lists(ListKind.FAILED))
             old.push(9, one, full=True)
-            await until(lambda: rig.node._ready == {digest("s-1")})
+            await until(lambda: rig.node.servers.ready == {digest("s-1")})
             asked = len(rig.spy.lists(ListKind.FAILED))
             await until(lambda: len(rig.spy.lists(ListKind.FAILED)) > asked)  # it has asked again
             old.drop()
@@ -242,7 +242,7 @@
 
 
 def test_pushed_lists_are_watched_without_being_asked(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("driftstair.net.node.WATCH_PAUSE", 0.01)
+    monkeypatch.setattr("driftstair.net.server_directory.WATCH_PAUSE", 0.01)
 
     async def test() -> None:
         async with Discovery() as source:
@@ -282,7 +282,7 @@
 def test_a_call_accepted_and_then_mute_is_given_up_and_made_again(
     pushed: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(node, "ANSWER_PUSHED" if pushed else "ANSWER", 0.05)
+    monkeypatch.setattr(server_directory, "ANSWER_PUSHED" if pushed else "ANSWER", 0.05)
 
     async def test() -> None:
         async with Discovery() as source:
@@ -304,11 +304,11 @@
     told, beat = 6.0, 2.0  # s; an open watch brings a line after each beat
     assert told > discovery.SILENCE + discovery.DIAL  # a silent watch, and the call after it
     for call in (0.0, discovery.DIAL, discovery.ANSWER_PUSHED):
-        assert told > call + node.WATCH_PAUSE_MOST + discovery.DIAL + discovery.ANSWER_PUSHED
+        assert told > call + server_directory.WATCH_PAUSE_MOST + discovery.DIAL + discovery.ANSWER_PUSHED
     assert beat + LAST_LOOK < discovery.SILENCE
     # What an agent has counts as told at once: a call that is mute as it comes back, and the pause after it,
     # are shorter than the second that the platform usually gives a node to stop sending.
-    assert discovery.ANSWER_PUSHED + node.WATCH_PAUSE_MOST < 1.0
+    assert discovery.ANSWER_PUSHED + server_directory.WATCH_PAUSE_MOST < 1.0
 
 
 def test_what_came_while_the_node_stood_still_is_read_before_its_watch_counts_as_silent(
@@ -327,7 +327,7 @@
                 open_watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 open_watch.sendall(b"28\r\n" + line % 8 + b"\r\n")
                 await until(lambda: rig.spy.lists(ListKind.DELTA))
-                watch = rig.node._discovery._watch
+                watch = rig.node.servers.discovery._watch
 
                 def stands_still() -> None:
                     open_watch.sendall(b"28\r\n" + line % 9 + b"\r\n")
@@ -337,7 +337,7 @@
                 await loop.create_connection(lambda: Holds(stands_still), sock=near)
                 far.send(b"now")
                 await until(lambda: len(rig.spy.lists(ListKind.DELTA)) == 2)
-                assert rig.node._discovery._watch is watch
+                assert rig.node.servers.discovery._watch is watch
                 far.close()
                 open_watch.close()
 
@@ -368,12 +368,12 @@
                 source.push_bytes(b"")
             elif form == "cut":
                 source.close()
-            await until(lambda: rig.node._ready == {digest("s-1")})
+            await until(lambda: rig.node.servers.ready == {digest("s-1")})
             if form != "open":
                 return
             source.push_bytes(b"\n")
             source.push(9, two)
-            await until(lambda: len(rig.node._ready) == 2)
+            await until(lambda: len(rig.node.servers.ready) == 2)
             assert not rig.spy.lists(ListKind.FAILED)
 
     run(test())
@@ -398,7 +398,7 @@
                 source.push_bytes(text[version * 7 :] + b"\n\n")
             await until(lambda: len(rig.spy.lists(ListKind.DELTA)) == 2)
             assert len(rig.spy.lists(ListKind.FULL)) == 1 and not rig.spy.lists(ListKind.FAILED)
-            assert rig.node._ready == {digest(two.name)}
+            assert rig.node.servers.ready == {digest(two.name)}
 
     run(test())
 
@@ -415,6 +415,6 @@
             await until(lambda: source.targets)
             source.push_bytes(text)
             await until(lambda: rig.spy.lists(ListKind.FAILED))
-            assert rig.node._discovery.version == 0  # the next one starts from the whole list
+            assert rig.node.servers.discovery.version == 0  # the next one starts from the whole list
 
     run(test())
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -25,8 +25,8 @@
 )
 
 from driftstair.hosts import parse_list
-from driftstair.net import upstream
-from driftstair.net.node import digest
+from driftstair.net.identifiers import digest
+from driftstair.net.server_connection import Connection
 from lichenspring import interface as api
 from lichenspring.interface import Result
 
@@ -142,7 +142,9 @@
                 client.writer.write(request("order"))
                 await until(lambda: rig.node._open)
                 server.state = "Terminating"
-                rig.node._list_came(parse_list({"version": 8, "full": False, "servers": [server.entry()]}))
+                rig.node.servers.on_list(
+                    parse_list({"version": 8, "full": False, "servers": [server.entry()]})
+                )
                 assert status(await client.read()) == 503
                 assert [outcome.result for outcome in rig.spy.outcomes()] == [Result.NOT_SENT]
 
@@ -287,13 +289,13 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The server takes nothing in: the request stays partly in the node, which then sees a reset."""
-    made = upstream.Connection.connection_made
+    made = Connection.connection_made
 
-    def with_small_buffer(self: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+    def with_small_buffer(self: Connection, transport: asyncio.BaseTransport) -> None:
         made(self, transport)
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
-    monkeypatch.setattr(upstream.Connection, "connection_made", with_small_buffer)
+    monkeypatch.setattr(Connection, "connection_made", with_small_buffer)
 
     async def test() -> None:
         listening = socket.create_server(("127.0.0.1", 0))
--- a/tests/test_request_guard.py
+++ b/tests/test_request_guard.py
@@ -266,8 +266,8 @@
 
 
 ALLOWED = {
-    ("upstream.py", "write"): {"Connection.send", "Connection._pump"},
-    ("upstream.py", "send"): {"Attempt._write"},
+    ("server_connection.py", "write"): {"Connection.send", "Connection._pump"},
+    ("server_attempt.py", "send"): {"Attempt._write"},
     ("client_connection.py", "write"): {
         "ClientConnection._next",  # 100 Continue
         "ClientConnection._serve",  # likewise
@@ -320,20 +320,21 @@
 
 
 def test_a_planted_way_round_is_seen() -> None:
-    source = (NET / "upstream.py").read_text()
+    source = (NET / "server_connection.py").read_text()
     planted = source.replace(
         "    def is_quiet(self)",
         "    def sneak(self) -> None:\n        self._transport.write(b'')\n\n    def is_quiet(self)",
     )
     assert planted != source
-    assert calls(planted)["write"] - ALLOWED["upstream.py", "write"] == {"Connection.sneak"}
+    assert calls(planted)["write"] - ALLOWED["server_connection.py", "write"] == {"Connection.sneak"}
 
 
 def test_each_of_those_places_tells_the_guard() -> None:
     """By name: `wrote` behind each first write, `answered` in the one answer, `closed` behind each end."""
-    upstream, node = (NET / "upstream.py").read_text(), (NET / "node.py").read_text()
+    upstream, node = (NET / "server_connection.py").read_text(), (NET / "node.py").read_text()
+    attempt = (NET / "server_attempt.py").read_text()
     connection = (NET / "client_connection.py").read_text()
-    assert "Connection.send" in calls(upstream)["wrote"] and "Attempt._write" in calls(upstream)["forbids"]
+    assert "Connection.send" in calls(upstream)["wrote"] and "Attempt._write" in calls(attempt)["forbids"]
     assert "Node._reply" in calls(node)["answered"]
     ends = {"ClientConnection.close", "ClientConnection.abort", "ClientConnection._answered"}
     assert calls(connection)["_note_close"] == ends
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -9,7 +9,7 @@
 
 from driftstair.admission import pace as pace_of_bodies
 from driftstair.admission.pace import GRACE, RATE_LEAST, SILENT_MOST, Pace
-from driftstair.net import connection_rest, flow, upstream
+from driftstair.net import connection_rest, flow, server_connection
 from driftstair.net.flow import HELD_MOST, Budget, Stream
 from driftstair.net.front import SWEEP
 from lichenspring.interface import Result
@@ -119,7 +119,7 @@
 
 
 def test_an_answer_without_end_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "LONGEST", 1 << 20)
+    monkeypatch.setattr(server_connection, "LONGEST", 1 << 20)
 
     async def script(_: Message, writer: asyncio.StreamWriter) -> None:
         writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
