Failing tests: operators' orders by a node whose wall clock is off or steps

By reading, from the incident's list of what was left: a server put back counts as restarted where its listed start is before the node's own 'now', so a clock that is behind shows it as warm (it would be pushed over); a drain's age is kept as wall time, so a step restarts it or ends it at once in the process that takes over. take_out is told the listed start, and does nothing with it yet.

--- a/driftstair/operations/roster.py
+++ b/driftstair/operations/roster.py
@@ -23,7 +23,7 @@
     back: dict[str, int] = field(default_factory=dict)  # when others were put back, while that matters
     drained: int = 0  # since when the node is out of service; 0: it is in service
 
-    def take_out(self, server: str, now: int) -> None:
+    def take_out(self, server: str, now: int, started: int = 0) -> None:
         """Two calls out take one call back: the first one's time stands."""
         self.out.setdefault(server, now)
         self.back.pop(server, None)
--- a/tests/operations/test_orders.py
+++ b/tests/operations/test_orders.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
 import pytest
 
 from driftstair.hosts import Host, HostList
 from driftstair.operations.calls import Call, Order, Refused, parse
 from driftstair.operations.drain import HEADS_UNTIL, REFUSES_FROM, Drain, Rests, Way
 from driftstair.operations.roster import Orders, Roster
+from driftstair.operations.service import Operations
 from driftstair.operations.state import State, StateError, decode, encode
 from lichenspring.interface import ServerState
 
@@ -80,6 +86,31 @@
     assert not roster.holds("a") and roster.orders.back == {}
 
 
+HOUR_MS = 3_600_000
+
+
+@pytest.mark.parametrize("off", [-HOUR_MS, -5000])
+@pytest.mark.parametrize("how", ["order", "configuration"])
+def test_a_server_put_back_by_a_node_with_a_wrong_clock_is_cold(off: int, how: str) -> None:
+    """It had started half an hour before, as the list tells, and by a clock that is behind, in the future."""
+    started, now = 10 * HOUR_MS, 10 * HOUR_MS + HOUR_MS // 2
+    if off == -5000:
+        now = started + 1000  # it had just started, and the clock is seconds off
+    roster = Roster()
+    roster.follow(True, [host("a", started=started)])
+    if how == "order":
+        orders = roster.orders.copy()
+        orders.take_out("a", now + off, started)
+        roster.order(orders)
+        orders = roster.orders.copy()
+        orders.put_back("a", now + off + 3000, started)
+        (shown,) = roster.order(orders)
+    else:
+        roster.configure(["a"], now + off)
+        (shown,) = roster.configure([], now + off + 3000)
+    assert shown.state is READY and shown.started_ms > started
+
+
 def test_a_server_that_the_configuration_drains_is_shown_so_beside_the_operators_orders() -> None:
     roster = Roster()
     roster.follow(True, [host("a", started=50), host("b"), host("c", GONE)])
@@ -115,6 +146,40 @@
     assert not drain.refuses(100.0 + REFUSES_FROM - 0.1) and drain.refuses(100.0 + REFUSES_FROM)
 
 
+class SteppedClock:
+    """The machine's clocks: the wall clock may step, the other one counts on."""
+
+    def __init__(self) -> None:
+        self.monotonic_ms, self.wall_ms = 50_000, 10 * HOUR_MS
+
+    def monotonic_ns(self) -> int:
+        return self.monotonic_ms * 1_000_000
+
+    def time_ns(self) -> int:
+        return self.wall_ms * 1_000_000
+
+
+@pytest.mark.parametrize("step", [-HOUR_MS, HOUR_MS])
+def test_a_drain_goes_on_in_the_next_process_whatever_the_wall_clock_does(step: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        clock: Any = SteppedClock()
+        drains = []
+        for _ in range(2):
+            operations = Operations(SimpleNamespace(listen=("127.0.0.1", 1)), clock, str(tmp_path))  # type: ignore[arg-type]
+            node: Any = SimpleNamespace()
+            operations._node, operations._front = node, node
+            node.drain = None
+            operations._apply(operations.roster.orders)
+            if not drains:
+                await operations.obey(Call(Order.NODE_OUT))
+            drains.append(asyncio.get_running_loop().time() - node.drain.begun)
+            clock.monotonic_ms += 2000
+            clock.wall_ms += 2000 + step
+        assert drains[0] < 1.0 and 2.0 <= drains[1] < 3.0
+
+    asyncio.run(test())
+
+
 def test_what_is_kept_is_read_back_and_nothing_else() -> None:
     known = HostList(41, True, (host("a", DRAINING, 3), host("b")))
     state = State(Orders({"a": 5}, {"b": 7}, 9), "127.0.0.1:8500", known)
