Operators' orders hold whatever the wall clock says

Change: a drain's age is kept by the monotonic clock, which the processes of one machine share (a file of an earlier version counts as begun long ago); what an order compares with a server's start is never earlier than the start that the list had told, so a server that is put back is cold by any clock.

--- a/driftstair/operations/roster.py
+++ b/driftstair/operations/roster.py
@@ -17,22 +17,26 @@
 
 @dataclass(slots=True)
 class Orders:
-    """What operators want, as it is kept: it outlives the process. Times in ms, Unix time."""
+    """What operators want, as it is kept: it outlives the process.
+
+    Times of servers are ms, Unix time, as the list tells their starts. The node's own clock may be off, so
+    none of them counts as earlier than a start that the list had told by then."""
 
     out: dict[str, int] = field(default_factory=dict)  # since when each server is out
     back: dict[str, int] = field(default_factory=dict)  # when others were put back, while that matters
-    drained: int = 0  # since when the node is out of service; 0: it is in service
+    drained: int = 0  # since when the node is out of service, ms of the monotonic clock; 0: it is in service
 
     def take_out(self, server: str, now: int, started: int = 0) -> None:
-        """Two calls out take one call back: the first one's time stands."""
-        self.out.setdefault(server, now)
+        """Two calls out take one call back: the first one's time stands. `started`: when the server last did,
+        as far as the list has told; 0: long ago."""
+        self.out.setdefault(server, max(now, started))
         self.back.pop(server, None)
 
     def put_back(self, server: str, now: int, started: int) -> None:
-        """`started`: when it last did, as far as the list has told; 0: long ago."""
+        """`started`: as for `take_out`, by now."""
         since = self.out.pop(server, None)
-        if since is not None and started < since:
-            self.back[server] = now
+        if since is not None and started <= since:
+            self.back[server] = max(now, started + 1)
 
     def copy(self) -> Orders:
         return Orders(dict(self.out), dict(self.back), self.drained)
@@ -50,6 +54,11 @@
         """Whether a call may name it: the list does, or it is out."""
         return server in self.hosts or server in self.orders.out
 
+    def started(self, server: str) -> int:
+        """When it last did, ms, as far as the list has told; 0: long ago."""
+        host = self.hosts.get(server)
+        return 0 if host is None else host.started_ms
+
     def follow(self, full: bool, hosts: Iterable[Host]) -> tuple[Host, ...]:
         """A list or a change of it has come: its entries as they are to be shown."""
         hosts = tuple(hosts)
@@ -78,10 +87,9 @@
         before = self.listed()
         wanted = set(drained)
         for server in wanted - self.configured.out.keys():
-            self.configured.take_out(server, now)
+            self.configured.take_out(server, now, self.started(server))
         for server in self.configured.out.keys() - wanted:
-            host = self.hosts.get(server)
-            self.configured.put_back(server, now, 0 if host is None else host.started_ms)
+            self.configured.put_back(server, now, self.started(server))
         after = self.listed()
         return after if after != before else ()
 
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -120,7 +120,7 @@
 
     async def obey(self, call: Call) -> Answer:
         """A status and what is said with it. A yes is given once the order holds in every process."""
-        now = self._system.time_ns() // 1_000_000
+        now_ms = self._system.time_ns() // 1_000_000
         if call.order is Order.READY:
             ready = self._current and self._node.can_serve()
             return (200, {"ready": True}) if ready else (503, {"ready": False})
@@ -141,17 +141,18 @@
 
             return obey(self.tier, call)
         if call.order is Order.NODE_OUT:
-            await self._order(lambda orders: setattr(orders, "drained", orders.drained or now))
+            monotonic_ms = self._monotonic_ms()
+            await self._order(lambda orders: setattr(orders, "drained", orders.drained or monotonic_ms))
         elif call.order is Order.NODE_IN:
             await self._order(lambda orders: setattr(orders, "drained", 0))
         elif not self.roster.holds(call.server):
             return 404, {"error": f"no server {call.server}"}
         elif call.order is Order.SERVER_OUT:
-            await self._order(lambda orders: orders.take_out(call.server, now))
+            started = self.roster.started(call.server)
+            await self._order(lambda orders: orders.take_out(call.server, now_ms, started))
         else:
-            host = self.roster.hosts.get(call.server)
-            started = 0 if host is None else host.started_ms
-            await self._order(lambda orders: orders.put_back(call.server, now, started))
+            started = self.roster.started(call.server)
+            await self._order(lambda orders: orders.put_back(call.server, now_ms, started))
         log.info("by order of operators: %s %s", call.order.value.decode(), call.server)
         return 200, {"done": call.order.value.decode()}
 
@@ -175,6 +176,10 @@
         if self._link is not None:
             await self._link.tell_others()
 
+    def _monotonic_ms(self) -> int:
+        """Processes of one machine share this clock, and nothing that is kept outlives the machine's run."""
+        return max(1, self._system.monotonic_ns() // 1_000_000)
+
     def _apply(self, orders: Orders) -> None:
         hosts = self.roster.order(orders)
         if hosts:
@@ -182,7 +187,7 @@
         if not orders.drained:
             self._front.drain = None
         elif self._front.drain is None:
-            since = max(0, self._system.time_ns() // 1_000_000 - orders.drained) / 1000
+            since = max(0, self._monotonic_ms() - orders.drained) / 1000
             self._front.drain = Drain(asyncio.get_running_loop().time() - since)
 
     # The process beside this one.
--- a/driftstair/operations/state.py
+++ b/driftstair/operations/state.py
@@ -33,7 +33,8 @@
 
 def encode(state: State) -> bytes:
     body = json.dumps({
-        "out": state.orders.out, "back": state.orders.back, "drained": state.orders.drained,
+        "out": state.orders.out, "back": state.orders.back, "drained": int(state.orders.drained > 0),
+        "drained_since": state.orders.drained,
         "discovery": state.discovery, "list": None if state.list is None else _list(state.list),
         "learned": state.learned,
     }).encode()  # fmt: skip
@@ -51,7 +52,9 @@
         raise StateError("its checksum does not fit")
     try:
         document = json.loads(body)
-        orders = Orders(_times(document["out"]), _times(document["back"]), int(document["drained"]))
+        # A process of an earlier version kept Unix time under `drained`, which tells no age: long ago, then.
+        drained = int(document.get("drained_since", document["drained"] > 0))
+        orders = Orders(_times(document["out"]), _times(document["back"]), drained)
         known = None if document["list"] is None else parse_list(document["list"])
         learned = document["learned"]
         if learned is not None and not isinstance(learned, dict):
--- a/tests/operations/test_orders.py
+++ b/tests/operations/test_orders.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from hashlib import blake2b
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -89,7 +91,7 @@
 HOUR_MS = 3_600_000
 
 
-@pytest.mark.parametrize("off", [-HOUR_MS, -5000])
+@pytest.mark.parametrize("off", [-HOUR_MS, -5000, HOUR_MS])
 @pytest.mark.parametrize("how", ["order", "configuration"])
 def test_a_server_put_back_by_a_node_with_a_wrong_clock_is_cold(off: int, how: str) -> None:
     """It had started half an hour before, as the list tells, and by a clock that is behind, in the future."""
@@ -159,7 +161,7 @@
         return self.wall_ms * 1_000_000
 
 
-@pytest.mark.parametrize("step", [-HOUR_MS, HOUR_MS])
+@pytest.mark.parametrize("step", [-HOUR_MS, 0, HOUR_MS])
 def test_a_drain_goes_on_in_the_next_process_whatever_the_wall_clock_does(step: int, tmp_path: Path) -> None:
     async def test() -> None:
         clock: Any = SteppedClock()
@@ -193,3 +195,11 @@
     for place in range(len(data)):  # any byte that is another one
         with pytest.raises(StateError):
             decode(data[:place] + bytes([data[place] ^ 1]) + data[place + 1 :])
+
+
+def test_a_drain_that_an_earlier_version_kept_counts_as_begun_long_ago() -> None:
+    body = json.dumps(
+        {"out": {}, "back": {}, "drained": 10 * HOUR_MS, "discovery": "", "list": None, "learned": None}
+    ).encode()
+    data = b"driftstair-state 1 %s\n%s" % (blake2b(body, digest_size=16).hexdigest().encode(), body)
+    assert decode(data).orders.drained == 1
