The front hears of its connections by on_...: names that say what happened

rests, reads, receives, received, moves, works, leaves, keeps of Front were participles and verbs without an object. No change of behaviour.

--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -43,16 +43,16 @@
 
 def close_over_request() -> None:
     """Some connections are closed as if they were idle, though a request was read on them."""
-    works = front.Front.works
+    on_request = front.Front.on_request
     turn = [0]
 
     def close_some(self: front.Front, connection: client_connection.ClientConnection) -> None:
-        works(self, connection)
+        on_request(self, connection)
         turn[0] += 1
         if turn[0] % 40 == 0:
             self._loop.call_later(0.002, connection.close, client_connection.CloseReason.IDLE)
 
-    front.Front.works = close_some  # type: ignore[method-assign]
+    front.Front.on_request = close_some  # type: ignore[method-assign]
 
 
 def answer_to_wrong_client() -> None:
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -94,11 +94,11 @@
         reader = self._reader
         reader.feed(data, *self._arrival(len(data)))
         if reader.in_body():
-            self._front.receives(self, len(data))
+            self._front.on_body_bytes(self, len(data))
         else:
             self._arrivals.end_backlog()
         if not reader.in_body() and self in self._front.bodies:
-            self._front.received(self)
+            self._front.on_body_end(self)
         self._next()
 
     def _arrival(self, size: int) -> Arrival:
@@ -159,7 +159,7 @@
         else:
             self.close(CloseReason.TOO_SLOW)
 
-    def rests(self) -> str:
+    def activity(self) -> str:
         """What it is at, as drains name it."""
         if self._busy or self._ends:
             return "BUSY"
@@ -187,7 +187,7 @@
             reader.go_on()
             if reader.ready:
                 self._busy = self._served = True
-                self._front.works(self)
+                self._front.on_request(self)
                 self._serve(reader.ready.popleft())
             elif reader.error:
                 # Where framing is lost nothing that follows can be read; what came before is answered.
@@ -218,11 +218,11 @@
             self.close(CloseReason.CLIENT_ENDED)
         elif reader.is_partial():
             if not reader.in_body():
-                self._front.reads(self)
+                self._front.on_head_bytes(self)
             if reader.wants_continue():
                 transport.write(CONTINUE)
         else:
-            self._front.rests(self)
+            self._front.on_idle(self)
 
     def _follow_upload(self, upload: Stream) -> None:
         """A body that is passed on as it comes goes on, has come whole, or never will."""
@@ -306,7 +306,7 @@
         rejected = 400 <= status < 500
         # What was read behind it is answered first: closed now, it would be lost.
         more = bool(self._reader.ready or self._reader.error) or self._reader.has_unread()
-        keep = self._keep_alive and (more or (not rejected and self._front.keeps(self)))
+        keep = self._keep_alive and (more or (not rejected and self._front.keeps_alive(self)))
         if self._upload is not None:
             keep = keep and self._upload.ended  # what is left of it would be read as the next request
             self._upload.on_room = nothing
@@ -332,11 +332,11 @@
         lines.append(b"\r\n")
         self._ends, self._rejected = not keep, rejected
         if not keep:
-            self._front.received(self)  # or nobody cares for the rest
+            self._front.on_body_end(self)  # or nobody cares for the rest
         if isinstance(body, Stream):
             transport.write(b"".join(lines))
             self._flow = body
-            self._front.moves(self)
+            self._front.on_answer_taken(self)
             body.on_more = self._pass_on
             self._pass_on()
             return
@@ -366,7 +366,7 @@
             data = chunk(data) + (LAST_CHUNK if flow.is_done() else b"")
         if data:
             transport.write(data)
-            self._front.moves(self)
+            self._front.on_answer_taken(self)
             flow.halt(bool(transport.get_write_buffer_size()))
         if flow.is_done():
             self._all_out = True
@@ -383,7 +383,7 @@
 
     def resume_writing(self) -> None:
         if self._flow is not None:
-            self._front.moves(self)
+            self._front.on_answer_taken(self)
             if self._all_out:
                 self._flowed()
             else:
@@ -409,7 +409,7 @@
                 transport.resume_reading()
             self._note_close(CloseReason.AFTER_ANSWER)
             transport.write_eof()
-            self._front.leaves(self, self._rejected)
+            self._front.on_last_answer(self, self._rejected)
 
     def close(self, reason: CloseReason) -> None:
         """With what is written."""
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -172,7 +172,7 @@
         if self._handed_over and self._listener is not None:
             # Clients may hold so many connections at a node, both processes together. Guards against idle
             # ones here that leave them none to reach the other process by.
-            for connection in [one for one in self._connections if one.rests() == "IDLE"]:
+            for connection in [one for one in self._connections if one.activity() == "IDLE"]:
                 connection.close(CloseReason.IDLE)
         self._loop.call_later(SWEEP, self._sweep)
 
@@ -182,7 +182,7 @@
 
         now = self._loop.time()
         for connection in list(self._connections):
-            way = drain.way(Rests[connection.rests()], now - connection.since, now)
+            way = drain.way(Rests[connection.activity()], now - connection.since, now)
             if way is Way.CLOSE:
                 connection.close(CloseReason.IDLE)
             elif way is Way.REFUSE:
@@ -195,25 +195,29 @@
     # What the connections tell.
 
     def on_connect(self, connection: ClientConnection) -> None:
+        """It is up."""
         self._connections.add(connection)
         self.places.came(connection, self._loop.time())
         self._thin_out()
 
     def on_disconnect(self, connection: ClientConnection) -> None:
+        """It has ended, whoever ended it."""
         self._connections.discard(connection)
         self.bodies.pop(connection, None)
         self.flows.pop(connection, None)
         self.places.lost(connection, self._loop.time())
         self._left()
 
-    def rests(self, connection: ClientConnection) -> None:
+    def on_idle(self, connection: ClientConnection) -> None:
+        """All that it has brought is answered."""
         self.places.rests(connection, self._loop.time())
         self._thin_out()
 
-    def reads(self, connection: ClientConnection) -> None:
+    def on_head_bytes(self, connection: ClientConnection) -> None:
+        """A request has begun, and its head is not whole."""
         self.places.reads(connection, self._loop.time())
 
-    def receives(self, connection: ClientConnection, size: int) -> None:
+    def on_body_bytes(self, connection: ClientConnection, size: int) -> None:
         """Bytes of a body have come, its framing among them."""
         now = self._loop.time()
         pace = self.bodies.get(connection)
@@ -222,17 +226,19 @@
         pace.receive(now, size)
         self.places.receives(connection, now)
 
-    def received(self, connection: ClientConnection) -> None:
+    def on_body_end(self, connection: ClientConnection) -> None:
+        """No more of a body is waited for."""
         self.bodies.pop(connection, None)
 
-    def moves(self, connection: ClientConnection) -> None:
+    def on_answer_taken(self, connection: ClientConnection) -> None:
         """A part of a long answer has been taken."""
         self.flows[connection] = self._loop.time()
 
-    def works(self, connection: ClientConnection) -> None:
+    def on_request(self, connection: ClientConnection) -> None:
+        """A whole request, or the head of a long one, is served from now on."""
         self.places.works(connection, self._loop.time())
 
-    def keeps(self, connection: ClientConnection) -> bool:
+    def keeps_alive(self, connection: ClientConnection) -> bool:
         """Whether the answer that is ready keeps the connection."""
         full = self.places.is_full()
         kept = self.places.keeps(connection, self._loop.time())
@@ -252,7 +258,8 @@
             "streams_up": len(self.bodies), "streams_down": len(self.flows),
         }  # fmt: skip
 
-    def leaves(self, connection: ClientConnection, rejected: bool) -> None:
+    def on_last_answer(self, connection: ClientConnection, rejected: bool) -> None:
+        """Its answer, which is written, tells the client to go; `rejected`: by a 4xx."""
         now = self._loop.time()
         (self.places.lingers if rejected else self.places.leaves)(connection, now)
         crowded_out = self.places.crowded_out(now)
