--- a/tests/operations/test_upgrade_under_stalls.py
+++ b/tests/operations/test_upgrade_under_stalls.py
@@ -26,8 +26,10 @@
 
 @pytest.mark.parametrize(
     ("which", "seconds"),
-    [("old, as the new one comes up", 0.6), ("old, as the new one comes up", 1.6), ("new, once it serves", 0.6),
-     ("old, told to end", 0.6), ("both, told to end", 0.4)],
+    [
+        ("old, as the new one comes up", 0.6), ("old, as the new one comes up", 1.6),
+        ("new, once it serves", 0.6), ("old, told to end", 0.6), ("both, told to end", 0.4),
+    ],
 )  # fmt: skip
 def test_each_request_is_answered(which: str, seconds: float, tmp_path: Path) -> None:
     async def test() -> None:
