The log waits for no reader: lines that standard error does not take at once are dropped and counted

Change: driftstair/observability/log_stream.py, for the daemon, control servers and the event log on standard error; a pipe or socket is asked first (poll), lines are cut to what a pipe takes at once, the next line tells how many were left out.

--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import logging
 import os
 import signal
 import sys
@@ -24,10 +23,11 @@
 
     from driftstair.config import ConfigError, load, reload, stamp
     from driftstair.daemon import serve
+    from driftstair.observability.log_stream import log_to_standard_error
 
     reread = partial(reload, os.environ)
     read = stamp(os.environ)
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    log_to_standard_error()
 
     def has_changed() -> bool:
         """The configuration's file, since it was read."""
--- a/driftstair/control/process.py
+++ b/driftstair/control/process.py
@@ -14,6 +14,7 @@
 from driftstair.control.server import ControlServer
 from driftstair.control.settings import ServerSettings, read_settings
 from driftstair.control.storage import StorageError
+from driftstair.observability.log_stream import log_to_standard_error
 from driftstair.service.load import ServiceError
 
 log = logging.getLogger(__name__)
@@ -23,7 +24,7 @@
 
 def run(file: str) -> int:
     """The exit status."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    log_to_standard_error()
     try:
         settings = read_settings(file)
     except ServiceError as problem:
--- a/driftstair/observability/event_log.py
+++ b/driftstair/observability/event_log.py
@@ -8,11 +8,12 @@
 
 import json
 import logging
-import sys
 from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
 
+from driftstair.observability.log_stream import standard_error
+
 LOGGER = "driftstair.events"
 
 
@@ -38,7 +39,7 @@
         self._monotonic_ns = monotonic_ns
         self._wall_ns = wall_ns
         self._logger = logging.Logger(LOGGER)
-        handler = handler or logging.StreamHandler(sys.stderr)
+        handler = handler or standard_error()
         handler.setFormatter(logging.Formatter("%(message)s"))
         self._logger.addHandler(handler)
 
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -6,15 +6,19 @@
 import asyncio
 import fcntl
 import json
+import logging
 import os
 import signal
 import sys
 import termios
+from contextlib import suppress
 from pathlib import Path
 
 from rig import Client, Server, configuration, request, run, status, until
 from test_process import ROOT
 
+from driftstair.observability.log_stream import LogStreamHandler
+
 PAGE = 4096  # bytes: the smallest pipe
 
 
@@ -64,3 +68,38 @@
                 os.close(writes)
 
     run(test())
+
+
+def test_what_can_not_be_written_at_once_is_dropped_and_counted() -> None:
+    reads, writes = os.pipe()
+    fcntl.fcntl(writes, fcntl.F_SETPIPE_SZ, PAGE)
+    with os.fdopen(reads, "rb"), os.fdopen(writes, "w") as stream:
+        handler = LogStreamHandler(stream)
+        logger = logging.Logger("one")
+        logger.addHandler(handler)
+        logger.info("x" * 10 * PAGE)  # a line that no pipe takes at once is cut
+        assert waiting(reads) == PAGE
+        for _ in range(3):
+            logger.info("lost")
+        assert handler.dropped == 3
+        os.read(reads, PAGE)
+        logger.info("kept")
+        assert handler.dropped == 0
+        assert os.read(reads, PAGE).splitlines() == [
+            b"3 lines were not written: nobody read the log",
+            b"kept",
+        ]
+
+
+def test_a_file_takes_whole_lines_and_a_reader_that_is_gone_ends_nothing(tmp_path: Path) -> None:
+    with (tmp_path / "log").open("w") as stream:
+        logger = logging.Logger("one")
+        logger.addHandler(LogStreamHandler(stream))
+        logger.info("x" * 10 * PAGE)
+    assert (tmp_path / "log").stat().st_size == 10 * PAGE + 1
+    reads, writes = os.pipe()
+    os.close(reads)
+    with suppress(BrokenPipeError), os.fdopen(writes, "w") as stream:
+        logger = logging.Logger("one")
+        logger.addHandler(LogStreamHandler(stream))
+        logger.info("to nobody")
