Failing test: a node that is emptied or replaced closes connections over unread requests

Hypothesis: Front._let_go closes a connection that has brought nothing for 0.4 s, and idle ones, without asking whether something is with the kernel; a node that was held up looks before it reads. The end of the process and time-outs ask already.

--- /dev/null
+++ b/tests/operations/test_drain_crossings.py
@@ -0,0 +1,40 @@
+"""A node that is emptied, and requests that are with the kernel in the moment in which it lets go."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from rig import Client, Rig, Server, configuration, request, run, status, until
+
+from driftstair.operations.drain import FRONT_KNOWS, SPOKEN_BY, Drain
+
+
+@pytest.mark.parametrize(("way", "connection"), [("drain", "new"), ("drain", "kept"), ("hand-over", "kept")])
+def test_what_a_client_has_sent_is_answered_before_its_connection_goes(way: str, connection: str) -> None:
+    """The node was held up: it looks at its connections before it reads what came meanwhile."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            plain = socket.create_connection(rig.address)
+            await until(lambda: rig.front._connections)
+            plain.setblocking(False)
+            client = Client(*await asyncio.open_connection(sock=plain))
+            if connection == "kept":
+                assert status(await client.ask(request())) == 200
+                await until(lambda: next(iter(rig.front._connections)).activity() == "IDLE")
+            (held,) = rig.front._connections
+            held.since -= SPOKEN_BY
+            plain.send(request())  # with the kernel, and not read before the look
+            if way == "drain":
+                rig.front.drain = Drain(loop.time() - FRONT_KNOWS - 0.1)
+                rig.front._let_go(rig.front.drain)
+            else:
+                rig.front._handed_over = True
+                rig.front._sweep()
+            assert status(await client.read()) == 200
+            assert await client.ended() == b""
+
+    run(test())
