--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -433,6 +433,7 @@
             node.observer.connection_closed(self._number, reason.value)
 
     def close_if_unused(self) -> None:
+        """Unless a request is open on it, or the client has sent what is not read yet."""
         unused = not self._busy and not self._reader.ready and not self._reader.is_partial()
         if unused and not self.has_unread():
             self.close(CloseReason.IDLE)
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -173,7 +173,7 @@
             # Clients may hold so many connections at a node, both processes together. Guards against idle
             # ones here that leave them none to reach the other process by.
             for connection in [one for one in self._connections if one.activity() == "IDLE"]:
-                connection.close(CloseReason.IDLE)
+                connection.close_if_unused()
         self._loop.call_later(SWEEP, self._sweep)
 
     def _let_go(self, drain: Drain) -> None:
@@ -184,7 +184,7 @@
         for connection in list(self._connections):
             way = drain.way(Rests[connection.activity()], now - connection.since, now)
             if way is Way.CLOSE:
-                connection.close(CloseReason.IDLE)
+                connection.close_if_unused()  # what it has sent meanwhile is read first, and looked at again
             elif way is Way.REFUSE:
                 connection.refuse()
 
