--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -355,11 +355,11 @@
 
 
 def test_a_bug_that_raises_in_a_callback_is_a_crash_and_not_a_hang(monkeypatch: pytest.MonkeyPatch) -> None:
-    def rests(self: Front, connection: ClientConnection) -> None:
+    def on_idle(self: Front, connection: ClientConnection) -> None:
         if self._loop.time() > 3:
             raise KeyError("planted")
 
-    monkeypatch.setattr(Front, "rests", rests)
+    monkeypatch.setattr(Front, "on_idle", on_idle)
     run = Run(small())
     assert run.report["verdict"]["crashes"] > 0 and run.report["ended"] == "whole"
     crash = run.report["crashes"][0]
