Failing tests: the soak's judge mixes up two processes of one node

The event logs of one (n0-2) end between the attempt and the next process (n0-3): the request was held by the killed process. The judge holds it against the SIGTERM of the process before. By reading, the other way round: a kill after the connection had ended excuses it. Both tests are listed. A process's start is noted from now on.

--- a/benchmarks/soak/daemons.py
+++ b/benchmarks/soak/daemons.py
@@ -67,6 +67,7 @@
         self._life += 1
         self._ending = False
         self._write_config()
+        self.record.started.append(monotonic())
         service = self._folder / f"n{self.number}-{self._life}.toml"
         events = self._folder / f"n{self.number}-{self._life}.events"
         service.write_text(f'version = 1\n[events]\nlevel = "requests"\nfile = "{events}"\n')
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -80,6 +80,7 @@
 @dataclass(slots=True)
 class NodeRecord:
     stalls: list[Span] = field(default_factory=list)
+    started: list[float] = field(default_factory=list)  # a process of it was started
     terminated: list[float] = field(default_factory=list)  # SIGTERM was sent
     killed: list[float] = field(default_factory=list)  # SIGKILL was sent, or the process had ended
     leaving: dict[str, list[Span]] = field(default_factory=dict)  # servers: from when it counts as told on
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -138,6 +138,19 @@
     assert held(103.2, Span(98.0, 99.5))
 
 
+def test_a_killed_process_is_not_judged_by_the_sigterm_of_the_one_before_it() -> None:
+    """A node's process was told to end and did; the next one is killed with a request in flight."""
+    replaced = NodeRecord(started=[80.0, 95.0], terminated=[94.0], killed=[100.3])
+    assert judged(node=replaced, ended_at=100.3, attempts=[attempt(100.1)]) == []
+    same = NodeRecord(started=[80.0], terminated=[94.0], killed=[100.3])
+    assert judged(node=same, ended_at=100.3, attempts=[attempt(100.1)]) == ["no answer"]
+
+
+def test_a_later_kill_excuses_no_connection_that_had_ended_before_it() -> None:
+    killed_later = NodeRecord(started=[80.0], killed=[101.2])
+    assert judged(node=killed_later, ended_at=100.2, attempts=[attempt(100.1)]) == ["no answer"]
+
+
 def test_a_crowd_excuses_only_new_connections_that_were_shut_unread() -> None:
     crowded = NodeRecord(crowds=[Span(99.5, 101.0)])
     assert judged(node=crowded, ended_at=100.1) == []
