The soak's judge holds a kill against the SIGTERM of the same process only

Cause: Judge._excused took the last SIGTERM a node's record had before the request, though another process of the node had been started since; and any kill before the request's time was up excused it, also one after its connection had ended. Now the SIGTERM of the killed process counts, and only a kill that can have ended the connection.

--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -105,9 +105,11 @@
     def _excused(self, request: RequestRecord, node: NodeRecord, latest: float) -> bool:
         """What a killed process held is for its client; so is what crosses a resting connection's end, or is
         shut unread at a node whose descriptors idle clients fill (what was read the guard tells)."""
-        if any(request.connected - SOCKET_SLACK <= at <= latest for at in node.killed):
-            terminated = [at for at in node.terminated if at <= request.sent]
-            return not terminated or request.sent <= terminated[-1] + KILLED_AFTER or not request.attempts
+        held_until = latest if request.ended_at is None else request.ended_at + SOCKET_SLACK
+        killed = [at for at in node.killed if request.connected - SOCKET_SLACK <= at <= held_until]
+        if killed:
+            terminated = node.terminated_before_kill(killed[0])
+            return terminated is None or request.sent <= terminated + KILLED_AFTER or not request.attempts
         if request.ended_at is None:
             return False
         if request.begun:
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -106,6 +106,11 @@
         """When it was told that a server leaves, if that was in force at a moment."""
         return next((one.since for one in self.leaving.get(server, []) if one.touches(at, at)), None)
 
+    def terminated_before_kill(self, killed: float) -> float | None:
+        """When the process that was killed then had been sent SIGTERM; None: it had not."""
+        started = max((at for at in self.started if at <= killed), default=0.0)
+        return max((at for at in self.terminated if started <= at <= killed), default=None)
+
     def stalled(self, since: float, until: float) -> float:
         """The end of the last stall that touches a span; 0: none does."""
         return max((one.until for one in self.stalls if one.touches(since, until)), default=0.0)
