--- a/tests/operations/test_drain_crossings.py
+++ b/tests/operations/test_drain_crossings.py
@@ -38,3 +38,37 @@
             assert await client.ended() == b""
 
     run(test())
+
+
+@pytest.mark.parametrize("look", ["drain", "hand-over", "end", "time-out"])
+def test_a_request_whose_client_ended_its_sending_is_answered_before_its_connection_goes(look: str) -> None:
+    """As above: request and end of sending are with the kernel, and the node looks before it reads."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            plain = socket.create_connection(rig.address)
+            await until(lambda: rig.front._connections)
+            plain.setblocking(False)
+            client = Client(*await asyncio.open_connection(sock=plain))
+            (held,) = rig.front._connections
+            held.since -= SPOKEN_BY
+            if look == "hand-over":
+                assert status(await client.ask(request())) == 200
+                await until(lambda: held.activity() == "IDLE")
+            plain.send(request())
+            plain.shutdown(socket.SHUT_WR)
+            if look == "drain":
+                rig.front.drain = Drain(loop.time() - FRONT_KNOWS - 0.1)
+                rig.front._let_go(rig.front.drain)
+            elif look == "hand-over":
+                rig.front._handed_over = True
+                rig.front._sweep()
+            elif look == "end":
+                held.close_if_unused()
+            else:
+                held.time_out()
+            assert status(await client.read()) == 200
+            assert await client.ended() == b""
+
+    run(test())
