A full table takes no place from a client whose request is with the kernel

Cause: Places.make_room chose by what the node had read, and Front._end aborted the connection: a request that became whole while the node stood still was reset with no answer. Now the table asks, before it gives a connection up, whether its client has sent what is unread, and takes another one; idle connections too.

--- a/driftstair/admission/places.py
+++ b/driftstair/admission/places.py
@@ -18,16 +18,19 @@
 not read its answer has an open request: closing it would lose that, so it stays until its deadline, which the
 front sees to.
 
+2 to 4 go by what the node has read. A connection whose client has sent what is unread yet is passed over: the
+node may have been held up, and a request that is with the kernel would be lost with its connection.
+
 Work for an event is bounded whatever the count: an idle connection moves through the buckets of its age, once
 each, `MOVES` of all in an event; the choice looks at the fronts of buckets only.
 """
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
-from itertools import takewhile
+from itertools import islice, takewhile
 from math import ceil
 from typing import Generic, TypeVar
 
@@ -39,6 +42,7 @@
 USES = (1, 2, 4)  # requests so far, at least, of each kind of idle connection
 MOVES = 32  # connections that one event moves to the next bucket of age, or closes
 MOVES_SWEEP = 2048  # the same at a sweep, some times a second
+LOOKS = 8  # connections of one kind that a choice asks for what is unread
 LEARN_EVERY = 0.25  # s between two reckonings of what idle connections are worth
 STAYS_ONE_IN = 16  # answers that keep a connection that should close, or no return would be seen any more
 LEAVE_LEAST = 0.3  # s for a client that was told to go to read its answer: a reset would take that with it
@@ -75,6 +79,10 @@
     BODY = 7  # its request's head is whole, its body is on the way; since the last piece of it
 
 
+ANSWERED = (State.LINGERING, State.LEAVING)
+"""What a client sends after its last answer is not read."""
+
+
 class Ending(Enum):
     """How a connection that is given up is to be closed."""
 
@@ -107,8 +115,10 @@
 class Places(Generic[Connection]):
     """What one node's front asks at each event. `now` in s, of one clock that does not go back."""
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, has_unread: Callable[[Connection], bool] = lambda _: False) -> None:
+        """`has_unread`: whether a client has sent what the node has not read."""
         self.limits = limits
+        self._has_unread = has_unread
         self.crowd = Crowd()
         self.returns = tuple(Returns() for _ in USES)
         self.ending = False  # the node is about to end: clients may find no other, and keep what they have
@@ -265,7 +275,6 @@
     def make_room(self, now: float, forced: bool = False) -> tuple[Connection, Ending] | None:
         """The connection to close for another that waits at a full table; None: that one has to wait.
         `forced`: no descriptor is left, so an idle one goes whatever it is worth."""
-        tables = self._tables
         for state, before in (
             (State.LINGERING, now),
             (State.LEAVING, now - LEAVE_LEAST),
@@ -274,8 +283,8 @@
             (State.READING, now - HEAD_LEAST),
             (State.BODY, now - BODY_LEAST),
         ):
-            connection = next(iter(tables[state]), None)
-            if connection is not None and tables[state][connection] <= before:
+            connection = self._first_since(state, before)
+            if connection is not None:
                 self.lost(connection, now)
                 return connection, Ending.ABORT
         if not forced and len(self._newcomers) >= self._lane(now):
@@ -309,7 +318,8 @@
         self._grow_older(now, MOVES_SWEEP)
         for kind in self._idle:
             for bucket in kind[bucket_of(limits.idle_most) :]:
-                late += [(one, Ending.CLOSE) for one in _since(bucket, now - limits.idle_most)]
+                idle = _since(bucket, now - limits.idle_most)
+                late += [(one, Ending.CLOSE) for one in idle if not self._has_unread(one)]
         for connection, ending in late:
             if ending is not Ending.TIME_OUT:  # which is still told so
                 self.lost(connection, now)
@@ -350,11 +360,23 @@
         for worth, kind, bucket in self._order:
             if worth >= below:
                 return None
-            table = self._idle[kind][bucket]
-            if table:
-                return next(iter(table))
+            connection = self._first_read(self._idle[kind][bucket])
+            if connection is not None:
+                return connection
         return None
 
+    def _first_since(self, state: State, latest: float) -> Connection | None:
+        """The longest in a state, since then or longer, that may be closed."""
+        table = self._tables[state]
+        found = takewhile(lambda one: table[one] <= latest, table)
+        if state in ANSWERED:
+            return next(found, None)
+        return self._first_read(found)
+
+    def _first_read(self, connections: Iterable[Connection]) -> Connection | None:
+        """The first of which all is read that its client has sent; a few are asked."""
+        return next((one for one in islice(connections, LOOKS) if not self._has_unread(one)), None)
+
     def _grow_older(self, now: float, moves: int = MOVES) -> None:
         """Idle connections go on to the buckets of their ages; reckons again what they are worth. With room
         to spare only the sweep does so: it would cost each request more than all else here."""
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -53,7 +53,7 @@
         self._handed_over = False  # another process of this node takes the clients
         self._ended = False  # what is begun from now on would not be finished
         self._limits = limits
-        self.places: Places[ClientConnection] = Places(limits)
+        self.places: Places[ClientConnection] = Places(limits, ClientConnection.has_unread)
         self.budget = Budget(config.memory)  # for bodies that are held until they are whole
         self.bodies: dict[ClientConnection, Pace] = {}  # that are on their way from clients
         self.flows: dict[ClientConnection, float] = {}  # long answers, and since when each stands still
