A request with its client's end behind it counts as unread

Cause: System.unread excluded POLLRDHUP, to pass over clients that have only left; a half-closing client's request lay ahead of that end. Now whatever waits counts until the connection has read the end; a reset one does not.

--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -439,5 +439,6 @@
             self.close(CloseReason.IDLE)
 
     def has_unread(self) -> bool:
-        """Whether the client has sent what is with the kernel still, and has not left."""
-        return self._unread()
+        """Whether the client has sent what is with the kernel still: a request, a part of one, or its end,
+        which may have a request ahead of it."""
+        return not self._half_closed and self._unread()
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -94,8 +94,8 @@
         were read at once; 0 where the system does not tell."""
 
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
-        """What is returned tells whether data wait on a connection that the loop has not read, of a peer that
-        has not ended its sending."""
+        """What is returned tells whether data or the peer's end of sending wait on a connection that the loop
+        has not read; not on one that was reset."""
 
     async def aside(self, what: Callable[[], None]) -> None:
         """Do what waits for a disk, off the loop's turn."""
@@ -204,11 +204,11 @@
 
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
         def waits() -> bool:
             found = poll.poll(0)
-            return bool(found) and found[0][1] == select.POLLIN
+            return bool(found) and found[0][1] == select.POLLIN  # an error or a hang-up is told beside it
 
         return waits
 
--- a/driftstair/rehearsal/sim/stream.py
+++ b/driftstair/rehearsal/sim/stream.py
@@ -95,6 +95,9 @@
         """Whether anything has come, the end included, that the process has not read."""
         return bool(self._received) or self._reset is not None
 
+    def was_reset(self) -> bool:
+        return self._reset is not None
+
     def pause_reading(self) -> None:
         self._reading = False
 
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -56,7 +56,7 @@
 
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         endpoint = cast(Endpoint, transport)
-        return lambda: endpoint.has_unread() and endpoint.left_at is None
+        return lambda: endpoint.has_unread() and not endpoint.was_reset()
 
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         return lambda: 0  # what a stopped process finds is not dated in this world
