An attempt's time-out that comes late looks once more before it ends the attempt

Cause: timers run before sockets are read, so after a stall Attempt._expire ended attempts whose answer or dial was with the kernel: 502 for an answer that was there, and a failure held against the server. A time-out over 20 ms late waits 10 ms once.

--- a/driftstair/net/server_attempt.py
+++ b/driftstair/net/server_attempt.py
@@ -23,6 +23,8 @@
 """Those worth another try at once. A network that stays out of reach is the server's, to be avoided."""
 LOCAL_DIALS = 3  # tries at one dial that fails for such a reason: most are over in a moment
 LOCAL_PAUSE = 0.01  # s between two of them
+LATE_LEAST = 20_000_000  # ns that a time-out may come late: more, and the process stood still
+LAST_LOOK = 0.01  # s for what came meanwhile to be read
 NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
 NEWS_LOOKS = 10  # of them: the next turn of the loop reads, so what is unread for longer is none
 UPLOAD_LOOK = 1_000_000_000  # ns between two looks at whether a long body gets on
@@ -169,11 +171,16 @@
         delay = max(0, at - self.pool.pools.now()) // 1_000_000 + 1
         self._timer = asyncio.get_running_loop().call_later(delay / 1000, self._expire, at)
 
-    def _expire(self, at: int) -> None:
+    def _expire(self, at: int, looked: bool = False) -> None:
         now = self.pool.pools.now()
         if now < at:
             self._expires_at(at)
             return
+        if now - at >= LATE_LEAST and not looked:
+            # Timers run before sockets are read. Guards against a time-out of an answer, or of a dial, that
+            # came while the process stood still.
+            self._timer = asyncio.get_running_loop().call_later(LAST_LOOK, self._expire, at, True)
+            return
         uploads = self.moved and not self.written_at
         if uploads and now - self.moved < SILENCE_MOST * 1e9:
             self._expires_at(now + UPLOAD_LOOK)  # its time counts from its last byte
--- a/tests/acceptance/test_last_looks.py
+++ b/tests/acceptance/test_last_looks.py
@@ -1,5 +1,5 @@
-"""Closes and time-outs by an event that the node has not read yet. Whole daemons, stopped by SIGSTOP and resumed
-by SIGCONT: what makes the node look at a connection is with the kernel ahead of what the connection brings."""
+"""Closes and time-outs by an event that the node has not read yet. Whole daemons, stopped by SIGSTOP and
+resumed by SIGCONT: what makes the node look at a connection is with the kernel ahead of what that brings."""
 
 from __future__ import annotations
 
@@ -12,13 +12,13 @@
 from rig import Client, Server, answer, configuration, grade, request, run, status, until
 from test_process import Program, program
 
-SOCKETS = 96  # descriptors: the least that a node is told, so that few clients fill its table
+SOCKETS = 96  # descriptors: the least that a node may be told, so that few clients fill its table
 PLACES = 30  # that such a node has for clients
-BEGUN = 0.3  # s: longer than a full table leaves a request that has begun, shorter than anything else
+BEGUN = 0.3  # s: longer than a full table leaves a request that has begun
 
 
 async def begin_bodies(node: Program, clients: int) -> list[Client]:
-    """Clients in the middle of a body: their connections make room only after the one that stops in a head."""
+    """Clients in the middle of a body: their connections make room after the one that stops in a head."""
     begun = [await node.client() for _ in range(clients)]
     for client in begun:
         client.writer.write(request(body=b"x" * 100)[:-50])
@@ -29,8 +29,8 @@
 def test_a_full_table_takes_no_place_from_a_request_that_is_with_the_kernel(
     begun: str, tmp_path: Path
 ) -> None:
-    """Newcomers wait for a place while the node stands still, and a request that had begun becomes whole behind
-    them: its client's connection must not make room for theirs."""
+    """Newcomers wait for a place while the node stands still, and a request that had begun becomes whole
+    behind them: its client's connection must not make room for theirs."""
 
     async def test() -> None:
         async with Server("s-1") as server:
@@ -61,7 +61,7 @@
 
 
 def test_an_answer_that_came_meanwhile_is_served_though_its_time_out_ran_out(tmp_path: Path) -> None:
-    """Timers run before sockets are read: the answer is with the kernel when the attempt's time-out is due."""
+    """Timers run before sockets are read: the answer is with the kernel as the attempt's time-out is due."""
 
     async def test() -> None:
         script = Timed(answer(body=b"in time"))
