--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -113,21 +113,37 @@
         self._choose = choose
         self._until = until
         self._kept: Connection | None = None
+        self._aside: list[asyncio.Task[None]] = []  # connections of its own that rest or stop
 
     async def run(self) -> None:
         while monotonic() < self._until:
             await self._turn(self._random.choice(HABITS))
             await asyncio.sleep(self._random.uniform(*PAUSE))
         self._drop()
+        await asyncio.gather(*self._aside)
 
-    async def _turn(self, habit: Habit) -> None:
+    def _set_aside(self, habit: Habit) -> None:
+        """The kept connection is another client's from now on, which asks once at most. This one goes on."""
+        other = Client(self._records, Random(self._random.random()), self._numbers, self._choose, self._until)
+        if habit is Habit.RESTS or self._random.random() < 0.5:
+            other._kept, self._kept = self._kept, None
+        self._aside.append(asyncio.get_running_loop().create_task(other._turn_aside(habit)))
+
+    async def _turn_aside(self, habit: Habit) -> None:
         if habit is Habit.STOPS:
             await self._stop_in_request()
             return
+        left = self._until - monotonic()
+        await asyncio.sleep(min(self._random.uniform(*RESTS), max(0.0, left)))
+        await self._turn(Habit.KEEPS)
+        self._drop()
+
+    async def _turn(self, habit: Habit) -> None:
+        if habit in (Habit.STOPS, Habit.RESTS):
+            self._set_aside(habit)
+            return
         if habit is Habit.NEW:
             self._drop()
-        elif habit is Habit.RESTS:
-            await asyncio.sleep(self._random.uniform(*RESTS))
         connection = self._kept or await self._connect()
         if connection is None:
             return
@@ -225,11 +241,10 @@
 
     async def _stop_in_request(self) -> None:
         """On a connection of its own, or on the kept one."""
-        connection = self._random.choice((self._kept, None)) or await self._connect()
+        connection = self._kept or await self._connect()
         if connection is None:
             return
-        if connection is self._kept:
-            self._kept = None
+        self._kept = None
         kind = self._random.choice(KINDS)
         data = self._bytes(kind, f"{next(self._numbers):016x}", kind.deadline_ms / 1000)
         sent = data[: self._random.randrange(1, len(data))]
--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -11,6 +11,7 @@
 GONE = 0.1  # s after a client's end in which an attempt may begin
 TOLD_SLACK = 0.15  # s that a server may be told beyond what the client has left
 RELEASED_WITHIN = 3.0  # s for a client that stops in the middle of a request: its error, or a close
+LOOKS_AFTER_STALL = 0.2  # s behind a stall in which a node has looked who is to be let go
 SENDING = 0.05  # s after an answer in which an attempt may still be on its way
 SOCKET_SLACK = 0.05  # s by which each limit is longer on sockets
 CLOCK_TICK = 0.01  # s by which the kernel's word of when bytes came may be off
@@ -52,9 +53,7 @@
         return sorted(found, key=lambda one: one.at)
 
     def _of_stopped(self, stopped: StoppedClientRecord) -> Iterator[Violation]:
-        node = self._records.nodes[stopped.node]
-        latest = stopped.stopped + RELEASED_WITHIN + SOCKET_SLACK
-        latest = max(latest, node.stalled(stopped.stopped, latest) + RELEASED_WITHIN)
+        latest = self._released_by(stopped, self._records.nodes[stopped.node])
         latest += self._records.lags.around(latest)
         if stopped.released is None or stopped.released > latest:
             held = (
@@ -63,6 +62,13 @@
             detail = f"{stopped.what}: let go {held}"
             yield Violation("stopped client held", "", stopped.node, latest, detail)
 
+    def _released_by(self, stopped: StoppedClientRecord, node: NodeRecord) -> float:
+        """By when its node has to let it go: 3 s from when it could read, or behind a stall they end in."""
+        read_at = node.runs_again(stopped.stopped)
+        latest = read_at + RELEASED_WITHIN + SOCKET_SLACK
+        runs_again = node.runs_again(latest)
+        return latest if runs_again == latest else runs_again + LOOKS_AFTER_STALL
+
     def _of_request(self, request: RequestRecord) -> Iterator[Violation]:
         node = self._records.nodes[request.node]
 
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -106,6 +106,10 @@
         """When it was told that a server leaves, if that was in force at a moment."""
         return next((one.since for one in self.leaving.get(server, []) if one.touches(at, at)), None)
 
+    def runs_again(self, at: float) -> float:
+        """The end of the stall in which that moment lies; the moment itself if its process runs."""
+        return next((one.until for one in self.stalls if one.touches(at, at)), at)
+
     def terminated_before_kill(self, killed: float) -> float | None:
         """When the process that was killed then had been sent SIGTERM; None: it had not."""
         started = max((at for at in self.started if at <= killed), default=0.0)
--- a/benchmarks/soak/registry.py
+++ b/benchmarks/soak/registry.py
@@ -127,6 +127,8 @@
                 if self.slow:
                     async with self._turn:
                         await asyncio.sleep(SLOW)
+                if reader.at_eof():
+                    return  # the node has given the call up: nobody is told by what is written here
                 writer.write(HEAD)
                 self._tell(writer, node, full=True, entries=self._servers)
                 self._watches[writer] = node
