Failing test: a long body written in a stall, at a node that has much else to read

Hypothesis: ArrivalDates takes bytes for new that are read over 20 ms after the read before, though they reached the kernel as that read opened the window.

--- a/tests/acceptance/test_stalled_process.py
+++ b/tests/acceptance/test_stalled_process.py
@@ -124,6 +124,34 @@
     run(test())
 
 
+OTHERS = 200  # clients whose requests keep the node from one read of a long body to the next
+
+
+@pytest.mark.parametrize("size", [150_000, 400_000])
+def test_a_long_request_counts_from_its_writing_also_where_the_node_has_much_else_to_read(
+    size: int, tmp_path: Path
+) -> None:
+    """Between two reads of its body the loop reads what all others have sent meanwhile."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            client = await node.client()
+            assert status(await client.ask(request())) == 200
+            others = [await node.client() for _ in range(OTHERS)]
+            async with stopped(node):
+                for other in others[::2]:
+                    other.writer.write(request())
+                await write_all(client, request(body=b"y" * size, X_Deadline="2000m"))
+                for other in others[1::2]:
+                    other.writer.write(request())
+                await asyncio.sleep(STALL)
+            assert status(await client.read()) == 200
+            (long,) = [message for message in server.seen if message.body]
+            assert told(long) <= 2.0 - STALL + SLACK
+
+    run(test())
+
+
 def test_nothing_begins_for_a_client_that_wrote_a_long_request_and_left_meanwhile(tmp_path: Path) -> None:
     async def test() -> None:
         async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
