A long body's parts are dated by when they reached the kernel, and a full window by its sender

Cause: ArrivalDates._backlog took bytes for new that were read over 20 ms after the read before. Traced on the daemon of the failing test: 127,660 bytes at first (the window opens while they are read, so that the kernel's date is the reading's), then 68,792 bytes 27 to 36 ms later, and so all of the body as new: 1.99 s told of 1.36 s left. Now the gap is that from a read to the arrival behind it by the kernel; a full window follows a backlog for up to 4 MB, what a sender's machine takes in ahead; a read of more than the window counts from the hold.

--- a/driftstair/net/arrival.py
+++ b/driftstair/net/arrival.py
@@ -2,8 +2,10 @@
 
 Bytes that lie with this machine are dated by its kernel. Those of a long request that do not fit into the
 receive window lie with the client's machine until the window opens, which it does as the node reads: then
-they reach the kernel at once, however long ago the client wrote them. So what follows such a read without a
-gap counts as written since the process stood still. Pure; times are ns of one monotonic clock.
+they reach the kernel at once, however long ago the client wrote them. So what reaches it right behind such a
+read counts as written since the process stood still, and so does a full window, for as long as the client's
+machine may have had more ready. A read that brings more than the window holds took in what came in itself, so
+that the kernel's date is that of the reading. Pure; times are ns of one monotonic clock.
 """
 
 from __future__ import annotations
@@ -13,9 +15,13 @@
 
 MS = 1_000_000  # ns
 HELD_LEAST = 50 * MS  # that bytes may have lain unread: less is the machine's usual noise
-WINDOW_LEAST = 32 << 10  # bytes of one read that may have filled the receive window (RECEIVES in `system.py`)
-GAP_MOST = 20 * MS  # between two reads of what the other machine has ready, by a loop that has much to do
+WINDOW_LEAST = 32 << 10  # bytes that may have filled the receive window (RECEIVES in `system.py`)
+WINDOW_MOST = 64 << 10  # bytes that it holds
+SENDER_MOST = 4 << 20  # bytes that a client's machine takes in ahead of the window (Linux's tcp_wmem)
+GAP_MOST = 20 * MS  # from a read to the arrival of what the other machine has ready
 KERNEL_TICK = 10 * MS  # at its slowest: by so much its word of when bytes came may be off
+AGE_LEAST = 2 * KERNEL_TICK  # less may be none
+AGE_MOST = 3_600_000 * MS  # data that wait for longer than any client are a system's nonsense
 BACKLOG_READ_LEAST = 16 << 10  # bytes of one of two such reads in a row; a slow sender's are smaller
 
 
@@ -35,6 +41,8 @@
     _backlog_since: int = 0  # since when the other machine may have had bytes ready; 0: it has none
     _dated_back: int = 0  # that time, if the latest bytes are dated by it
     _last_size: int = 0  # bytes of the read before
+    _lain_bytes: int = 0  # that lay unread for long, of the latest reads in a row
+    _backlog_bytes: int = 0  # that were read since the process ran again
 
     def pause(self, now: int) -> None:
         """From now on what comes is left with the kernel."""
@@ -43,9 +51,11 @@
     def on_read(self, now: int, size: int, age: int, earliest: int, is_paused: bool) -> Arrival:
         """So many bytes are read. `age`: ns since the newest of them came, by the kernel; `earliest`: since
         when the process may not have run; `is_paused`: nothing more is read for now."""
-        newest = now - age
+        age = age if age <= AGE_MOST else 0
+        reached = now - age
+        newest = reached if age >= AGE_LEAST else now
         oldest = min(newest, max(self.drained_at, earliest))
-        self._dated_back = backlog = self._backlog(now, size, oldest)
+        self._dated_back = backlog = self._backlog(now, size, oldest, reached)
         if self._paused_at:
             oldest = min(newest, self._paused_at)
             if not is_paused:
@@ -53,14 +63,26 @@
         self.drained_at, self._last_size = now, size
         return Arrival(backlog, backlog) if backlog else Arrival(oldest, newest)
 
-    def _backlog(self, now: int, size: int, oldest: int) -> int:
-        """Since when these bytes may have been written, beyond what the kernel knows; 0: it knows all."""
-        follows = now - self.drained_at <= GAP_MOST and max(size, self._last_size) >= BACKLOG_READ_LEAST
-        if self._backlog_since and follows:
+    def _backlog(self, now: int, size: int, oldest: int, reached: int) -> int:
+        """Since when these bytes may have been written, beyond what the kernel knows; 0: it knows all.
+        `reached`: when the newest of them came to the kernel, within a tick."""
+        if self._backlog_since and self._may_have_been_ready(size, reached):
+            self._backlog_bytes += size
             return self._backlog_since
-        fills_window = size >= WINDOW_LEAST and now - oldest >= HELD_LEAST
-        self._backlog_since = oldest if fills_window else 0
-        return 0
+        self._backlog_since = 0
+        self._lain_bytes = self._lain_bytes + size if now - oldest >= HELD_LEAST else 0
+        if self._lain_bytes < WINDOW_LEAST:
+            return 0
+        self._backlog_since, self._backlog_bytes = oldest, size
+        came_in_reading = size > WINDOW_MOST and now - reached < AGE_LEAST
+        return oldest if came_in_reading else 0
+
+    def _may_have_been_ready(self, size: int, reached: int) -> bool:
+        """With the other machine, as the process ran again."""
+        if self._backlog_bytes >= SENDER_MOST:
+            return False
+        follows = reached - self.drained_at <= GAP_MOST and max(size, self._last_size) >= BACKLOG_READ_LEAST
+        return follows or size >= WINDOW_LEAST
 
     def end_came(self, now: int, age: int) -> int:
         """When the other side closed or ended its sending, which the kernel says is so old at most. It comes
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -23,8 +23,6 @@
 TCP_INFO_SIZE, LAST_DATA_RECV_AT, LAST_DATA_RECV = 104, 52, struct.Struct("=I")
 """Of Linux's tcp_info (tcp(7), linux/tcp.h): how many ms ago data came last."""
 LONG_AGO = 1 << 60  # ns
-ARRIVAL_LEAST = 20_000_000  # ns: two of the kernel's ticks at its slowest (100 Hz)
-ARRIVAL_MOST = 3_600_000_000_000  # ns: data that wait for longer than any client are a system's nonsense
 
 Factory = Callable[[], asyncio.BaseProtocol]
 
@@ -91,7 +89,7 @@
 
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         """What is returned tells how long ago (ns) the newest data came on a connection, whether or not they
-        were read at once; 0 where the system does not tell."""
+        were read at once, as exactly as the system's ticks are; 0 where it does not tell."""
 
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """What is returned tells whether data or the peer's end of sending wait on a connection that the loop
@@ -215,12 +213,7 @@
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         own = transport.get_extra_info("socket")
 
-        def age() -> int:
-            found = data_age(own)
-            # The kernel counts in ticks of up to 10 ms: a small age may be none.
-            return found if found is not None and ARRIVAL_LEAST <= found <= ARRIVAL_MOST else 0
-
-        return age
+        return lambda: data_age(own) or 0
 
     async def aside(self, what: Callable[[], None]) -> None:
         await asyncio.to_thread(what)
--- a/tests/acceptance/test_stalled_process.py
+++ b/tests/acceptance/test_stalled_process.py
@@ -127,7 +127,7 @@
 OTHERS = 200  # clients whose requests keep the node from one read of a long body to the next
 
 
-@pytest.mark.parametrize("size", [150_000, 400_000])
+@pytest.mark.parametrize("size", [100_000, 150_000, 400_000])
 def test_a_long_request_counts_from_its_writing_also_where_the_node_has_much_else_to_read(
     size: int, tmp_path: Path
 ) -> None:
@@ -152,6 +152,28 @@
     run(test())
 
 
+@pytest.mark.parametrize("size", [150_000, 400_000])
+def test_a_long_request_counts_from_its_writing_also_where_many_are_ahead_in_the_accept_queue(
+    size: int, tmp_path: Path
+) -> None:
+    """Its connection is accepted long after the process runs again, behind those of all others."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            async with stopped(node):
+                for _ in range(OTHERS):
+                    other = await node.client()
+                    other.writer.write(request())
+                client = await node.client()
+                await write_all(client, request(body=b"y" * size, X_Deadline="2000m"))
+                await asyncio.sleep(STALL)
+            assert status(await client.read()) == 200
+            (long,) = [message for message in server.seen if message.body]
+            assert told(long) <= 2.0 - STALL + SLACK
+
+    run(test())
+
+
 def test_nothing_begins_for_a_client_that_wrote_a_long_request_and_left_meanwhile(tmp_path: Path) -> None:
     async def test() -> None:
         async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
