What lies with the kernel at its connection's acceptance counts from when that came up

Cause: the loop monitor knows of a hold for one tick after it; a connection behind 200 others in the accept queue is accepted later (traced: 0.01 ms in place of 680 ms), and its first bytes counted as new. Now tcp_info tells when an accepted connection came up (last data sent, before anything is), and one poll whether something lies there.

--- a/benchmarks/scale/hollow/system.py
+++ b/benchmarks/scale/hollow/system.py
@@ -124,5 +124,8 @@
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         raise NotImplementedError
 
+    def accepted_age(self, transport: asyncio.Transport) -> int:
+        raise NotImplementedError
+
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         raise NotImplementedError
--- a/driftstair/net/arrival.py
+++ b/driftstair/net/arrival.py
@@ -37,6 +37,7 @@
     """Of one connection. `drained_at`: nothing of it was with the kernel then."""
 
     drained_at: int
+    _lies_since: int = 0  # since when what is read first may have lain unread; 0: it has been read
     _paused_at: int = 0  # since when what comes was left with the kernel; 0: it is read
     _backlog_since: int = 0  # since when the other machine may have had bytes ready; 0: it has none
     _dated_back: int = 0  # that time, if the latest bytes are dated by it
@@ -44,6 +45,11 @@
     _lain_bytes: int = 0  # that lay unread for long, of the latest reads in a row
     _backlog_bytes: int = 0  # that were read since the process ran again
 
+    def accepted(self, up_since: int, has_unread: bool) -> None:
+        """It has been accepted. `up_since`: nothing of it can have come before; `has_unread`: some has."""
+        self.drained_at = up_since
+        self._lies_since = up_since if has_unread else 0
+
     def pause(self, now: int) -> None:
         """From now on what comes is left with the kernel."""
         self._paused_at = now
@@ -54,7 +60,8 @@
         age = age if age <= AGE_MOST else 0
         reached = now - age
         newest = reached if age >= AGE_LEAST else now
-        oldest = min(newest, max(self.drained_at, earliest))
+        oldest = min(newest, self._lies_since or max(self.drained_at, earliest))
+        self._lies_since = 0
         self._dated_back = backlog = self._backlog(now, size, oldest, reached)
         if self._paused_at:
             oldest = min(newest, self._paused_at)
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -68,9 +68,15 @@
         self._departed = self._front.departure(transport)
         self._last_arrival = self._front.last_arrival(transport)
         self._unread = self._front.unread(transport)
-        self._arrivals.drained_at = self._front.monitor.earliest()
+        self._date_acceptance(transport)
         self._front.on_connect(self)
 
+    def _date_acceptance(self, transport: asyncio.Transport) -> None:
+        """What the client sent while its connection waited to be accepted lies with the kernel."""
+        age = self._front.accepted_age(transport)
+        up_since = self._front.now() - age if age else self._front.monitor.earliest()
+        self._arrivals.accepted(up_since, self._unread())
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._ends = True
         self._reader.close()
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -43,6 +43,7 @@
         self.config = config
         self.now = system.monotonic_ns
         self.departure = system.departure
+        self.accepted_age = system.accepted_age
         self.last_arrival = system.last_arrival
         self.unread = system.unread
         self.monitor = LoopMonitor(system.monotonic_ns, node.note_loop_held)
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -20,8 +20,10 @@
 """Bytes that a socket takes in ahead, and so what one read brings at most, about: what the node has to hold
 for a slow reader."""
 
-TCP_INFO_SIZE, LAST_DATA_RECV_AT, LAST_DATA_RECV = 104, 52, struct.Struct("=I")
-"""Of Linux's tcp_info (tcp(7), linux/tcp.h): how many ms ago data came last."""
+TCP_INFO_SIZE, MILLISECONDS = 104, struct.Struct("=I")
+LAST_DATA_SENT_AT, LAST_DATA_RECV_AT = 44, 52
+"""Of Linux's tcp_info (tcp(7), linux/tcp.h): how many ms ago data were sent last, where none have been the
+connection came up, and how many ms ago data came last."""
 LONG_AGO = 1 << 60  # ns
 
 Factory = Callable[[], asyncio.BaseProtocol]
@@ -91,6 +93,10 @@
         """What is returned tells how long ago (ns) the newest data came on a connection, whether or not they
         were read at once, as exactly as the system's ticks are; 0 where it does not tell."""
 
+    def accepted_age(self, transport: asyncio.Transport) -> int:
+        """How long ago (ns) an accepted connection on which nothing has been sent came up, however long it
+        waited to be accepted; 0 where the system does not tell."""
+
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """What is returned tells whether data or the peer's end of sending wait on a connection that the loop
         has not read; not on one that was reset."""
@@ -145,17 +151,22 @@
     return own
 
 
-def data_age(own: socket.socket) -> int | None:
-    """How long ago (ns) data came last on a connection, by the kernel; None where it does not tell."""
+def _tcp_age(own: socket.socket, place: int) -> int | None:
+    """One of the ages (ns) in the kernel's tcp_info; None where it does not tell."""
     try:
         told = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
         if told[0]:  # the connection's state: some systems under the process fill nothing in
-            return int(LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) * 1_000_000
+            return int(MILLISECONDS.unpack_from(told, place)[0]) * 1_000_000
     except (OSError, struct.error):
         pass
     return None
 
 
+def data_age(own: socket.socket) -> int | None:
+    """How long ago (ns) data came last on a connection, by the kernel; None where it does not tell."""
+    return _tcp_age(own, LAST_DATA_RECV_AT)
+
+
 class SocketSystem:
     """Real clocks and sockets."""
 
@@ -200,6 +211,9 @@
 
         return departed
 
+    def accepted_age(self, transport: asyncio.Transport) -> int:
+        return _tcp_age(transport.get_extra_info("socket"), LAST_DATA_SENT_AT) or 0
+
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -61,6 +61,9 @@
     def last_arrival(self, transport: asyncio.Transport) -> Callable[[], int]:
         return lambda: 0  # what a stopped process finds is not dated in this world
 
+    def accepted_age(self, transport: asyncio.Transport) -> int:
+        return 0  # likewise
+
     async def aside(self, what: Callable[[], None]) -> None:
         """At once: a thread would not be in step with this world's time."""
         what()
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -69,6 +69,17 @@
     assert dates.end_came(now + MS, age=80 * MS) == HELD_SINCE
 
 
+def test_what_lay_with_the_kernel_at_the_acceptance_counts_from_when_its_connection_came_up() -> None:
+    accepted = RESUMED + 200 * MS  # long after the hold: nothing else tells of it
+    for has_unread, dated in ((True, HELD_SINCE), (False, accepted)):
+        dates = ArrivalDates(accepted)
+        dates.accepted(HELD_SINCE, has_unread)
+        assert read(dates, accepted, FULL + 1).newest == dated
+        assert read(dates, accepted + MS, FULL).newest == (HELD_SINCE if has_unread else accepted + MS)
+        dates.end_backlog()
+        assert read(dates, accepted + 2 * MS, 700).newest == accepted + 2 * MS
+
+
 def test_no_more_is_dated_back_than_the_other_machine_takes_in_ahead() -> None:
     dates, now = held(), RESUMED
     for _ in range(SENDER_MOST // FULL - 1):
