--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -157,6 +157,8 @@
     assert not held(104.0, read_late) and held(104.2, read_late)
     between = Span(101.0, 101.5)
     assert not held(103.0, between) and held(103.2, between)
+    ends_as_it_is_due = Span(102.5, 103.0)
+    assert not held(103.15, ends_as_it_is_due) and held(103.25, ends_as_it_is_due)
     due_in_it = Span(103.5, 104.5)
     assert not held(104.6, read_late, due_in_it) and held(104.8, read_late, due_in_it)
 
