Where lists are pushed, requests wait for the agent's answer to a call that begins a watch

Cause: a watch that ended was opened anew after a pause of 0.06 to 0.125 s, and requests went out by the list before it; a new process sent by the list it was started with. Now a watch that stood for 0.25 s is opened anew at once, and an attempt waits, as for unread news, while an agent's answer is due: 0.1 s at most after the call, so that an agent that says nothing costs that once a call.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -24,6 +24,8 @@
 ANSWER = 3.5  # s to the first line of a call: discovery works through them in turn, for up to 3 s
 ANSWER_PUSHED = 0.5  # s, where it is an agent on this machine, which answers at once or not at all
 DIAL = 2.0  # s until the connection is up
+AGENT_ANSWERS = 0.1  # s in which an agent's answer to a call is worth waiting for: what it has counts as told
+STOOD_LEAST = 0.25  # s: a watch that lasted as long is opened anew at once, as often as with pauses at most
 
 
 class Discovery(Watcher):
@@ -38,11 +40,15 @@
         on_list: Callable[[HostList], None],
         on_failed: Callable[[], None],
         system: System,
+        is_agent: bool = False,
     ) -> None:
+        """`is_agent`: on this machine, where what it has counts as told whether or not a watch is open."""
         super().__init__(address, system, log)
         self.version = version
+        self.had_stood = False  # the watch that ended last had been answered, and lasted for a while
         self.heard_at = 0  # when something came of a watch, before what is read now; monotonic ns; 0: never
         self.answer_within = answer_within
+        self._is_agent = is_agent
         self._former: list[DiscoveryConnection] = []  # watches of the places before
         self._on_list = on_list
         self._on_failed = on_failed
@@ -73,8 +79,11 @@
             watch.close()
 
     def has_news(self) -> bool:
-        """Whether something of a watch is with the kernel that the loop has not read yet."""
+        """Whether something of a watch is with the kernel that the loop has not read yet, or an agent is
+        about to answer the call that a watch begins with."""
         current = cast("DiscoveryConnection | None", self._watch)
+        if self._is_agent and current is not None and not current.answered and current.age() < AGENT_ANSWERS:
+            return True
         watches = self._former if current is None else [current, *self._former]
         return not all(watch.is_quiet() for watch in watches)
 
@@ -136,6 +145,8 @@
     def failed(self, watch: WatchConnection, why: str) -> None:
         if self.observer is not None and self.follows(watch):
             self.observer.discovery_ended(why, watch.answered, watch.age() * 1000)
+        if watch is self._watch:
+            self.had_stood = watch.answered and watch.age() >= STOOD_LEAST
         if watch in self._former:
             self._former.remove(cast(DiscoveryConnection, watch))
             watch.close()
--- a/driftstair/net/server_attempt.py
+++ b/driftstair/net/server_attempt.py
@@ -26,7 +26,7 @@
 LATE_LEAST = 20_000_000  # ns that a time-out may come late: more, and the process stood still
 LAST_LOOK = 0.01  # s for what came meanwhile to be read
 NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
-NEWS_LOOKS = 10  # of them: the next turn of the loop reads, so what is unread for longer is none
+NEWS_LOOKS = 20  # of them: the next turn of the loop reads, so what is unread for longer is none
 UPLOAD_LOOK = 1_000_000_000  # ns between two looks at whether a long body gets on
 
 
--- a/driftstair/net/server_directory.py
+++ b/driftstair/net/server_directory.py
@@ -49,7 +49,7 @@
         self._watch_again = Backoff(WATCH_PAUSE, WATCH_PAUSE_MOST, config.seed)
         self.discovery = Discovery(
             config.discovery, config.known.version, ANSWER_PUSHED if self._is_pushed else ANSWER,
-            self.on_list, self._on_watch_failed, system,
+            self.on_list, self._on_watch_failed, system, self._is_pushed,
         )  # fmt: skip
         pools.has_news = self.discovery.has_news
 
@@ -95,10 +95,13 @@
         self._follow(kind, hosts)
 
     def _on_watch_failed(self) -> None:
-        if self._is_pushed:
-            asyncio.get_running_loop().call_later(self._watch_again.pause(), self.discovery.watch)
-        else:
+        if not self._is_pushed:
             self._tell(api.ServerList(ListKind.FAILED, ()))
+        elif self.discovery.had_stood:
+            # Guards against requests by the old list: it may have ended while the process stood still.
+            self.discovery.watch()
+        else:
+            asyncio.get_running_loop().call_later(self._watch_again.pause(), self.discovery.watch)
 
     def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
         servers = tuple(self._server(host) for host in hosts)
