The soak judges agents by what they have, and excuses no request that a node's log has read

Stricter: where lists are pushed a change counts as told when the agent has it, watch or none, at the return of discovery, and 4 s after SIGHUP; agents are slow by themselves and not in turn. A request that the node's own log tells of is excused neither by a crowd nor by a connection at rest. Tests of both.

--- a/benchmarks/soak/daemons.py
+++ b/benchmarks/soak/daemons.py
@@ -132,6 +132,7 @@
         self.place = place
         self.document["discovery"] = discovery
         self._write_config()
+        self.record.reloads.append(monotonic())
         self._signal(signal.SIGHUP)
 
     async def terminate(self, front_notices: float) -> None:
@@ -190,6 +191,7 @@
                 with suppress(ValueError):  # a killed process leaves half a line
                     life.note(json.loads(line))
             self.record.held_attempts |= life.held
+            self.record.taken |= life.taken()
             self.record.violations += life.violations()
 
 
@@ -213,6 +215,9 @@
         elif event["event"] == "invariant_violated":
             self._violations.append((number, f"{event['invariant']}: {event['detail']}"))
 
+    def taken(self) -> set[str]:
+        return set(self._names.values())
+
     def violations(self) -> list[str]:
         held = {name for name, _ in self.held}
         return [
--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -123,7 +123,8 @@
             # Failed, not lost, where the client can tell: the server, or what led to it, broke off.
             return node.calls_fail or any(attempt.cut for attempt in request.attempts)
         crowded = any(one.touches(request.connected, request.ended_at) for one in node.crowds)
-        return not request.attempts and (not request.fresh or crowded)
+        unread = request.id not in node.taken and not request.attempts
+        return unread and (not request.fresh or crowded)
 
     # What begins for it.
 
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -88,13 +88,16 @@
     violations: list[str] = field(default_factory=list)  # lines of its log
     crowds: list[Span] = field(default_factory=list)  # idle clients fill its descriptors
     calls_fail: bool = False  # system calls of its process do, those on connections to servers too
+    taken: set[str] = field(default_factory=set)  # requests that it has read, by its own log
+    reloads: list[float] = field(default_factory=list)  # SIGHUP was sent, with another place of discovery
     held_attempts: set[tuple[str, int]] = field(default_factory=set)  # held up between look and write
 
     def told_leaving(self, server: str, at: float) -> None:
-        """It counts as told that a server leaves; the first word counts."""
+        """It counts as told that a server leaves; the earliest word counts."""
         spans = self.leaving.setdefault(server, [])
         if not spans or spans[-1].until != float("inf"):
             spans.append(Span(at, float("inf")))
+        spans[-1].since = min(spans[-1].since, at)
 
     def told_ready(self, server: str, at: float) -> None:
         """It is told that a server may be sent to."""
--- a/benchmarks/soak/registry.py
+++ b/benchmarks/soak/registry.py
@@ -1,5 +1,5 @@
-"""Discovery of a run: one service, with two addresses for each node, that can be down, mute, slow, or lose
-its watches, and records when it has told whom."""
+"""Discovery of a run: one service, or an agent of each node where lists are pushed. It has two addresses for
+each node, can be down, mute, slow, or lose its watches, and records when it has told whom."""
 
 from __future__ import annotations
 
@@ -15,22 +15,25 @@
 
 BEAT = 1.5  # s between empty lines on a watch
 COUNTS_AS_TOLD = 6.0  # s after discovery had a change and could be reached
+AFTER_RELOAD = 4.0  # s after SIGHUP from which on what an agent has counts as told
 SLOW = 0.08  # s that a call takes while it is slow
 PLACES = 2  # addresses for each node: a reload moves it to the other one
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class Registry:
-    def __init__(self, servers: list[FakeServer], nodes: int, records: Records) -> None:
+    def __init__(self, servers: list[FakeServer], nodes: int, records: Records, pushed: bool = False) -> None:
         self.slow = False
         self.mute = False
         self.version = 1
         self._servers = servers
         self._nodes = nodes
         self._records = records
+        self._pushed = pushed
         self._ports = [[0] * PLACES for _ in range(nodes)]
         self._listening: list[asyncio.Server] = []
         self._watches: dict[asyncio.StreamWriter, int] = {}  # those that are told, and whose they are
+        self._silent: dict[asyncio.StreamWriter, int] = {}  # those on which nothing comes any more
         self._open: set[asyncio.StreamWriter] = set()
         self._turn = asyncio.Lock()  # of calls, while it is slow
         self._reachable_since = monotonic()
@@ -64,6 +67,7 @@
                 self._ports[node][place] = server.sockets[0].getsockname()[1]
                 self._listening.append(server)
         self._reachable_since = monotonic()
+        self._agents_have(self._servers)
 
     def go_down(self) -> None:
         for server in self._listening:
@@ -77,6 +81,7 @@
         self.mute = mute
         if not mute:
             self._reachable_since = monotonic()
+            self._agents_have(self._servers)
 
     def end_watches(self) -> None:
         for writer in list(self._watches):
@@ -85,6 +90,7 @@
 
     def silence_watches(self) -> None:
         """They stay open, and nothing comes on them any more."""
+        self._silent |= self._watches
         self._watches.clear()
 
     # Changes.
@@ -95,10 +101,25 @@
         for writer, node in list(self._watches.items()):
             if not self.mute:
                 self._tell(writer, node, full=False, entries=[server])
+        self._agents_have([server])
         if state == "Terminating":
             loop = asyncio.get_running_loop()
             loop.call_later(COUNTS_AS_TOLD, self._counts_as_told, server, server.changed_at)
 
+    def _agents_have(self, servers: list[FakeServer]) -> None:
+        """Where lists are pushed, what a node's agent has counts as told, whether or not a watch is open;
+        a silent one has to be found first."""
+        if not self._pushed or self.mute or not self._listening:
+            return
+        silent = set(self._silent.values())
+        for number, node in enumerate(self._records.nodes):
+            if number in silent:
+                continue
+            at = max(monotonic(), max(node.reloads, default=0.0) + AFTER_RELOAD)
+            for server in servers:
+                if server.state == "Terminating":
+                    node.told_leaving(server.name, at)
+
     def _counts_as_told(self, server: FakeServer, changed: float) -> None:
         """To all nodes that discovery could have told for so long, whether or not it arrived."""
         reachable = self._reachable_since <= changed and bool(self._listening) and not self.mute
@@ -124,7 +145,9 @@
         try:
             await reader.readuntil(b"\r\n\r\n")
             if not self.mute:
-                if self.slow:
+                if self.slow and self._pushed:
+                    await asyncio.sleep(SLOW)
+                elif self.slow:
                     async with self._turn:
                         await asyncio.sleep(SLOW)
                 if reader.at_eof():
@@ -138,6 +161,7 @@
         finally:
             self._open.discard(writer)
             self._watches.pop(writer, None)
+            self._silent.pop(writer, None)
             writer.close()
 
     async def _beat(self) -> None:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -66,7 +66,7 @@
             FakeServer(number, self.records, Random(f"server/{plan.seed}/{number}"), tokens)
             for number in range(size.servers)
         ]
-        self._registry = Registry(self._servers, size.nodes, self.records)
+        self._registry = Registry(self._servers, size.nodes, self.records, plan.pushed)
         library = build(folder) if plan.of(FaultKind.SYSTEM_CALLS) or plan.of(FaultKind.CLOCK) else None
         self._daemons = [
             Daemon(number, folder, self.records.nodes[number], planted, self._environment(number, library))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,7 +26,7 @@
     Span,
     StoppedClientRecord,
 )
-from benchmarks.soak.registry import SLOW, Registry
+from benchmarks.soak.registry import AFTER_RELOAD, SLOW, Registry
 from benchmarks.soak.run import play
 from benchmarks.soak.servers import FakeServer
 from benchmarks.soak.shim import Options, ShimError, build, environment, parse
@@ -188,6 +188,24 @@
     asyncio.run(test())
 
 
+def test_what_a_nodes_agent_has_counts_as_told_without_a_watch() -> None:
+    async def test() -> None:
+        records = Records([NodeRecord(), NodeRecord(reloads=[monotonic()])])
+        server = FakeServer(0, records, Random(1), count(1))
+        registry = Registry([server], 2, records, pushed=True)
+        await registry.start()
+        try:
+            registry.change(server, "Terminating")
+            now = monotonic()
+            assert records.nodes[0].leaving_since(server.name, now) is not None
+            assert records.nodes[1].leaving_since(server.name, now) is None
+            assert records.nodes[1].leaving_since(server.name, now + AFTER_RELOAD) is not None
+        finally:
+            registry.stop()
+
+    asyncio.run(test())
+
+
 def address_of(registry: Registry) -> tuple[str, int]:
     host, port = registry.address(0, 0).rsplit(":", 1)
     return host, int(port)
@@ -237,6 +255,9 @@
     assert judged(node=crowded, ended_at=100.1, attempts=[attempt(100.05)]) == ["no answer"]
     assert judged(node=crowded) == ["no answer"]
     assert judged(node=NodeRecord(crowds=[Span(97.0, 98.0)]), ended_at=100.1) == ["no answer"]
+    read = NodeRecord(crowds=[Span(99.5, 101.0)], taken={"a1"})
+    assert judged(node=read, ended_at=100.1) == ["no answer"]
+    assert judged(node=read, ended_at=100.1, fresh=False) == ["no answer"]
 
 
 def test_the_judge_counts_effects() -> None:
