--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -82,8 +82,8 @@
         try:
             while await self._next_head(reader, writer) and await self._one(reader, writer, forgotten):
                 pass
-        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
-            pass
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError, RuntimeError):
+            pass  # the last one is uvloop's of a write to what has ended
         finally:
             writer.close()
 
