--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -80,6 +80,16 @@
         assert read(dates, accepted + 2 * MS, 700).newest == accepted + 2 * MS
 
 
+def test_a_burst_that_takes_many_turns_of_a_slow_loop_counts_from_its_first_read() -> None:
+    """No turn is long enough to count as a hold, and all of it, its end too, may have been written at once."""
+    dates, now = ArrivalDates(900 * MS), RESUMED
+    for size, age in ((FULL + 3000, 0), (FULL + 3000, 0), (FULL, 0), (700, 40 * MS)):
+        arrival = dates.on_read(now, size, age, earliest=now, is_paused=False)
+        assert arrival.newest == RESUMED
+        now += 40 * MS
+    assert dates.end_came(now, age=80 * MS) == RESUMED
+
+
 def test_no_more_is_dated_back_than_the_other_machine_takes_in_ahead() -> None:
     dates, now = held(), RESUMED
     for _ in range(SENDER_MOST // FULL - 1):
