A burst that takes many turns counts from its first read, with or without a hold

A read of more than the window holds shows by itself that the sender had more ready, so what follows without a gap, and the end behind it, counts from that read.

--- a/driftstair/net/arrival.py
+++ b/driftstair/net/arrival.py
@@ -2,10 +2,11 @@
 
 Bytes that lie with this machine are dated by its kernel. Those of a long request that do not fit into the
 receive window lie with the client's machine until the window opens, which it does as the node reads: then
-they reach the kernel at once, however long ago the client wrote them. So what reaches it right behind such a
-read counts as written since the process stood still, and so does a full window, for as long as the client's
-machine may have had more ready. A read that brings more than the window holds took in what came in itself, so
-that the kernel's date is that of the reading. Pure; times are ns of one monotonic clock.
+they reach the kernel at once, however long ago the client wrote them. So what reaches it right behind a full
+window counts as written with that, or since the process stood still, and so does each full window behind it,
+for as long as the client's machine may have had more ready. A read that brings more than the window holds took
+in what came in itself, so that the kernel's date is that of the reading. Pure; times are ns of one monotonic
+clock.
 """
 
 from __future__ import annotations
@@ -78,11 +79,11 @@
             return self._backlog_since
         self._backlog_since = 0
         self._lain_bytes = self._lain_bytes + size if now - oldest >= HELD_LEAST else 0
-        if self._lain_bytes < WINDOW_LEAST:
+        overflows = size > WINDOW_MOST
+        if not overflows and self._lain_bytes < WINDOW_LEAST:
             return 0
         self._backlog_since, self._backlog_bytes = oldest, size
-        came_in_reading = size > WINDOW_MOST and now - reached < AGE_LEAST
-        return oldest if came_in_reading else 0
+        return oldest if overflows and now - reached < AGE_LEAST else 0
 
     def _may_have_been_ready(self, size: int, reached: int) -> bool:
         """With the other machine, as the process ran again."""
