--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -162,6 +162,10 @@
     assert not held(103.0, between) and held(103.2, between)
     ends_as_it_is_due = Span(102.5, 103.0)
     assert not held(103.15, ends_as_it_is_due) and held(103.25, ends_as_it_is_due)
+    again = (Span(99.5, 101.0), Span(101.04, 102.0))  # it ran for too short to read
+    assert not held(105.0, *again) and held(105.2, *again)
+    just_before = Span(100.03, 101.0)
+    assert not held(104.0, just_before) and held(104.2, just_before)
     due_in_it = Span(103.5, 104.5)
     assert not held(104.6, read_late, due_in_it) and held(104.8, read_late, due_in_it)
 
@@ -247,6 +251,12 @@
     assert judged(node=same, ended_at=100.3, attempts=[attempt(100.1)]) == ["no answer"]
 
 
+def test_an_answer_waits_for_the_end_of_the_last_of_some_stalls() -> None:
+    node = NodeRecord([Span(100.9, 101.4), Span(101.45, 102.5)])
+    assert judged(answers=answers(102.9), node=node) == []
+    assert judged(answers=answers(103.1), node=node) == ["late answer"]
+
+
 def test_a_later_kill_excuses_no_connection_that_had_ended_before_it() -> None:
     killed_later = NodeRecord(started=[80.0], killed=[101.2])
     assert judged(node=killed_later, ended_at=100.2, attempts=[attempt(100.1)]) == ["no answer"]
