--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -11,6 +11,7 @@
 GONE = 0.1  # s after a client's end in which an attempt may begin
 TOLD_SLACK = 0.15  # s that a server may be told beyond what the client has left
 RELEASED_WITHIN = 3.0  # s for a client that stops in the middle of a request: its error, or a close
+READS_WITHIN = 0.1  # s in which a node that runs has read what came
 LOOKS_AFTER_STALL = 0.2  # s behind a stall in which a node has looked who is to be let go
 SENDING = 0.05  # s after an answer in which an attempt may still be on its way
 SOCKET_SLACK = 0.05  # s by which each limit is longer on sockets
@@ -64,11 +65,8 @@
 
     def _released_by(self, stopped: StoppedClientRecord, node: NodeRecord) -> float:
         """By when its node has to let it go: 3 s from when it could read, and a look behind each stall."""
-        read_at = node.runs_again(stopped.stopped)
-        latest = read_at + RELEASED_WITHIN + SOCKET_SLACK
-        while (looked := node.stalled(read_at, latest) + LOOKS_AFTER_STALL) > latest:
-            latest = looked
-        return latest
+        read_at = node.reads_at(stopped.stopped, READS_WITHIN)
+        return node.behind_stalls(read_at, read_at + RELEASED_WITHIN + SOCKET_SLACK, LOOKS_AFTER_STALL)
 
     def _of_request(self, request: RequestRecord) -> Iterator[Violation]:
         node = self._records.nodes[request.node]
@@ -94,9 +92,7 @@
         if request.left_at is not None and not request.half_closed:
             return
         latest = request.deadline() + ANSWER_LATE + SOCKET_SLACK
-        stalled = node.stalled(request.sent - SOCKET_SLACK, latest)
-        if stalled:
-            latest = max(latest, stalled + ANSWER_LATE)
+        latest = node.behind_stalls(request.sent - SOCKET_SLACK, latest, ANSWER_LATE)
         if request.ahead is not None and request.ahead.answers:
             # HTTP/1.1 answers in order: not before the one that was sent ahead of it.
             latest = max(latest, request.ahead.answers[0].at + ANSWER_LATE)
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -109,9 +109,19 @@
         """When it was told that a server leaves, if that was in force at a moment."""
         return next((one.since for one in self.leaving.get(server, []) if one.touches(at, at)), None)
 
-    def runs_again(self, at: float) -> float:
-        """The end of the stall in which that moment lies; the moment itself if its process runs."""
-        return next((one.until for one in self.stalls if one.touches(at, at)), at)
+    def reads_at(self, at: float, within: float) -> float:
+        """When its process has read what came at a moment, if that takes it so long (s): behind the stalls
+        that keep it from that."""
+        while (runs_again := self.stalled(at, at + within)) > at:
+            at = runs_again
+        return at
+
+    def behind_stalls(self, since: float, latest: float, allowance: float) -> float:
+        """By when it has done what is due at the latest then: so long (s) behind a stall that kept it from
+        that, and behind the next one if that follows at once."""
+        while (allowed := self.stalled(since, latest) + allowance) > latest:
+            latest = allowed
+        return latest
 
     def terminated_before_kill(self, killed: float) -> float | None:
         """When the process that was killed then had been sent SIGTERM; None: it had not."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -252,7 +252,7 @@
 
 
 def test_an_answer_waits_for_the_end_of_the_last_of_some_stalls() -> None:
-    node = NodeRecord([Span(100.9, 101.4), Span(101.45, 102.5)])
+    node = NodeRecord([Span(100.9, 101.4), Span(101.7, 102.5)])
     assert judged(answers=answers(102.9), node=node) == []
     assert judged(answers=answers(103.1), node=node) == ["late answer"]
 
