--- a/driftstair/net/arrival.py
+++ b/driftstair/net/arrival.py
@@ -4,8 +4,8 @@
 receive window lie with the client's machine until the window opens, which it does as the node reads: then
 they reach the kernel at once, however long ago the client wrote them. So what reaches it right behind a full
 window counts as written with that, or since the process stood still. So does each full window behind it, for
-as long as the client's machine may have had more ready. A read of more than the window holds took in what came
-in itself, so that the kernel's date is that of the reading. Pure; times are ns of one monotonic clock.
+as long as the client's machine may have had more ready. A read of more than the window holds took in what
+came in itself, so that the kernel's date is that of the reading. Pure; times are ns of one monotonic clock.
 """
 
 from __future__ import annotations
