--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -4,6 +4,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
@@ -19,7 +21,7 @@
 )
 PAUSE = (0.01, 0.25)  # s between two requests of a client
 LEAVES = (0.0, 0.4)  # s after which a client that leaves does so
-AHEAD = 3  # requests that a client that sends ahead sends at once, at most
+AHEAD = 6  # requests that a client that sends ahead sends at once, at most
 PIECES = (0.02, 0.12)  # s between pieces
 SHORT = (0.15, 0.6)  # s of patience, of one request in some
 SHORT_SHARE = 0.3
@@ -32,6 +34,8 @@
 BODY = b"x" * 200
 BIG_BODIES = (b"y" * 40_000, b"y" * 150_000, b"y" * 400_000)  # the longer ones are passed on as they come
 BIG_SHARE = 0.1
+CHUNKED_SHARE = 0.2  # of bodies
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s (socket(7))
 
 
 class Habit(Enum):
@@ -40,6 +44,7 @@
     KEEPS = "keeps"
     NEW = "new connection"
     LEAVES = "leaves"
+    RESETS = "leaves with a reset"
     HALF_CLOSES = "half-closes"
     PIECES = "writes in pieces"
     AHEAD = "sends ahead"
@@ -49,10 +54,16 @@
 
 HABITS = (
     *(Habit.KEEPS,) * 6, Habit.NEW, Habit.LEAVES, Habit.LEAVES, Habit.HALF_CLOSES, Habit.PIECES, Habit.AHEAD,
-    Habit.RESTS, Habit.STOPS,
+    Habit.RESTS, Habit.STOPS, Habit.RESETS,
 )  # fmt: skip
 
 
+def chunked(body: bytes) -> bytes:
+    """In two chunks."""
+    half = len(body) // 2
+    return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:half], body[half:])) + b"0\r\n\r\n"
+
+
 class Ended(Exception):
     """The node closed the connection."""
 
@@ -93,6 +104,11 @@
         await self.reader.readuntil(b"\r\n")
         return b"".join(parts)
 
+    def reset_at_close(self) -> None:
+        with suppress(OSError):
+            own = self.writer.get_extra_info("socket")
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
     def close(self) -> None:
         self.writer.close()
 
@@ -167,8 +183,8 @@
             requests[0].left_at = monotonic()
             with suppress(*CLOSED):
                 connection.writer.write_eof()
-        if habit is Habit.LEAVES:
-            await self._leave(connection, requests[0])
+        if habit in (Habit.LEAVES, Habit.RESETS):
+            await self._leave(connection, requests[0], by_reset=habit is Habit.RESETS)
             return
         await self._listen(connection, list(requests))
         if habit is Habit.HALF_CLOSES:
@@ -225,7 +241,10 @@
         ]
         if kind.effect == "keyed":
             lines.append(f"Idempotency-Key: {identity}")
-        if body:
+        if body and self._random.random() < CHUNKED_SHARE:
+            lines.append("Transfer-Encoding: chunked")
+            body = chunked(body)
+        elif body:
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
@@ -263,7 +282,7 @@
         self._records.stopped_clients.append(record)
         connection.close()
 
-    async def _leave(self, connection: Connection, request: RequestRecord) -> None:
+    async def _leave(self, connection: Connection, request: RequestRecord, by_reset: bool) -> None:
         """Closes after a while, whether or not the answer has come."""
         listening = asyncio.ensure_future(connection.read_answer(request))
         await asyncio.wait([listening], timeout=self._random.uniform(*LEAVES))
@@ -274,6 +293,8 @@
             await listening
         if not request.answers:
             request.left_at = monotonic()
+        if by_reset:
+            connection.reset_at_close()
         self._drop()
 
     def _note(self, request: RequestRecord, listening: asyncio.Future[AnswerRecord]) -> None:
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -108,7 +108,7 @@
         lines = head.decode().split("\r\n")[1:]
         fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines if line)}
         attempt = self._record(fields, began)
-        await reader.readexactly(int(fields.get("content-length", "0")))
+        await self._read_body(reader, fields)
         attempt.whole = monotonic()
         fault = next((one for one in OWN_WORD if self._random.random() < self.faults.get(one, 0.0)), None)
         if fault is FaultKind.HANG or forgotten != self._forgotten:
@@ -132,6 +132,14 @@
         cut = fault is FaultKind.CUT
         return await self._serve_it(fields.get("x-request-id", ""), writer, attempt, cut)
 
+    async def _read_body(self, reader: asyncio.StreamReader, fields: dict[str, str]) -> None:
+        if fields.get("transfer-encoding") != "chunked":
+            await reader.readexactly(int(fields.get("content-length", "0")))
+            return
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            await reader.readexactly(size + 2)
+        await reader.readuntil(b"\r\n")
+
     def _record(self, fields: dict[str, str], began: float) -> AttemptRecord:
         told = fields.get("x-deadline")
         attempt = AttemptRecord(self.name, began, None if told is None else int(told.removesuffix("u")) / 1e6)
