Guard: a close by the node's own look over what is unread is a violation

The invariant no_close_over_unread is checked where a connection is closed as idle or too slow: counted, logged, told by the event log, raised in tests; one poll for such a close.

--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -24,6 +24,8 @@
 
 OF_THE_CLIENT = (CloseReason.SLOW_READER, CloseReason.ANSWER_BROKEN, CloseReason.TOO_MUCH_AFTER_END)
 """Closes that leave nothing unanswered which the client could still be told."""
+BY_A_LOOK = (CloseReason.IDLE, CloseReason.TOO_SLOW)
+"""Closes of clients that may ask at any moment."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NUMBERED = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
 
@@ -434,7 +436,9 @@
         node.metrics.closes[reason] += 1
         if reason not in OF_THE_CLIENT:
             # What follows a request that itself says `close` is none (RFC 9112, section 9.6).
-            node.guard.closed(self._number, len(self._reader.ready) if self._keep_alive else 0, reason.value)
+            waiting = len(self._reader.ready) if self._keep_alive else 0
+            may_ask = reason in BY_A_LOOK and not self._ends
+            node.guard.closed(self._number, waiting, reason.value, may_ask and self.has_unread())
         if node.observer is not None:
             node.observer.connection_closed(self._number, reason.value)
 
--- a/driftstair/net/request_guard.py
+++ b/driftstair/net/request_guard.py
@@ -53,6 +53,7 @@
     NO_SECOND_ANSWER = "no_second_answer"
     NO_REFUSAL_AFTER_EFFECT = "no_refusal_after_effect"
     NO_CLOSE_UNANSWERED = "no_close_unanswered"
+    NO_CLOSE_OVER_UNREAD = "no_close_over_unread"
     NO_START_AFTER_END = "no_start_after_end"
 
 
@@ -222,10 +223,11 @@
         if request is not None:
             request.answered = True
 
-    def closed(self, number: int, waiting: int, why: str) -> None:
+    def closed(self, number: int, waiting: int, why: str, has_unread: bool = False) -> None:
         """The node closes a client's connection, which has one request open (0: none) and so many more that
-        were read whole."""
+        were read whole. `has_unread`: and something that it has not read, of a client that may still ask."""
         self._expect(not number and not waiting, Invariant.NO_CLOSE_UNANSWERED, number, why)
+        self._expect(not has_unread, Invariant.NO_CLOSE_OVER_UNREAD, number, why)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/operations/test_drain_crossings.py
+++ b/tests/operations/test_drain_crossings.py
@@ -8,6 +8,8 @@
 import pytest
 from rig import Client, Rig, Server, configuration, request, run, status, until
 
+from driftstair.net.request_guard import Invariant, InvariantError
+from driftstair.observability.reasons import CloseReason
 from driftstair.operations.drain import FRONT_KNOWS, SPOKEN_BY, Drain
 
 
@@ -72,3 +74,21 @@
             assert await client.ended() == b""
 
     run(test())
+
+
+@pytest.mark.parametrize("reason", [CloseReason.IDLE, CloseReason.TOO_SLOW])
+def test_the_guard_tells_of_a_close_over_what_is_unread(reason: CloseReason) -> None:
+    """Whatever decides on it: here a close that does not look."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            plain = socket.create_connection(rig.address)
+            await until(lambda: rig.front._connections)
+            plain.send(request())
+            (held,) = rig.front._connections
+            with pytest.raises(InvariantError, match=Invariant.NO_CLOSE_OVER_UNREAD.value):
+                held.close(reason)
+            assert rig.node.metrics.violations.pop(Invariant.NO_CLOSE_OVER_UNREAD.value) == 1
+            plain.close()
+
+    run(test())
--- a/tests/test_request_guard.py
+++ b/tests/test_request_guard.py
@@ -104,6 +104,10 @@
     one.guard.closed(0, 1, "idle")
 
 
+def close_unread(one: Guarded) -> None:
+    one.guard.closed(0, 0, "too_slow", has_unread=True)
+
+
 def start_after_end(one: Guarded) -> None:
     one.guard.state = ProcessState.ENDED
     one.guard.start(2, GuardedRequest(SAFE, False, DEADLINE, int))
@@ -123,6 +127,7 @@
     (refusal, KEYED, Invariant.NO_REFUSAL_AFTER_EFFECT),  # a cell drops its repeats, not every server
     (close_open, SAFE, Invariant.NO_CLOSE_UNANSWERED),
     (close_read, SAFE, Invariant.NO_CLOSE_UNANSWERED),
+    (close_unread, SAFE, Invariant.NO_CLOSE_OVER_UNREAD),
     (start_after_end, SAFE, Invariant.NO_START_AFTER_END),
 ]
 
