Soak: servers and discovery hold their ports while nobody listens there

A server that refuses connections gave its port back for that time, so another run's daemon drew it.

--- a/benchmarks/soak/registry.py
+++ b/benchmarks/soak/registry.py
@@ -12,6 +12,7 @@
 from benchmarks.soak.platform import HOST
 from benchmarks.soak.records import Records
 from benchmarks.soak.servers import FakeServer
+from driftstair.rehearsal import ports
 
 BEAT = 1.5  # s between empty lines on a watch
 COUNTS_AS_TOLD = 6.0  # s after discovery had a change and could be reached
@@ -30,7 +31,8 @@
         self._nodes = nodes
         self._records = records
         self._pushed = pushed
-        self._ports = [[0] * PLACES for _ in range(nodes)]
+        # Held also while nobody listens: another run would take one.
+        self._ports = [[ports.tcp() for _ in range(PLACES)] for _ in range(nodes)]
         self._listening: list[asyncio.Server] = []
         self._watches: dict[asyncio.StreamWriter, int] = {}  # those that are told, and whose they are
         self._silent: dict[asyncio.StreamWriter, int] = {}  # those on which nothing comes any more
@@ -47,9 +49,12 @@
         if self._beats is not None:
             self._beats.cancel()
         self.go_down()
+        for held in self._ports:
+            for port in held:
+                port.release()
 
     def address(self, node: int, place: int) -> str:
-        return f"{HOST}:{self._ports[node][place]}"
+        return f"{HOST}:{self._ports[node][place].number}"
 
     def known(self) -> dict[str, Any]:
         return {"version": self.version, "full": True, "servers": [one.entry() for one in self._servers]}
@@ -62,9 +67,8 @@
                 server = await asyncio.start_server(
                     lambda reader, writer, node=node: self._serve(node, reader, writer),  # type: ignore[misc]
                     HOST,
-                    self._ports[node][place],
+                    self._ports[node][place].number,
                 )
-                self._ports[node][place] = server.sockets[0].getsockname()[1]
                 self._listening.append(server)
         self._reachable_since = monotonic()
         self._agents_have(self._servers)
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -98,7 +98,7 @@
             stack.callback(self._end)
             for server in self._servers:
                 await server.start()
-                stack.callback(server.stop)
+                stack.callback(server.end)
             await self._registry.start()
             stack.callback(self._registry.stop)
             limit = asyncio.Semaphore(STARTS_AT_ONCE)
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -14,6 +14,7 @@
 from benchmarks.soak.platform import HOST
 from benchmarks.soak.records import AttemptRecord, Records
 from driftstair.net.system import data_age
+from driftstair.rehearsal import ports
 
 SERVICE = (0.004, 0.06)  # s
 SECOND_AFTER = (0.001, 0.02)  # s behind an answer
@@ -43,7 +44,8 @@
         self.state = "Ready"
         self.changed_at = 0.0  # when it last did, s
         self.faults: dict[FaultKind, float] = {}  # in force, and the share of requests that each befalls
-        self.port = 0
+        self._held = ports.tcp()  # also while nobody listens: another run would take it
+        self.port = self._held.number
         self._records = records
         self._random = random
         self._tokens = tokens
@@ -53,7 +55,6 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, self.port, limit=1 << 20)
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
         """New connections are refused; those that stand go on."""
@@ -61,6 +62,11 @@
             self._server.close()
             self._server = None
 
+    def end(self) -> None:
+        """For good."""
+        self.stop()
+        self._held.release()
+
     def forget(self) -> None:
         """Nothing is said any more on the connections that stand."""
         self._forgotten += 1
