Failing tests: calls for the list that this machine or its network fails

Attempts at servers try such dials again at once; calls for the list do not. Listed; that repeated deaths are paused holds already.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
+import os
 import socket
 from dataclasses import replace
 from time import sleep, time
@@ -14,6 +16,7 @@
 from driftstair.hosts import parse_address
 from driftstair.net import discovery, server_directory
 from driftstair.net.identifiers import digest
+from driftstair.net.system import Factory, SocketSystem
 from driftstair.net.watch import LAST_LOOK
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
@@ -418,3 +421,69 @@
             assert rig.node.servers.discovery.version == 0  # the next one starts from the whole list
 
     run(test())
+
+
+class FailingDials(SocketSystem):
+    """The first dials fail as socket(2) and connect(2) do for a moment."""
+
+    def __init__(self, error: int, times: int) -> None:
+        self.error = error
+        self.times = times
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        self.times -= 1
+        if self.times >= 0:
+            raise OSError(self.error, os.strerror(self.error))
+        return await super().dial(factory, address)
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.EMFILE, errno.EADDRNOTAVAIL])
+def test_a_call_that_this_machine_could_not_make_is_made_at_once(error: int) -> None:
+    """Nothing left the machine: no call is spared by a pause, and a change goes on being unknown."""
+
+    async def test() -> None:
+        async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
+            rig.node.servers.discovery._system = FailingDials(error, 2)
+            rig.watch()
+            await until(lambda: source.targets or rig.spy.lists(ListKind.FAILED))
+            assert not rig.spy.lists(ListKind.FAILED)
+
+    run(test())
+
+
+@pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH])
+@pytest.mark.parametrize("answered", [False, True])
+def test_a_call_whose_connection_dies_is_made_again_at_once(error: int, answered: bool) -> None:
+    """Its answer may be written, and counts as told then."""
+
+    async def test() -> None:
+        async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
+            rig.watch()
+            await until(lambda: source.targets)
+            if answered:
+                source.push(8, full=True)
+                await until(lambda: rig.spy.lists(ListKind.FULL))
+            watch = rig.node.servers.discovery._watch
+            assert watch is not None
+            watch.connection_lost(OSError(error, os.strerror(error)))
+            await until(lambda: len(source.targets) == 2 or rig.spy.lists(ListKind.FAILED))
+            assert not rig.spy.lists(ListKind.FAILED)
+
+    run(test())
+
+
+def test_calls_whose_connections_die_one_after_the_other_are_paused_between() -> None:
+    async def test() -> None:
+        async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
+            rig.watch()
+            for calls in range(1, 10):
+                await until(
+                    lambda calls=calls: len(source.targets) == calls or rig.spy.lists(ListKind.FAILED)
+                )
+                watch = rig.node.servers.discovery._watch
+                if watch is None:
+                    break
+                watch.connection_lost(OSError(errno.EHOSTUNREACH, "dead"))
+            assert rig.spy.lists(ListKind.FAILED)
+
+    run(test())
