Calls for the list that this machine or its network fails are made again at once

Cause: Watcher took a dial that failed for a moment's want of its own machine, and a connection that its machine gave up, for a refusal, and left the pause to the module: 1.5 to 1.8 s. Now such a dial is made again at once as for servers (net/dialing.py, out of server_attempt.py), and a watch whose connection died is opened anew, twice in a row at most. The event log tells of watches that are opened anew.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -142,6 +142,10 @@
         if self._watch is None:
             self._on_failed()  # a list is taken for news of the new watch, which has failed: once more
 
+    def on_reopened(self, watch: WatchConnection, why: str) -> None:
+        if self.observer is not None:
+            self.observer.discovery_ended(why, watch.answered, watch.age() * 1000)
+
     def failed(self, watch: WatchConnection, why: str) -> None:
         if self.observer is not None and self.follows(watch):
             self.observer.discovery_ended(why, watch.answered, watch.age() * 1000)
--- a/driftstair/net/server_attempt.py
+++ b/driftstair/net/server_attempt.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
 
+from driftstair.net.dialing import LOCAL_ERRORS, dial
 from driftstair.net.flow import SILENCE_MOST, Stream
 from driftstair.net.request_guard import AttemptPermit
 from driftstair.net.server_connection import Answer, Connection
@@ -15,14 +15,6 @@
 if TYPE_CHECKING:
     from driftstair.net.connection_pools import Pool
 
-LOCAL_ERRORS = frozenset((
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EADDRNOTAVAIL, errno.EINTR,
-))  # fmt: skip
-"""Errors of connect(2) and socket(2) that tell of this machine, not of the server: nothing left it."""
-MOMENTARY_ERRORS = LOCAL_ERRORS | {errno.ENETUNREACH}
-"""Those worth another try at once. A network that stays out of reach is the server's, to be avoided."""
-LOCAL_DIALS = 3  # tries at one dial that fails for such a reason: most are over in a moment
-LOCAL_PAUSE = 0.01  # s between two of them
 LATE_LEAST = 20_000_000  # ns that a time-out may come late: more, and the process stood still
 LAST_LOOK = 0.01  # s for what came meanwhile to be read
 NEWS_LOOK = 0.005  # s between two looks at whether news of the servers have been read
@@ -103,7 +95,7 @@
     async def _connect(self) -> None:
         self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
         try:
-            connection = await self._dialed()
+            protocol = await dial(self.pool.pools.system, lambda: Connection(self.pool), self.pool.address)
         except OSError as problem:
             self._dial = None
             local = problem.errno in LOCAL_ERRORS
@@ -111,6 +103,7 @@
             return
         finally:
             self.pool.pools.sockets -= 1
+        connection = cast(Connection, protocol)
         self._dial = None
         self.pool.dialing.pop(self, None)
         if self.done:  # it ended in the moment in which the connection came up
@@ -127,19 +120,6 @@
                 self._timer.cancel()
             self._write(connection)
 
-    async def _dialed(self) -> Connection:
-        """A connection that came up. Raises OSError; one of LOCAL_ERRORS only after some tries."""
-        pools = self.pool.pools
-        for left in reversed(range(LOCAL_DIALS)):
-            try:
-                protocol = await pools.system.dial(lambda: Connection(self.pool), self.pool.address)
-                return cast(Connection, protocol)
-            except OSError as problem:
-                if problem.errno not in MOMENTARY_ERRORS or not left:
-                    raise
-            await asyncio.sleep(LOCAL_PAUSE)
-        raise AssertionError("the last try has returned or raised")
-
     def _write(self, connection: Connection) -> None:
         now = self.pool.pools.now()
         if self._permit.forbids(now) is not None:
--- a/driftstair/net/watch.py
+++ b/driftstair/net/watch.py
@@ -11,8 +11,10 @@
 
 import httptools
 
+from driftstair.net.dialing import DEAD_ERRORS, dial
 from driftstair.net.system import System
 
+DEATHS_MOST = 2  # connections in a row that died, after which the next call waits as after a refusal
 LAST_LOOK = 0.01  # s for what has come while the loop stood still to be read, before a watch counts as silent
 
 
@@ -26,6 +28,7 @@
         self._address = address
         self._watch: WatchConnection | None = None
         self._opening: asyncio.Task[None] | None = None
+        self._deaths = 0  # of connections, since something came of one
 
     def request(self) -> bytes:
         """The call, head and blank line."""
@@ -71,7 +74,7 @@
     async def _open(self, watch: WatchConnection) -> None:
         try:
             async with asyncio.timeout(self.dial_within()):
-                await self._system.dial(lambda: watch, self._address)
+                await dial(self._system, lambda: watch, self._address)
         except (OSError, TimeoutError) as problem:
             self.failed(watch, f"no connection: {problem!r}")
 
@@ -83,6 +86,7 @@
         return watch is self._watch
 
     def received(self, watch: WatchConnection, line: bytes) -> None:
+        self._deaths = 0
         if self.follows(watch):
             self.on_line(watch, line)
 
@@ -94,12 +98,28 @@
         """Its connection is dead, though nothing may ever say so. One that had been answered is opened anew
         at once: the connection failed, not the other side, and no call is being spared."""
         if watch is self._watch and watch.answered:
-            self._log.warning("watch fell silent: opened anew")
-            self._end_watch()
-            self.watch()
+            self._reopen(watch, "fell silent")
         else:
             self.failed(watch, "no answer")
 
+    def died(self, watch: WatchConnection, why: str) -> None:
+        """This machine has given its connection up, and the other side has ended nothing: what it wrote may
+        be lost on the way, and no call is spared."""
+        if watch is self._watch and self._deaths < DEATHS_MOST:
+            self._deaths += 1
+            self._reopen(watch, why)
+        else:
+            self.failed(watch, why)
+
+    def _reopen(self, watch: WatchConnection, why: str) -> None:
+        self._log.warning("watch is opened anew: %s", why)
+        self.on_reopened(watch, why)
+        self._end_watch()
+        self.watch()
+
+    def on_reopened(self, watch: WatchConnection, why: str) -> None:
+        """A watch that has not been ended by the other side is about to be replaced."""
+
     def failed(self, watch: WatchConnection, why: str) -> None:
         """The watch has ended; a second report of the same one is passed over."""
         if watch is not self._watch:
@@ -192,7 +212,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._timer.cancel()
         self._parser = None
-        self._owner.failed(self, f"connection ended: {exc!r}")
+        died = isinstance(exc, OSError) and exc.errno in DEAD_ERRORS
+        (self._owner.died if died else self._owner.failed)(self, f"connection ended: {exc!r}")
 
     # What the parser finds.
 
