--- a/tests/acceptance/test_pushed_lists.py
+++ b/tests/acceptance/test_pushed_lists.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from acceptance.test_stalled_process import STALL, stopped
 from rig import Client, Discovery, Server, configuration, request, run, status, until
 from test_process import program
@@ -94,3 +95,34 @@
             port.release()
 
     run(test())
+
+
+@pytest.mark.parametrize("after", [0.05, 0.2, 0.35, 0.5])
+def test_a_process_that_stood_still_while_its_agent_was_mute_asks_before_it_sends(
+    after: float, tmp_path: Path
+) -> None:
+    """The agent answers again, with a change, while the process stands still: in a call or between two.
+    `after`: s since a call, at which it is stopped."""
+
+    async def test() -> None:
+        async with Server("s-1") as leaving, Server("s-2") as staying, Discovery() as agent:
+            agent.reply = b""
+            async with program(pushed(agent, leaving, staying), tmp_path) as node:
+                clients = [await node.client() for _ in range(CLIENTS)]
+                for client in clients:
+                    assert status(await client.ask(request())) == 200
+                calls = len(agent.targets)
+                await until(lambda: len(agent.targets) > calls)
+                await asyncio.sleep(after)
+                async with stopped(node):
+                    leaving.state = "Terminating"
+                    agent.reply = HEAD + whole_list(9, leaving, staying)
+                    seen = len(leaving.seen)
+                    for client in clients:
+                        client.writer.write(request())
+                    await asyncio.sleep(2 * STALL)
+                for client in clients:
+                    assert status(await client.read()) == 200
+                assert len(leaving.seen) == seen
+
+    run(test())
