Requests wait for an agent that a process could not ask while it stood still

Cause: an attempt waited for an agent's answer to a call of under 0.1 s only; a call that had run out in a stall, or one that was due in it, was not seen. Both show by their timers, which come over 0.05 s late: such a call is made at once, and waited for (0.1 s at most).

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -45,7 +45,7 @@
         """`is_agent`: on this machine, where what it has counts as told whether or not a watch is open."""
         super().__init__(address, system, log)
         self.version = version
-        self.had_stood = False  # the watch that ended last had been answered, and lasted for a while
+        self.calls_at_once = False  # whether the watch that ended last is best opened anew without a pause
         self.heard_at = 0  # when something came of a watch, before what is read now; monotonic ns; 0: never
         self.answer_within = answer_within
         self._is_agent = is_agent
@@ -82,11 +82,14 @@
         """Whether something of a watch is with the kernel that the loop has not read yet, or an agent is
         about to answer the call that a watch begins with."""
         current = cast("DiscoveryConnection | None", self._watch)
-        if self._is_agent and current is not None and not current.answered and current.age() < AGENT_ANSWERS:
+        if self._is_agent and current is not None and self._is_awaited(current):
             return True
         watches = self._former if current is None else [current, *self._former]
         return not all(watch.is_quiet() for watch in watches)
 
+    def _is_awaited(self, watch: DiscoveryConnection) -> bool:
+        return not watch.answered and (watch.age() < AGENT_ANSWERS or watch.is_overdue())
+
     # The watch.
 
     def request(self) -> bytes:
@@ -150,7 +153,8 @@
         if self.observer is not None and self.follows(watch):
             self.observer.discovery_ended(why, watch.answered, watch.age() * 1000)
         if watch is self._watch:
-            self.had_stood = watch.answered and watch.age() >= STOOD_LEAST
+            had_stood = watch.answered and watch.age() >= STOOD_LEAST
+            self.calls_at_once = had_stood or watch.is_overdue()
         if watch in self._former:
             self._former.remove(cast(DiscoveryConnection, watch))
             watch.close()
--- a/driftstair/net/server_directory.py
+++ b/driftstair/net/server_directory.py
@@ -15,6 +15,7 @@
 from driftstair.net.request_guard import RequestGuard
 from driftstair.net.start_times import StartTimes
 from driftstair.net.system import System
+from driftstair.net.watch import LATE_LEAST
 from driftstair.settings import Config
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ListMode, ServerState
@@ -51,7 +52,8 @@
             config.discovery, config.known.version, ANSWER_PUSHED if self._is_pushed else ANSWER,
             self.on_list, self._on_watch_failed, system, self._is_pushed,
         )  # fmt: skip
-        pools.has_news = self.discovery.has_news
+        self._call_due = 0.0  # when the next call is to be made, by the loop's clock; 0: none waits
+        pools.has_news = self.has_news
 
     def start(self) -> None:
         """With the list that the node is told at its start."""
@@ -97,11 +99,25 @@
     def _on_watch_failed(self) -> None:
         if not self._is_pushed:
             self._tell(api.ServerList(ListKind.FAILED, ()))
-        elif self.discovery.had_stood:
+        elif self.discovery.calls_at_once:
             # Guards against requests by the old list: it may have ended while the process stood still.
             self.discovery.watch()
         else:
-            asyncio.get_running_loop().call_later(self._watch_again.pause(), self.discovery.watch)
+            loop = asyncio.get_running_loop()
+            pause = self._watch_again.pause()
+            self._call_due = loop.time() + pause
+            loop.call_later(pause, self._call_again)
+
+    def _call_again(self) -> None:
+        self._call_due = 0.0
+        self.discovery.watch()
+
+    def has_news(self) -> bool:
+        """Whether discovery has told something that is not read yet, or an agent is about to. A call that is
+        overdue is about to be made: the process has stood still."""
+        if self._call_due and asyncio.get_running_loop().time() > self._call_due + LATE_LEAST:
+            return True
+        return self.discovery.has_news()
 
     def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
         servers = tuple(self._server(host) for host in hosts)
--- a/driftstair/net/watch.py
+++ b/driftstair/net/watch.py
@@ -15,6 +15,7 @@
 from driftstair.net.system import System
 
 DEATHS_MOST = 2  # connections in a row that died, after which the next call waits as after a refusal
+LATE_LEAST = 0.05  # s that a timer may come late: more, and the process stood still
 LAST_LOOK = 0.01  # s for what has come while the loop stood still to be read, before a watch counts as silent
 
 
@@ -157,6 +158,10 @@
         """Since it was begun, in s."""
         return asyncio.get_running_loop().time() - self._began
 
+    def is_overdue(self) -> bool:
+        """Whether the answer's time ran out unnoticed: the process has stood still."""
+        return not self.answered and self.age() > self._answer_within + LATE_LEAST
+
     def close(self) -> None:
         self._timer.cancel()
         if self._transport is not None:
