--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -318,3 +318,24 @@
             assert len(one.seen) + len(two.seen) == 1
 
     run(test())
+
+
+SILENT = 1.0  # s between a request and its client's end
+
+
+def test_a_client_that_has_just_left_has_not_left_with_its_request() -> None:
+    """The kernel dates an end by the last data; a look that found none tells that it came later."""
+
+    async def test() -> None:
+        async with Server("s-1", silent) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: server.seen)
+            (connection,) = rig.front._connections
+            await asyncio.sleep(SILENT)
+            assert connection.gone_for() == 0
+            client.writer.write_eof()
+            await until(connection.gone_for)
+            assert connection.gone_for() < SILENT / 2 * 1e9
+
+    run(test())
