A client's end is no older than the last look that found none

Cause: the kernel tells of an end's age by the last data, so a client that ended its sending long after its request counted as gone since that; its look at the client's state, taken before, was not used. Now it bounds the date, but behind a long body, where the end lay with the client's machine.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -105,8 +105,10 @@
         return b"".join(parts)
 
     def reset_at_close(self) -> None:
+        own = self.writer.get_extra_info("socket")
+        if own is None:
+            return  # it has ended
         with suppress(OSError):
-            own = self.writer.get_extra_info("socket")
             own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
 
     def close(self) -> None:
--- a/benchmarks/soak/registry.py
+++ b/benchmarks/soak/registry.py
@@ -85,6 +85,8 @@
         self.mute = mute
         if not mute:
             self._reachable_since = monotonic()
+            for writer, node in self._watches.items():
+                self._tell(writer, node, full=False, entries=self._servers)  # what they have missed
             self._agents_have(self._servers)
 
     def end_watches(self) -> None:
--- a/driftstair/net/arrival.py
+++ b/driftstair/net/arrival.py
@@ -91,12 +91,14 @@
         follows = reached - self.drained_at <= GAP_MOST and max(size, self._last_size) >= BACKLOG_READ_LEAST
         return follows or size >= WINDOW_LEAST
 
-    def end_came(self, now: int, age: int) -> int:
+    def end_came(self, now: int, age: int, seen_open_at: int = 0) -> int:
         """When the other side closed or ended its sending, which the kernel says is so old at most. It comes
-        behind the last bytes, so it lay with them."""
+        behind the last bytes, so it lay with them. `seen_open_at`: there was no end with the kernel then."""
         came = now - age
         is_behind_them = came <= self.drained_at + KERNEL_TICK
-        return min(came, self._dated_back) if self._dated_back and is_behind_them else came
+        if self._dated_back and is_behind_them:
+            return min(came, self._dated_back)
+        return max(came, seen_open_at)
 
     def end_backlog(self) -> None:
         """A request is whole: what comes next was not written with it."""
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -122,7 +122,7 @@
         gone_for = 0.0
         if self._left_at is None:
             # Read late, it is no younger for that: the process may have stood still since.
-            self._left_at = self._arrivals.end_came(self._front.now(), self._departed() or 0)
+            self._left_at = self._end_came(self._departed() or 0)
             gone_for = (self._front.now() - self._left_at) / 1e9
         if self._number:
             self._loop.call_later(max(0.0, GONE_AFTER - gone_for), self._withdraw, self._number)
@@ -148,9 +148,12 @@
             if ago is None:
                 self._there_at = now
                 return 0
-            self._left_at = self._arrivals.end_came(now, ago)
+            self._left_at = self._end_came(ago)
         return max(1, now - self._left_at)
 
+    def _end_came(self, age: int) -> int:
+        return self._arrivals.end_came(self._front.now(), age, self._there_at)
+
     def _withdraw(self, number: int) -> None:
         if number == self._number:
             self._front.node.withdraw(number)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -21,6 +21,7 @@
     request,
     run,
     says,
+    silent,
     status,
     until,
 )
