--- a/benchmarks/scale/hollow/system.py
+++ b/benchmarks/scale/hollow/system.py
@@ -124,6 +124,9 @@
     def unread(self, transport: asyncio.Transport) -> Callable[[], bool]:
         raise NotImplementedError
 
+    def unread_bytes(self, transport: asyncio.Transport) -> int:
+        raise NotImplementedError
+
     def accepted_age(self, transport: asyncio.Transport) -> int:
         raise NotImplementedError
 
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -440,11 +440,17 @@
         if reason not in OF_THE_CLIENT:
             # What follows a request that itself says `close` is none (RFC 9112, section 9.6).
             waiting = len(self._reader.ready) if self._keep_alive else 0
-            may_ask = reason in BY_A_LOOK and not self._ends
-            node.guard.closed(self._number, waiting, reason.value, may_ask and self.has_unread())
+            node.guard.closed(self._number, waiting, reason.value, self._closes_over_unread(reason))
         if node.observer is not None:
             node.observer.connection_closed(self._number, reason.value)
 
+    def _closes_over_unread(self, reason: CloseReason) -> bool:
+        """Of a client that may still ask. One that has only left in this moment has nothing to lose."""
+        if reason not in BY_A_LOOK or self._ends or not self.has_unread():
+            return False
+        assert self._transport is not None
+        return self._front.unread_bytes(self._transport) > 0
+
     def close_if_unused(self) -> None:
         """Unless a request is open on it, or the client has sent what is not read yet."""
         unused = not self._busy and not self._reader.ready and not self._reader.is_partial()
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -46,6 +46,7 @@
         self.accepted_age = system.accepted_age
         self.last_arrival = system.last_arrival
         self.unread = system.unread
+        self.unread_bytes = system.unread_bytes
         self.monitor = LoopMonitor(system.monotonic_ns, node.note_loop_held)
         self._system = system
         self.closing = False  # answers end their connections
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -24,6 +26,7 @@
 LAST_DATA_SENT_AT, LAST_DATA_RECV_AT = 44, 52
 """Of Linux's tcp_info (tcp(7), linux/tcp.h): how many ms ago data were sent last, where none have been the
 connection came up, and how many ms ago data came last."""
+COUNT = struct.Struct("=i")  # what FIONREAD fills in (tty_ioctl(4), tcp(7): SIOCINQ)
 LONG_AGO = 1 << 60  # ns
 
 Factory = Callable[[], asyncio.BaseProtocol]
@@ -101,6 +104,9 @@
         """What is returned tells whether data or the peer's end of sending wait on a connection that the loop
         has not read; not on one that was reset."""
 
+    def unread_bytes(self, transport: asyncio.Transport) -> int:
+        """How many bytes wait on a connection that the loop has not read; 0 where it does not tell."""
+
     async def aside(self, what: Callable[[], None]) -> None:
         """Do what waits for a disk, off the loop's turn."""
 
@@ -229,6 +235,14 @@
 
         return lambda: data_age(own) or 0
 
+    def unread_bytes(self, transport: asyncio.Transport) -> int:
+        waiting = bytearray(COUNT.size)
+        try:
+            fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
+        except OSError:
+            return 0
+        return int(COUNT.unpack(waiting)[0])
+
     async def aside(self, what: Callable[[], None]) -> None:
         await asyncio.to_thread(what)
 
--- a/driftstair/rehearsal/sim/stream.py
+++ b/driftstair/rehearsal/sim/stream.py
@@ -95,6 +95,9 @@
         """Whether anything has come, the end included, that the process has not read."""
         return bool(self._received) or self._reset is not None
 
+    def unread_bytes(self) -> int:
+        return sum(len(data) for data in self._received if data is not FIN)
+
     def was_reset(self) -> bool:
         return self._reset is not None
 
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -64,6 +64,9 @@
     def accepted_age(self, transport: asyncio.Transport) -> int:
         return 0  # likewise
 
+    def unread_bytes(self, transport: asyncio.Transport) -> int:
+        return cast(Endpoint, transport).unread_bytes()
+
     async def aside(self, what: Callable[[], None]) -> None:
         """At once: a thread would not be in step with this world's time."""
         what()
