--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
-from math import inf
 from typing import TYPE_CHECKING, Any, Protocol
 
 from driftstair.net.connection_pools import Pools
 from driftstair.net.flow import Stream, size
+from driftstair.net.load_report import LoadReports
 from driftstair.net.request_guard import (
     AttemptPermit,
     GuardedRequest,
@@ -44,7 +44,6 @@
 MS = 1_000_000  # ns
 TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
-REPORT_MOST = 1024  # bytes of a load report
 
 
 def _retry_after(wait: int) -> list[tuple[bytes, bytes]]:
@@ -120,7 +119,7 @@
         self._open: dict[int, Open] = {}
         self._identities: set[bytes] = set()  # of the requests in _open
         self._last_number = 0
-        self._warned = False  # of load reports
+        self._load_reports = LoadReports(config.report_fields)
         self.servers = ServerDirectory(config, pools, self.guard, roster, self._tell, system)
 
     # Start and stop.
@@ -475,7 +474,7 @@
         if not request.answered and isinstance(request.call.body, Stream) and request.call.body.begun:
             self._give_up(request, result)
         self._forget_if_done(request)
-        report = self._report(answer.load) if answer is not None and answer.load else ()
+        report = () if answer is None else self._load_reports.read(answer.load)
         self._tell(api.Outcome(request.number, request.answered, result, elapsed, server, index, report))
 
     def _give_up(self, request: Open, result: Result) -> None:
@@ -489,22 +488,6 @@
             status = 504 if result is Result.TIMEOUT else 502
             self._answer(request.number, status, [], AnswerReason.STREAM_BROKEN)
 
-    def _report(self, text: bytes) -> tuple[float, ...]:
-        """The load report in the order of the settings; nothing, if a field is missing or unreadable."""
-        try:
-            if len(text) > REPORT_MOST:
-                raise ValueError
-            values = dict(part.strip().split(b"=", 1) for part in text.split(b","))
-            report = tuple(float(values[name]) for name in self._config.report_fields)
-            if not all(0.0 <= value < inf for value in report):  # no number passes neither
-                raise ValueError
-            return report
-        except (ValueError, KeyError):
-            if not self._warned:
-                self._warned = True
-                log.warning("load reports can't be used: %r, wanted %r", text, self._config.report_fields)
-            return ()
-
     # What the module knows.
 
     def learned(self) -> dict[str, Any]:
