--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -18,6 +18,7 @@
     server_directory,
 )
 from driftstair.net.arrival import Arrival
+from driftstair.net.in_flight import InFlightRequest
 
 
 def _guard_forbids_nothing() -> None:
@@ -108,12 +109,12 @@
 def second_answer() -> None:
     """A request that is overdue is answered though it has been."""
 
-    def overdue(self: node.Node, request: node.Open) -> None:
+    def overdue(self: node.Node, request: InFlightRequest) -> None:
         self._reply(request, 504, [], b"", node.AnswerReason.OVERDUE)
 
     finish = node.Node._finish
 
-    def keep_watchdog(self: node.Node, request: node.Open) -> None:
+    def keep_watchdog(self: node.Node, request: InFlightRequest) -> None:
         watchdog, request.watchdog = request.watchdog, None
         finish(self, request)
         request.watchdog = watchdog
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -10,7 +10,7 @@
 from driftstair.net.arrival import Arrival, ArrivalDates
 from driftstair.net.flow import LAST_CHUNK, Stream, chunk, nothing, size
 from driftstair.net.identifiers import key_number
-from driftstair.net.node import Call
+from driftstair.net.in_flight import Call
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.observability.reasons import AnswerReason, CloseReason
 
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -5,13 +5,13 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from driftstair.net.connection_pools import Pools
 from driftstair.net.flow import Stream, size
+from driftstair.net.in_flight import Call, InFlightRequest
 from driftstair.net.load_report import LoadReports
 from driftstair.net.request_guard import (
     AttemptPermit,
@@ -32,10 +32,9 @@
 from lichenspring.interface import NEVER_RAN, Result
 
 if TYPE_CHECKING:
-    from driftstair.ledger.keeper import Counted, Keeper
-    from driftstair.limits.routes import Asked
+    from driftstair.ledger.keeper import Keeper
     from driftstair.limits.table import RequestTable
-    from driftstair.node_configuration.tenant_limits import TenantLimits, TenantUse
+    from driftstair.node_configuration.tenant_limits import TenantLimits
     from driftstair.observability.observer import Observer
     from driftstair.operations.roster import Roster
 
@@ -51,48 +50,6 @@
     return [(b"Retry-After", b"%.3f" % (wait / 1e9))] if wait else []
 
 
-class Client(Protocol):
-    """Who asked: gets one answer."""
-
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream) -> None:
-        """A body that is a stream is taken as it comes, or abandoned."""
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A request as the front has read it."""
-
-    client: Client
-    identity: bytes  # new with every request, as clients give it
-    head: bytes  # request line and headers for a server, but for X-Deadline and the blank line
-    body: bytes | Stream  # one that is not whole yet
-    class_index: int
-    tenant: int
-    key: int
-    resubmitted: bool
-    deadline: int  # monotonic ns; that of a stream counts from its last byte, and is later
-    patience: int  # ns from the last byte to the deadline
-    has_gone: Callable[[], bool]  # the client has left: nothing may begin for it
-    gone_for: Callable[[], int]  # ns since it closed or ended its sending; 0: it has not
-    asked: Asked | None = None  # in the terms of routes, where there are any
-
-
-@dataclass(slots=True, eq=False)
-class Open:
-    """A request that is unanswered or has attempts out."""
-
-    number: int
-    call: Call
-    watchdog: asyncio.TimerHandle | None = None
-    answered: bool = False
-    sent: int = 0  # attempts so far
-    may_have_run: bool = False  # one of those that have ended
-    last_result: Result = Result.NOT_SENT  # of the attempt that ended last
-    out: dict[int, Attempt] = field(default_factory=dict)
-    counted: Counted | None = None  # in the ledger, where one is kept
-    tenant: TenantUse | None = None  # whose requests in flight it is one of, where tenants have limits
-
-
 class Node:
     """Owns the balancer; it sees one event at a time, each once all actions on the one before are done."""
 
@@ -116,7 +73,7 @@
         self._loop = asyncio.get_running_loop()
         self._events: deque[api.Event] = deque()
         self._telling = False
-        self._open: dict[int, Open] = {}
+        self._open: dict[int, InFlightRequest] = {}
         self._identities: set[bytes] = set()  # of the requests in _open
         self._last_number = 0
         self._load_reports = LoadReports(config.report_fields)
@@ -247,7 +204,7 @@
     def take(self, call: Call) -> int:
         """A client's request has come. Returns its number, for `client_gone`; 0 if it is answered already."""
         self._last_number += 1
-        request = Open(self._last_number, call)
+        request = InFlightRequest(self._last_number, call)
         if self.ledger is not None and call.asked is not None:
             aim = self._config.settings.classes[call.class_index].aim
             call.client = request.counted = self.ledger.follow(
@@ -291,7 +248,7 @@
             )
         return 0 if request.answered or request.number not in self._open else request.number
 
-    def _guard_request(self, request: Open) -> None:
+    def _guard_request(self, request: InFlightRequest) -> None:
         call = request.call
         kind = self._config.settings.classes[call.class_index]
         deadline = 0 if isinstance(call.body, Stream) else call.deadline
@@ -303,7 +260,7 @@
         if self.observer is not None:
             self.observer.invariant_violated(invariant.value, number, detail)
 
-    def _watch_over(self, request: Open) -> None:
+    def _watch_over(self, request: InFlightRequest) -> None:
         left = request.call.deadline - self._now()
         request.watchdog = self._loop.call_later(left / 1e9, self._overdue, request)
 
@@ -334,17 +291,17 @@
         # A client that is still there is told at once, and whether it may ask again.
         self._answer_and_close(request, 502 if request.may_have_run else 503, AnswerReason.CLIENT_LEFT)
 
-    def _overdue(self, request: Open) -> None:
+    def _overdue(self, request: InFlightRequest) -> None:
         """Guards against a request that nobody answers, whatever the reason."""
         self._answer_and_close(request, 504, AnswerReason.OVERDUE)
 
-    def _answer_and_close(self, request: Open, status: int, reason: AnswerReason) -> None:
+    def _answer_and_close(self, request: InFlightRequest, status: int, reason: AnswerReason) -> None:
         """Answered by the node itself, if it is not yet; what is out for it is cancelled."""
         if not request.answered:
             self._reply(request, status, [], b"", reason)
             self._close(request)
 
-    def _close(self, request: Open) -> None:
+    def _close(self, request: InFlightRequest) -> None:
         """Over without an action of the module: it is told, and nothing goes on for it."""
         self._finish(request)
         self._tell(api.ClientGone(request.number))
@@ -361,7 +318,7 @@
             self._finish(request)
 
     def _reply(
-        self, request: Open, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream,
+        self, request: InFlightRequest, status: int, headers: list[tuple[bytes, bytes]], body: bytes | Stream,
         reason: AnswerReason,
     ) -> None:  # fmt: skip
         """The one way by which a request gets its final answer."""
@@ -371,7 +328,7 @@
             self.observer.request_answered(request.number, status, reason.value)
         request.call.client.answer(status, headers, body)
 
-    def _turn_away(self, request: Open, wait: int) -> None:
+    def _turn_away(self, request: InFlightRequest, wait: int) -> None:
         """Over a limit of its tenant, before anything is done for it; refused as over a route's. `wait`: ns
         until it may pass; 0: nobody knows."""
         settings = self._config.settings
@@ -379,7 +336,7 @@
         headers = _retry_after(told if settings.retry_after else 0)
         self._reply(request, 503, headers, b"", AnswerReason.TENANT_LIMIT)
 
-    def _finish(self, request: Open) -> None:
+    def _finish(self, request: InFlightRequest) -> None:
         request.answered = True
         if request.tenant is not None:
             request.tenant.leave()
@@ -387,7 +344,7 @@
             request.watchdog.cancel()
         self._forget_if_done(request)
 
-    def _forget_if_done(self, request: Open) -> None:
+    def _forget_if_done(self, request: InFlightRequest) -> None:
         if request.answered and not request.out and self._open.pop(request.number, None) is not None:
             self._identities.discard(request.call.identity)
             self.guard.forget(request.number)
@@ -450,7 +407,7 @@
 
     def _ended(
         self,
-        request: Open,
+        request: InFlightRequest,
         index: int,
         server: api.ServerId,
         since: int,
@@ -477,7 +434,7 @@
         report = () if answer is None else self._load_reports.read(answer.load)
         self._tell(api.Outcome(request.number, request.answered, result, elapsed, server, index, report))
 
-    def _give_up(self, request: Open, result: Result) -> None:
+    def _give_up(self, request: InFlightRequest, result: Result) -> None:
         """What has been passed on of a stream can't be sent again: no other attempt is possible."""
         settings = self._config.settings
         if result in NEVER_RAN:
