--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -17,7 +17,7 @@
     server_connection,
     server_directory,
 )
-from driftstair.net.arrival import Arrival
+from driftstair.net.arrival import Arrival, ArrivalDates
 from driftstair.net.in_flight import InFlightRequest
 
 
@@ -128,6 +128,12 @@
     client_connection.ClientConnection.time_out = lambda self: None  # type: ignore[method-assign]
 
 
+def bursts_by_reading() -> None:
+    """The parts of a long body count from when each is read, whenever they were written."""
+    ArrivalDates._may_have_been_ready = lambda self, size, reached: False  # type: ignore[method-assign]
+    ArrivalDates._backlog = lambda self, now, size, oldest, reached: 0  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "attempt-after-close": attempt_after_close,
     "deadline-from-reading": deadline_from_reading,
@@ -139,6 +145,7 @@
     "end-at-once": end_at_once,
     "second-answer": second_answer,
     "stopped-clients-stay": stopped_clients_stay,
+    "bursts-by-reading": bursts_by_reading,
 }
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -64,6 +64,7 @@
     "end-at-once": {"no answer"},
     "second-answer": {"second answer", "wrong answer", "invariant"},
     "stopped-clients-stay": {"stopped client held"},
+    "bursts-by-reading": {"deadline told", "attempt after close"},
 }
 """The rules that a planted defect breaks, one of them at least."""
 
