Failing test: a disk that fails as the process ends costs the ledger its last counts

Keeper.close tries once; with three in ten writes and syncs failing about every second end is lost, and with it what was counted since the last commit.

--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -230,6 +230,32 @@
     assert not [one for one in joined(copies(str(kept))).findings if one.what != "cut"]
 
 
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+def test_a_disk_that_fails_as_the_process_ends_costs_neither_the_last_counts_nor_the_end(
+    error: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It fails for a moment: what was taken on is owed until the process is over."""
+
+    async def test() -> None:
+        ledger = keeper(tmp_path, Clock())
+        append, failures = ledger._store.append, [OSError(error, os.strerror(error))] * 3
+
+        def failing(lines: bytes, sync: bool) -> None:
+            if failures:
+                raise failures.pop()
+            append(lines, sync)
+
+        monkeypatch.setattr(ledger._store, "append", failing)
+        ledger.follow(Asked(), "live", 500_000_000, False).answer(200, [], b"")
+        ended = asyncio.Event()
+        ended.set()
+        await ledger.run(60.0, ended)
+
+    asyncio.run(test())
+    assert totals(tmp_path) == {("live", "served"): 1}
+    assert not joined(copies(str(tmp_path))).findings
+
+
 @pytest.mark.parametrize("ends", [signal.SIGTERM, signal.SIGKILL])
 def test_a_daemons_book_says_what_clients_saw_however_it_ends(tmp_path: Path, ends: signal.Signals) -> None:
     kept = tmp_path / "kept"
