--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -25,6 +25,8 @@
 log = logging.getLogger(__name__)
 
 MS = 1_000_000  # ns
+CLOSE_PAUSE = 0.01  # s between two tries at the last commit
+CLOSE_TRIES = 20  # of it: the process has 0.3 s left at the least before it may be killed
 REFUSED = (429, 503)
 FULL = (errno.ENOSPC, errno.EDQUOT)
 
@@ -90,6 +92,7 @@
         self.monotonic = monotonic
         self._aside = aside
         self._open = False
+        self._ended = False  # the word that this life ended is written
         self._trouble = ""  # the last one that was logged
 
     def now(self) -> int:
@@ -149,19 +152,33 @@
                 await asyncio.wait_for(ended.wait(), every)
             if not ended.is_set():
                 await self.commit()
+        for _ in range(CLOSE_TRIES - 1):
+            if self._write_end() is None:
+                break
+            await asyncio.sleep(CLOSE_PAUSE)
         self.close()
 
     def close(self) -> None:
-        """The last commit and the end. No commit may be under way."""
+        """The last commit and the end, if they are not written yet. No commit may be under way."""
+        problem = self._write_end()
+        if problem is not None:
+            log.error("the ledger ends without its last counts: %s", problem)
+        self._store.close()
+
+    def _write_end(self) -> Exception | None:
+        """What was wrong; None: it is written, now or before."""
         try:
+            if self._ended:
+                return None
             if not self._open:
                 self.open()
-            if self._open:
-                self._append(self.book.end(self.now()))
+            if not self._open:
+                return OSError(self._trouble)
+            self._append(self.book.end(self.now()))
+            self._ended = True
         except Exception as problem:
-            log.error("the ledger ends without its last counts: %s", problem)
-        finally:
-            self._store.close()
+            return problem
+        return None
 
     def _warn(self, text: str) -> None:
         if text != self._trouble:  # not at every commit of an evening
