--- a/tests/rig.py
+++ b/tests/rig.py
@@ -5,6 +5,7 @@
 import asyncio
 import copy
 import json
+import os
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack, suppress
 from itertools import count
@@ -295,6 +296,20 @@
         return protocol
 
 
+class FailingDials(SocketSystem):
+    """The first dials fail as connect(2) and socket(2) may."""
+
+    def __init__(self, error: int, times: int) -> None:
+        self.error = error
+        self.times = times
+
+    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
+        self.times -= 1
+        if self.times >= 0:
+            raise OSError(self.error, os.strerror(self.error))
+        return await super().dial(factory, address)
+
+
 class Holds(asyncio.Protocol):
     """Holds up the loop as it reads: what comes due meanwhile runs before any socket is read again."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,6 +10,7 @@
 import pytest
 from rig import (
     Client,
+    FailingDials,
     Message,
     Rig,
     Server,
@@ -27,7 +28,6 @@
 from driftstair.hosts import parse_list
 from driftstair.net import connection_rest
 from driftstair.net.identifiers import digest
-from driftstair.net.system import Factory, SocketSystem
 from lichenspring import interface as api
 from lichenspring.interface import Result
 
@@ -295,20 +295,6 @@
     ]
 
 
-class FailingDials(SocketSystem):
-    """The first dials fail as connect(2) and socket(2) may."""
-
-    def __init__(self, error: int, times: int) -> None:
-        self.error = error
-        self.times = times
-
-    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
-        self.times -= 1
-        if self.times >= 0:
-            raise OSError(self.error, os.strerror(self.error))
-        return await super().dial(factory, address)
-
-
 @pytest.mark.parametrize("error", ["ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "ENOMEM", "EAGAIN", "EMFILE"])
 def test_a_dial_that_fails_for_a_moment_is_made_again(error: str) -> None:
     async def test() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,12 +11,11 @@
 from time import sleep, time
 
 import pytest
-from rig import Discovery, Holds, Rig, Server, configuration, request, run, until
+from rig import Discovery, FailingDials, Holds, Rig, Server, configuration, request, run, until
 
 from driftstair.hosts import parse_address
 from driftstair.net import discovery, server_directory
 from driftstair.net.identifiers import digest
-from driftstair.net.system import Factory, SocketSystem
 from driftstair.net.watch import LAST_LOOK
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
@@ -423,20 +422,6 @@
     run(test())
 
 
-class FailingDials(SocketSystem):
-    """The first dials fail as socket(2) and connect(2) do for a moment."""
-
-    def __init__(self, error: int, times: int) -> None:
-        self.error = error
-        self.times = times
-
-    async def dial(self, factory: Factory, address: tuple[str, int]) -> asyncio.BaseProtocol:
-        self.times -= 1
-        if self.times >= 0:
-            raise OSError(self.error, os.strerror(self.error))
-        return await super().dial(factory, address)
-
-
 @pytest.mark.parametrize("error", [errno.ENOBUFS, errno.EMFILE, errno.EADDRNOTAVAIL])
 def test_a_call_that_this_machine_could_not_make_is_made_at_once(error: int) -> None:
     """Nothing left the machine: no call is spared by a pause, and a change goes on being unknown."""
