Soak: a node that is being started can't be ended and started again

Cause: Daemon.start said that the node was not ending before it had a process, so a SIGTERM fault 0.2 s after a SIGKILL reached the old process, came back at once, and started a second one.

--- a/benchmarks/soak/daemons.py
+++ b/benchmarks/soak/daemons.py
@@ -67,7 +67,7 @@
     async def start(self) -> None:
         """Until it serves. Raises TimeoutError, or RuntimeError if it ends before."""
         self._life += 1
-        self._ending = False
+        self._ending = True  # until there is a process that a signal can reach
         self._write_config()
         self.record.started.append(monotonic())
         service = self._folder / f"n{self.number}-{self._life}.toml"
@@ -82,6 +82,7 @@
                 "DRIFTSTAIR_SERVICE": str(service),
             },
         )  # fmt: skip
+        self._ending = False
         serving = asyncio.get_running_loop().create_future()
         self._reading = asyncio.get_running_loop().create_task(self._read(self._process, serving))
         await asyncio.wait_for(serving, READY_WITHIN)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 import pytest
 
 from benchmarks.soak.clients import STOPPED_STAYS, WAITS_ON, Client, Habit
+from benchmarks.soak.daemons import Daemon
 from benchmarks.soak.faults import FaultKind, Size, draw
 from benchmarks.soak.judge import Judge, Terms, timeline
 from benchmarks.soak.planted import DEFECTS
@@ -293,6 +294,27 @@
     assert kinds == set(FaultKind)
 
 
+def test_a_daemon_that_is_being_started_can_not_be_ended_and_started_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Two faults at one node, the second as the first one's new process begins: two daemons on one port."""
+
+    async def test() -> None:
+        daemon = Daemon(0, tmp_path, NodeRecord(), "", {})
+        seen = []
+
+        async def begins(*_: object, **__: object) -> None:
+            seen.append(daemon.is_ending())
+            raise OSError
+
+        monkeypatch.setattr(asyncio, "create_subprocess_exec", begins)
+        with pytest.raises(OSError):
+            await daemon.start()
+        assert seen == [True]
+
+    asyncio.run(test())
+
+
 # The shim.
 
 
