--- a/tests/operations/test_drain_crossings.py
+++ b/tests/operations/test_drain_crossings.py
@@ -13,29 +13,38 @@
 from driftstair.operations.drain import FRONT_KNOWS, SPOKEN_BY, Drain
 
 
+async def connect(rig: Rig) -> tuple[socket.socket, Client]:
+    """A client's connection, that the node has taken in, and the client that reads from it."""
+    plain = socket.create_connection(rig.address)
+    await until(lambda: rig.front._connections)
+    plain.setblocking(False)
+    return plain, Client(*await asyncio.open_connection(sock=plain))
+
+
+def look_at_connections(rig: Rig, way: str) -> None:
+    """As a node that is emptied ("drain") or replaced ("hand-over") looks whom to let go."""
+    if way == "drain":
+        rig.front.drain = Drain(asyncio.get_running_loop().time() - FRONT_KNOWS - 0.1)
+        rig.front._let_go(rig.front.drain)
+    else:
+        rig.front._handed_over = True
+        rig.front._sweep()
+
+
 @pytest.mark.parametrize(("way", "connection"), [("drain", "new"), ("drain", "kept"), ("hand-over", "kept")])
 def test_what_a_client_has_sent_is_answered_before_its_connection_goes(way: str, connection: str) -> None:
     """The node was held up: it looks at its connections before it reads what came meanwhile."""
 
     async def test() -> None:
-        loop = asyncio.get_running_loop()
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
-            plain = socket.create_connection(rig.address)
-            await until(lambda: rig.front._connections)
-            plain.setblocking(False)
-            client = Client(*await asyncio.open_connection(sock=plain))
+            plain, client = await connect(rig)
             if connection == "kept":
                 assert status(await client.ask(request())) == 200
                 await until(lambda: next(iter(rig.front._connections)).activity() == "IDLE")
             (held,) = rig.front._connections
             held.since -= SPOKEN_BY
             plain.send(request())  # with the kernel, and not read before the look
-            if way == "drain":
-                rig.front.drain = Drain(loop.time() - FRONT_KNOWS - 0.1)
-                rig.front._let_go(rig.front.drain)
-            else:
-                rig.front._handed_over = True
-                rig.front._sweep()
+            look_at_connections(rig, way)
             assert status(await client.read()) == 200
             assert await client.ended() == b""
 
@@ -47,12 +56,8 @@
     """As above: request and end of sending are with the kernel, and the node looks before it reads."""
 
     async def test() -> None:
-        loop = asyncio.get_running_loop()
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
-            plain = socket.create_connection(rig.address)
-            await until(lambda: rig.front._connections)
-            plain.setblocking(False)
-            client = Client(*await asyncio.open_connection(sock=plain))
+            plain, client = await connect(rig)
             (held,) = rig.front._connections
             held.since -= SPOKEN_BY
             if look == "hand-over":
@@ -60,16 +65,12 @@
                 await until(lambda: held.activity() == "IDLE")
             plain.send(request())
             plain.shutdown(socket.SHUT_WR)
-            if look == "drain":
-                rig.front.drain = Drain(loop.time() - FRONT_KNOWS - 0.1)
-                rig.front._let_go(rig.front.drain)
-            elif look == "hand-over":
-                rig.front._handed_over = True
-                rig.front._sweep()
-            elif look == "end":
+            if look == "end":
                 held.close_if_unused()
-            else:
+            elif look == "time-out":
                 held.time_out()
+            else:
+                look_at_connections(rig, look)
             assert status(await client.read()) == 200
             assert await client.ended() == b""
 
