The log says how long a ledger took to open, and how many lines were read

Need: an upgraded node leaves requests unanswered for seconds; nothing in its log tells whether the ledger, the hand-over of the listening socket or the clients' connections hold it up. Change: one line when the ledger is opened, with the duration and the number of lines.

--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 NS_PER_MS = 1_000_000
+NS_PER_S = 1_000_000_000
 CLOSE_RETRY_PAUSE_S = 0.01  # between two attempts at the last commit
 MAX_CLOSE_ATTEMPTS = 20  # the process has at least 0.3 s left before it may be killed
 REFUSED_STATUSES = (429, 503)
@@ -121,11 +122,14 @@
         """Opens the ledger and begins a run. Raises StoreError if the ledger is not trustworthy or can't be
         kept there, and OSError. If another process of this node still writes the ledger, or if the disk is
         full, it is opened at a later commit."""
+        began_ns = self.monotonic_ns()
         try:
             opened = self._store.open()
         except StoreBusyError as problem:
             self._warn(str(problem))
             return
+        duration_s = (self.monotonic_ns() - began_ns) / NS_PER_S
+        log.info("the ledger was opened in %.3f s: %d lines were read", duration_s, opened.lines_read)
         self.book.head = opened.head
         try:
             self._append(self.book.begin(self.now_ms(), self._clock_error_ms, opened.truncated_lines))
--- a/driftstair/ledger/segments.py
+++ b/driftstair/ledger/segments.py
@@ -43,6 +43,7 @@
 
     head: Head
     truncated_lines: int  # incomplete lines at the end
+    lines_read: int  # how many lines were decoded and held against the chain
 
 
 class Store:
@@ -83,7 +84,8 @@
     def _read_ledger(self) -> OpenedStore:
         """Follows the chain through all segments, truncates an incomplete last line and opens the last
         segment."""
-        head, truncated_lines, paths = Head(), 0, segment_paths(self._folder, self._node)
+        head, truncated_lines, lines_read = Head(), 0, 0
+        paths = segment_paths(self._folder, self._node)
         for index, path in enumerate(paths):
             valid_bytes = 0
             for line in read_lines(path):
@@ -101,13 +103,14 @@
                     truncated_lines += 1
                     break
                 valid_bytes += len(line)
+                lines_read += 1
         number = _segment_number(paths[-1]) if paths else 1
         self._open_segment(number)
         if truncated_lines:
             os.ftruncate(self._file, valid_bytes)
             self._sync(self._file)
         self._size = os.fstat(self._file).st_size
-        return OpenedStore(head, truncated_lines)
+        return OpenedStore(head, truncated_lines, lines_read)
 
     def _open_segment(self, number: int) -> None:
         """Opens a segment for appending, and creates it if necessary."""
