A ledger is opened beside the event loop, and from a checkpoint

Cause: the old process holds the ledger's lock, so the new one opens the ledger at a commit, and LedgerKeeper.commit did so on the event loop, from the first line that the node ever wrote. A start did the same after it had begun to listen; a start with a full disk did it at each commit; the end of a run up to 20 times. Change: opening, begin and end are done in the thread that writes commits, which rests after each batch of lines while the node serves; a checkpoint says how far the ledger was verified, and is used only if nothing before it has changed; the node opens its ledger before it listens; on a full disk the ledger stays open; a ledger that can't be read is tried every 10 s. Why it works: nothing is read on the loop any more, and what is read no longer grows with age. Tests of the keeper await open and close, which are coroutines now; what they assert is unchanged.

--- a/benchmarks/scale/billing.py
+++ b/benchmarks/scale/billing.py
@@ -60,15 +60,20 @@
 
 
 def measure_open(size: int, folder: Path) -> dict[str, float]:
-    """Measures opening that ledger. A starting node verifies the chain through all segments before it
-    serves."""
+    """Measures opening that ledger, which verifies the chain through all segments, and opening it again with
+    the checkpoint that was left."""
     from driftstair.ledger.segments import Store
 
     store = Store(folder, "n0")
     opened, cost = measure_step(store.open)
     store.close()
     ledger_bytes = sum(path.stat().st_size for path in folder.glob("*.ledger"))
-    return {"open_hold_s": cost.cpu_s, "bytes": ledger_bytes, "entries": opened.head.number}
+    _, cost_again = measure_step(store.open)
+    store.close()
+    return {
+        "open_hold_s": cost.cpu_s, "reopen_hold_s": cost_again.cpu_s, "bytes": ledger_bytes,
+        "entries": opened.head.number,
+    }  # fmt: skip
 
 
 def measure_join(size: int, folder: Path) -> dict[str, float]:
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -181,6 +181,8 @@
     )
     if configuration is not None:
         await configuration.start(node)
+    # Before connections are accepted: they would wait for as long as reading the ledger takes.
+    opened_ledger = None if service is None else await service.open_ledger(config, system, end_requested)
     try:
         if operations is None:
             address = frontend.listen()
@@ -188,8 +190,9 @@
             address = frontend.listen(operations.listener(), operations.inherits())
     except OSError as problem:
         print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
+        if opened_ledger is not None:
+            await opened_ledger[0].close()
         return 2
-    opened_ledger = None if service is None else service.open_ledger(config, system)
     ledger_ended = asyncio.Event()
     if opened_ledger is not None:
         node.ledger = opened_ledger[0]
--- a/driftstair/files.py
+++ b/driftstair/files.py
@@ -1,4 +1,4 @@
-"""Reads user-written files for the daemon and its tools, whatever the path refers to.
+"""Reads user-written files for the daemon and its tools, whatever the path refers to, and replaces files.
 
 Rejects what is not a regular file (reading a pipe could block forever), files that are endless or too long,
 and texts nested so deeply that the parser would run out of stack, each with one `FileError` that says what is
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+import json
 import os
 import stat
 from collections.abc import Callable
+from pathlib import Path
 from typing import TypeVar
 
 Tree = TypeVar("Tree")
@@ -53,3 +55,13 @@
         return parse(text)
     except RecursionError:
         raise FileError("is nested too deeply; a few levels would do") from None
+
+
+def replace_json(path: Path, document: object) -> None:
+    """Writes JSON to a temporary file, syncs it to disk and renames it over the old one. Raises OSError."""
+    temporary = path.with_name(f"{path.name}.new")
+    with open(temporary, "w", encoding="utf-8") as file:
+        json.dump(document, file)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
--- a/driftstair/ledger/entries.py
+++ b/driftstair/ledger/entries.py
@@ -101,14 +101,21 @@
     return encoded, line_digest
 
 
-def decode_line(previous_digest: bytes, encoded: bytes) -> tuple[Entry, bytes]:
-    """Returns the entry of a line without its newline, and the line's digest. Raises EntryError."""
+def check_digest(previous_digest: bytes, encoded: bytes) -> tuple[bytes, bytes]:
+    """Returns the entry's text and the digest of a line without its newline. Raises EntryError if the line
+    does not follow the one with the given digest."""
     if len(encoded) > MAX_LINE_BYTES:
         raise EntryError("a line that is too long")
     hex_digest, separator, text = encoded.partition(b" ")
     line_digest = chain_digest(previous_digest, text)
     if not separator or hex_digest != line_digest.hex().encode():
         raise EntryError("a digest that does not fit the line and the one before")
+    return text, line_digest
+
+
+def decode_line(previous_digest: bytes, encoded: bytes) -> tuple[Entry, bytes]:
+    """Returns the entry of a line without its newline, and the line's digest. Raises EntryError."""
+    text, line_digest = check_digest(previous_digest, encoded)
     entry = parse_entry(text)
     if canonical_json(entry) != text:
         raise EntryError("an entry that is not written as it should be")
--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -6,6 +6,10 @@
 disk is full or has failed or because another process of this node still holds the ledger (during an upgrade),
 counting continues and they are written later: serving does not wait for the ledger. A killed process loses
 the counts since its last commit, and the next run records since when (`gap`).
+
+The ledger is opened in that thread too, since reading it takes longer the older it is. While the node serves,
+the reading thread pauses after each batch of lines, as it would hold up the loop's thread otherwise
+(PEP 311: one of them runs at a time).
 """
 
 from __future__ import annotations
@@ -21,7 +25,7 @@
 from driftstair.ledger.book import Book
 from driftstair.ledger.entries import UsageWord
 from driftstair.ledger.periods import Calendar
-from driftstair.ledger.segments import Store, StoreBusyError
+from driftstair.ledger.segments import OpenedStore, Pause, Store, StoreBusyError, StoreError
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +33,9 @@
 NS_PER_S = 1_000_000_000
 CLOSE_RETRY_PAUSE_S = 0.01  # between two attempts at the last commit
 MAX_CLOSE_ATTEMPTS = 20  # the process has at least 0.3 s left before it may be killed
+CLOSE_READ_NS = 200 * NS_PER_MS  # for reading a ledger that is not open yet, once the run has to end
+READ_PAUSE_S = 0.0005  # after each batch of lines that is read while the node serves
+REOPEN_PAUSE_NS = 10 * NS_PER_S  # after a ledger that can't be read, as each attempt reads all of it
 REFUSED_STATUSES = (429, 503)
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
@@ -36,6 +43,10 @@
 """Runs a blocking disk operation without blocking the event loop."""
 
 
+class ReadingStoppedError(StoreError):
+    """The run has to end before the ledger is read."""
+
+
 class Client(Protocol):
     """A client that is to be answered."""
 
@@ -102,8 +113,11 @@
         self._clock = clock_ns
         self.monotonic_ns = monotonic_ns
         self._run_blocking = run_blocking
-        self._is_open = False
+        self._opened: OpenedStore | None = None  # set while the store is open
+        self._has_begun = False  # the begin of this run is written
         self._end_written = False  # the end of this run is written
+        self._reopen_at_ns = 0  # monotonic ns; no attempt at opening before that
+        self._read_until_ns: int | None = None  # monotonic ns; set once the run has to end
         self._last_warning = ""  # the last warning that was logged
 
     def now_ms(self) -> int:
@@ -118,81 +132,130 @@
             record.count(UsageWord.RETRY)
         return record
 
-    def open(self) -> None:
-        """Opens the ledger and begins a run. Raises StoreError if the ledger is not trustworthy or can't be
-        kept there, and OSError. If another process of this node still writes the ledger, or if the disk is
-        full, it is opened at a later commit."""
-        began_ns = self.monotonic_ns()
+    async def open(self, end_requested: asyncio.Future[int] | None = None) -> None:
+        """Opens the ledger and begins a run, before the node serves. Raises StoreError if the ledger is not
+        trustworthy or can't be kept there, and OSError. If another process of this node still writes the
+        ledger, if the disk is full, or if the node has to end before the ledger is read, it is opened at a
+        later commit."""
+
+        def check_end() -> None:
+            if end_requested is not None and end_requested.done():
+                raise ReadingStoppedError("the ledger was not read to its end: the node has to end")
+
         try:
-            opened = self._store.open()
-        except StoreBusyError as problem:
+            await self._begin_run(check_end)
+        except (StoreBusyError, ReadingStoppedError) as problem:
             self._warn(str(problem))
-            return
-        duration_s = (self.monotonic_ns() - began_ns) / NS_PER_S
-        log.info("the ledger was opened in %.3f s: %d lines were read", duration_s, opened.lines_read)
-        self.book.head = opened.head
-        try:
-            self._append(self.book.begin(self.now_ms(), self._clock_error_ms, opened.truncated_lines))
         except OSError as problem:
-            self._store.close()
-            if problem.errno not in DISK_FULL_ERRNOS:
+            if self._opened is None or problem.errno not in DISK_FULL_ERRNOS:
+                await self._run_blocking(self._store.close)
                 raise
             # A node must be able to restart while the disk is full.
             self._warn(f"the ledger can't be started yet; usage is counted in memory: {problem}")
-            return
-        self._is_open = True
 
-    def _append(self, entries: list[Any]) -> None:
-        """Writes entries and confirms them to the book."""
+    def _check_reading_time(self) -> None:
+        """Called in the reading thread. Raises ReadingStoppedError."""
+        if self._read_until_ns is not None and self.monotonic_ns() > self._read_until_ns:
+            raise ReadingStoppedError("the ledger was not read to its end: this run has to end")
+
+    def _pause_reading(self) -> None:
+        """Called in the reading thread while the node serves. Raises ReadingStoppedError."""
+        time.sleep(READ_PAUSE_S)
+        self._check_reading_time()
+
+    async def _begin_run(self, pause: Pause) -> None:
+        """Opens the store, if that is not done, and writes the begin of this run. Raises StoreError,
+        OSError."""
+        if self._opened is None:
+            self._opened = await self._open_store(pause)
+            self.book.head = self._opened.head
+        truncated_lines = self._opened.truncated_lines
+        await self._append(self.book.begin(self.now_ms(), self._clock_error_ms, truncated_lines))
+        self._has_begun = True
+
+    async def _open_store(self, pause: Pause) -> OpenedStore:
+        """Raises StoreError, OSError."""
+        results: list[OpenedStore] = []
+        started_ns = self.monotonic_ns()
+        await self._run_blocking(lambda: results.append(self._store.open(pause)))
+        (opened,) = results
+        duration_s = (self.monotonic_ns() - started_ns) / NS_PER_S
+        log.info("the ledger was opened in %.3f s: %d lines were read", duration_s, opened.lines_read)
+        return opened
+
+    async def _append(self, entries: list[Any]) -> None:
+        """Writes entries and confirms them to the book. Raises OSError."""
         lines, head = self.book.encode(entries)
-        self._store.append(lines, self._sync)
+
+        def append() -> None:
+            self._store.append(lines, self._sync)
+            self._store.confirm(head)
+
+        await self._run_blocking(append)
         self.book.confirm(entries, head)
 
     async def commit(self) -> None:
         """Writes all counts; calls must not overlap. Disk errors are logged, and the counts remain in
         memory."""
         try:
-            if not self._is_open:
-                self.open()  # rare, so it may block the loop
-            entries = self.book.commit(self.now_ms()) if self._is_open else []
+            if not self._has_begun:
+                await self._begin_late()
+            entries = self.book.commit(self.now_ms()) if self._has_begun else []
             if entries:
-                lines, head = self.book.encode(entries)
-                await self._run_blocking(lambda: self._store.append(lines, self._sync))
-                self.book.confirm(entries, head)
+                await self._append(entries)
                 self._last_warning = ""
         except Exception as problem:
             self._warn(f"usage can't be written; it remains counted in memory: {problem}")
 
+    async def _begin_late(self) -> None:
+        """Begins the run while the node serves, unless another process still writes the ledger. Raises
+        StoreError, OSError."""
+        if self.monotonic_ns() < self._reopen_at_ns:
+            return
+        try:
+            await self._begin_run(self._pause_reading)
+        except StoreBusyError as problem:
+            self._warn(str(problem))
+        except (StoreError, OSError):
+            if self._opened is None:
+                self._reopen_at_ns = self.monotonic_ns() + REOPEN_PAUSE_NS
+            raise
+
     async def run(self, interval_s: float, ended: asyncio.Event) -> None:
         """Commits at an interval until `ended` is set, then records that this run ended in order."""
+        reading_limit = asyncio.create_task(self._limit_reading(ended))
         while not ended.is_set():
             with suppress(TimeoutError):
                 await asyncio.wait_for(ended.wait(), interval_s)
             if not ended.is_set():
                 await self.commit()
+        await reading_limit
         for _ in range(MAX_CLOSE_ATTEMPTS - 1):
-            if self._write_end() is None:
+            if await self._write_end() is None:
                 break
             await asyncio.sleep(CLOSE_RETRY_PAUSE_S)
-        self.close()
+        await self.close()
+
+    async def _limit_reading(self, ended: asyncio.Event) -> None:
+        """Once the run has to end, the ledger is read for `CLOSE_READ_NS` more at most."""
+        await ended.wait()
+        self._read_until_ns = self.monotonic_ns() + CLOSE_READ_NS
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Writes the last commit and the end, if they are not written yet. No commit may be in progress."""
-        problem = self._write_end()
+        problem = await self._write_end()
         if problem is not None:
             log.error("the ledger was closed without its last counts: %s", problem)
-        self._store.close()
+        await self._run_blocking(self._store.close)
 
-    def _write_end(self) -> Exception | None:
+    async def _write_end(self) -> Exception | None:
         """Returns the error, and None if the end is written, now or earlier."""
         try:
             if self._end_written:
                 return None
-            if not self._is_open:
-                self.open()
-            if not self._is_open:
-                return OSError(self._last_warning)
-            self._append(self.book.end(self.now_ms()))
+            if not self._has_begun:
+                await self._begin_run(self._check_reading_time)
+            await self._append(self.book.end(self.now_ms()))
             self._end_written = True
         except Exception as problem:
             return problem
--- a/driftstair/ledger/segments.py
+++ b/driftstair/ledger/segments.py
@@ -1,6 +1,7 @@
 """Stores a node's ledger: append-only files of lines, in a folder that outlives the process.
 
     n3-00000001.ledger, n3-00000002.ledger, ...
+    n3.checkpoint       how far they were verified (see `checkpoint`)
 
 When an append would make a segment larger than its maximum size, a new segment continues its chain, so a
 missing file is detected. An incomplete write, after a full disk or a killed process, is truncated: by the
@@ -8,6 +9,9 @@
 truncated. Only one process writes at a time. It holds a lock (flock(2)) on a file beside the segments, which
 ends with the process.
 
+Opening verifies the whole chain only where no checkpoint covers it: else the newest segment's digests, and
+all of the lines after the checkpoint.
+
 Durability: a line for which `append` has returned survives a crash of the process. With `sync` it also
 survives a crash of the machine (fsync of the segment, and of the folder if the segment is new).
 """
@@ -17,18 +21,25 @@
 import fcntl
 import os
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
 from driftstair.ledger.book import Head
-from driftstair.ledger.entries import MAX_LINE_BYTES, EntryError
+from driftstair.ledger.checkpoint import Checkpoint, read_checkpoint, stamp_of, write_checkpoint
+from driftstair.ledger.entries import DIGEST_BYTES, INITIAL_DIGEST, MAX_LINE_BYTES, EntryError, check_digest
 
 MAX_SEGMENT_BYTES = 8 << 20
 READ_CHUNK_BYTES = 1 << 20
+CHECKPOINT_INTERVAL_BYTES = 1 << 20  # of lines that the next opening decodes after a killed process
+LINES_PER_PAUSE = 16  # decoded between two calls of `pause`
+DIGESTS_PER_PAUSE = 256  # checked between two calls of `pause`
 NODE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._]{0,60}", re.ASCII)
 
+Pause = Callable[[], None]
+"""Called between batches of lines that are read. May sleep, and may raise to stop the reading."""
+
 
 class StoreError(Exception):
     """The ledger can't be kept in the folder or is not trustworthy; the text says what would help."""
@@ -46,8 +57,20 @@
     lines_read: int  # how many lines were decoded and held against the chain
 
 
+class _ReadChain(NamedTuple):
+    """The chain as it was read to its end."""
+
+    opened: OpenedStore
+    valid_bytes: int  # of the last segment
+
+
+def no_pause() -> None:
+    """Reads on at once."""
+
+
 class Store:
-    """One node's segments, opened for writing. Tests replace `write` and `sync` to inject faults."""
+    """One node's segments, opened for writing. Blocks on the disk. Tests replace `write` and `sync` to inject
+    faults."""
 
     def __init__(
         self, folder: Path, node: str, max_segment_bytes: int = MAX_SEGMENT_BYTES,
@@ -63,10 +86,13 @@
         self._file = -1
         self._size = 0
         self._lock = -1
+        self._checkpoint_path = folder / f"{node}.checkpoint"
+        self._checkpoint: Checkpoint | None = None  # the last one that was read or written
+        self._head: Head | None = None  # the end of the chain on the disk, as far as it is known
 
-    def open(self) -> OpenedStore:
+    def open(self, pause: Pause = no_pause) -> OpenedStore:
         """Locks and reads the ledger. Raises StoreError, also if another process writes it (StoreBusyError),
-        and OSError."""
+        OSError, and what `pause` raises."""
         self._lock = os.open(self._folder / f"{self._node}.lock", os.O_RDWR | os.O_CREAT, 0o644)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -76,41 +102,23 @@
                 f"another process writes the ledger of {self._node} in {self._folder}"
             ) from None
         try:
-            return self._read_ledger()
+            return self._open_locked(pause)
         except BaseException:
             self.close()
             raise
 
-    def _read_ledger(self) -> OpenedStore:
-        """Follows the chain through all segments, truncates an incomplete last line and opens the last
-        segment."""
-        head, truncated_lines, lines_read = Head(), 0, 0
+    def _open_locked(self, pause: Pause) -> OpenedStore:
+        """Reads the ledger, truncates an incomplete last line and opens the last segment."""
         paths = segment_paths(self._folder, self._node)
-        for index, path in enumerate(paths):
-            valid_bytes = 0
-            for line in read_lines(path):
-                try:
-                    if not line.endswith(b"\n"):
-                        raise EntryError("a line without its end")
-                    _, head = head.read_next(line.removesuffix(b"\n"))
-                except EntryError as problem:
-                    if index + 1 < len(paths) or not _is_torn(path, valid_bytes):
-                        # A stored line was modified later; truncating it would hide that.
-                        text = (
-                            f"{path.name}, byte {valid_bytes}: {problem}; keep the folder and begin a new one"
-                        )
-                        raise StoreError(text) from None
-                    truncated_lines += 1
-                    break
-                valid_bytes += len(line)
-                lines_read += 1
-        number = _segment_number(paths[-1]) if paths else 1
-        self._open_segment(number)
-        if truncated_lines:
+        self._checkpoint = _usable_checkpoint(read_checkpoint(self._checkpoint_path), paths, pause)
+        opened, valid_bytes = _read_chain(paths, self._checkpoint, pause)
+        self._open_segment(max(1, len(paths)))
+        if opened.truncated_lines:
             os.ftruncate(self._file, valid_bytes)
             self._sync(self._file)
         self._size = os.fstat(self._file).st_size
-        return OpenedStore(head, truncated_lines, lines_read)
+        self.confirm(opened.head)
+        return opened
 
     def _open_segment(self, number: int) -> None:
         """Opens a segment for appending, and creates it if necessary."""
@@ -141,6 +149,32 @@
                 os.ftruncate(self._file, self._size)
             raise
         self._size += len(data)
+        self._head = None  # not known until `confirm`
+
+    def confirm(self, head: Head) -> None:
+        """Tells the store the head of the chain that it holds after an append, and writes a checkpoint where
+        one is due."""
+        self._head = head
+        last = self._checkpoint
+        if (
+            last is None
+            or last.segment != self._current_number
+            or self._size - last.offset >= CHECKPOINT_INTERVAL_BYTES
+        ):
+            self._write_checkpoint(head)
+
+    def _write_checkpoint(self, head: Head) -> None:
+        """A disk that fails costs the next opening time, and nothing else."""
+        with suppress(OSError):
+            checkpoint = Checkpoint(self._current_number, self._size, self._earlier_stamp(), head)
+            write_checkpoint(self._checkpoint_path, checkpoint)
+            self._checkpoint = checkpoint
+
+    def _earlier_stamp(self) -> str:
+        """The stamp of the segments before the current one. Raises OSError."""
+        if self._checkpoint is not None and self._checkpoint.segment == self._current_number:
+            return self._checkpoint.earlier_stamp
+        return stamp_of(segment_paths(self._folder, self._node)[: self._current_number - 1])
 
     def _sync_folder(self) -> None:
         folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
@@ -150,11 +184,66 @@
             os.close(folder)
 
     def close(self) -> None:
-        """Closes the segment and releases the lock."""
+        """Closes the segment and releases the lock. The next opening starts at the end that is known now."""
+        if self._head is not None and (self._checkpoint is None or self._checkpoint.head != self._head):
+            self._write_checkpoint(self._head)
         for descriptor in (self._file, self._lock):
             if descriptor >= 0:
                 os.close(descriptor)
         self._file = self._lock = -1
+        self._head = None
+
+
+def _read_chain(paths: Sequence[Path], start: Checkpoint | None, pause: Pause) -> _ReadChain:
+    """Follows the chain from a verified place, or from its begin, through all segments. Raises StoreError if
+    a line was modified, OSError, and what `pause` raises."""
+    first, offset, head = (0, 0, Head()) if start is None else (start.segment - 1, start.offset, start.head)
+    truncated_lines = lines_read = valid_bytes = 0
+    for path in paths[first:]:
+        valid_bytes, offset = offset, 0
+        for line in read_lines(path, valid_bytes):
+            if lines_read % LINES_PER_PAUSE == 0:
+                pause()
+            try:
+                if not line.endswith(b"\n"):
+                    raise EntryError("a line without its end")
+                _, head = head.read_next(line.removesuffix(b"\n"))
+            except EntryError as problem:
+                if path is not paths[-1] or not _is_torn(path, valid_bytes):
+                    # A stored line was modified later; truncating it would hide that.
+                    text = f"{path.name}, byte {valid_bytes}: {problem}; keep the folder and begin a new one"
+                    raise StoreError(text) from None
+                truncated_lines += 1
+                break
+            valid_bytes += len(line)
+            lines_read += 1
+    return _ReadChain(OpenedStore(head, truncated_lines, lines_read), valid_bytes)
+
+
+def _usable_checkpoint(
+    checkpoint: Checkpoint | None, paths: Sequence[Path], pause: Pause
+) -> Checkpoint | None:
+    """Returns the checkpoint if nothing before it has changed since it was made. Raises OSError, and what
+    `pause` raises."""
+    if checkpoint is None or not 0 < checkpoint.segment <= len(paths):
+        return None
+    earlier, segment = paths[: checkpoint.segment - 1], paths[checkpoint.segment - 1]
+    if stamp_of(earlier) != checkpoint.earlier_stamp:
+        return None
+    digest = _last_digest(earlier[-1]) if earlier else INITIAL_DIGEST
+    valid_bytes = 0
+    try:
+        for number, line in enumerate(read_lines(segment)):
+            if valid_bytes >= checkpoint.offset:
+                break
+            if number % DIGESTS_PER_PAUSE == 0:
+                pause()
+            _, digest = check_digest(digest, line.removesuffix(b"\n"))
+            valid_bytes += len(line)
+    except EntryError:
+        return None
+    is_unchanged = valid_bytes == checkpoint.offset and digest == checkpoint.head.digest
+    return checkpoint if is_unchanged else None
 
 
 def _is_torn(path: Path, valid_bytes: int) -> bool:
@@ -180,11 +269,25 @@
     return paths
 
 
-def read_lines(path: Path) -> Iterator[bytes]:
-    """Yields a file's lines with their newlines. A last line without one is yielded as it is, limited to
-    twice the maximum line length."""
+def _last_digest(path: Path) -> bytes:
+    """Returns the digest of a segment's last line; an empty one if the file has no such line. Raises
+    OSError."""
+    with open(path, "rb") as file:
+        file.seek(max(0, path.stat().st_size - 2 * MAX_LINE_BYTES))
+        last_line = file.read().removesuffix(b"\n").rpartition(b"\n")[2]
+    try:
+        return bytes.fromhex(last_line[: 2 * DIGEST_BYTES].decode())
+    except ValueError:
+        return b""
+
+
+def read_lines(path: Path, offset: int = 0) -> Iterator[bytes]:
+    """Yields a file's lines with their newlines, from a line's begin on. A last line without a newline is
+    yielded as it is, limited to twice the maximum line length."""
     rest = b""
     with open(path, "rb") as file:
+        if offset:
+            file.seek(offset)
         while chunk := file.read(READ_CHUNK_BYTES):
             *complete_lines, rest = (rest + chunk).split(b"\n")
             for line in complete_lines:
--- a/driftstair/service/service_file.py
+++ b/driftstair/service/service_file.py
@@ -17,6 +17,8 @@
 from driftstair.settings import Config
 
 if TYPE_CHECKING:
+    import asyncio
+
     from driftstair.ledger.keeper import LedgerKeeper
     from driftstair.net.system import System
     from driftstair.node_configuration.service import NodeConfiguration
@@ -187,9 +189,11 @@
         event_log = EventLog(config.name, level, system.monotonic_ns, system.time_ns, handler)
         return event_log, events.metrics_every / 1e9
 
-    def open_ledger(self, config: Config, system: System) -> tuple[LedgerKeeper, float] | None:
-        """The ledger that the file enables, opened, and the interval between commits in seconds. Raises
-        ServiceError if it cannot be opened."""
+    async def open_ledger(
+        self, config: Config, system: System, end_requested: asyncio.Future[int]
+    ) -> tuple[LedgerKeeper, float] | None:
+        """The ledger that the file enables, opened, and the interval between commits in seconds. It is read
+        until `end_requested` is done. Raises ServiceError if it cannot be opened."""
         loaded = self.load()
         ledger = loaded.service.ledger
         if ledger is None:
@@ -210,7 +214,7 @@
                 config.name, Store(folder, config.name), calendar, ledger.clock_off // 1_000_000,
                 ledger.survives == "machine", system.time_ns, system.run_blocking, system.monotonic_ns,
             )  # fmt: skip
-            keeper.open()
+            await keeper.open(end_requested)
         except (StoreError, OSError) as error:
             raise ServiceError([loaded.problem(("ledger", "folder"), str(error))]) from None
         return keeper, ledger.commit / 1e9
--- a/driftstair/tier/loan_expiry.py
+++ b/driftstair/tier/loan_expiry.py
@@ -11,8 +11,7 @@
 import logging
 from pathlib import Path
 
-from driftstair.files import FileError, parse_text, read_text
-from driftstair.tier.member_list import replace_json
+from driftstair.files import FileError, parse_text, read_text, replace_json
 
 log = logging.getLogger(__name__)
 
--- a/driftstair/tier/member_list.py
+++ b/driftstair/tier/member_list.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import json
-import os
 from hashlib import blake2b
 from pathlib import Path
 
-from driftstair.files import FileError, parse_text, read_text
+from driftstair.files import FileError, parse_text, read_text, replace_json
 from driftstair.tier.membership.members import Claim, State, Traits
 from driftstair.tier.wire import is_encodable
 
@@ -28,16 +27,6 @@
     replace_json(path, {"format": FORMAT, "sum": _checksum(rows), "members": rows})
 
 
-def replace_json(path: Path, document: object) -> None:
-    """Writes JSON to a temporary file, syncs it to disk and renames it over the old one. Raises OSError."""
-    temporary = path.with_name(f"{path.name}.new")
-    with open(temporary, "w", encoding="utf-8") as file:
-        json.dump(document, file)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
-
-
 def read(path: Path) -> tuple[Claim, ...]:
     """Returns no claims if there is no file. Raises MemberListError."""
     if not path.exists():
--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -11,7 +11,7 @@
 import struct
 import sys
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -65,11 +65,17 @@
         self.statuses.append(status)
 
 
+def complete(operation: Coroutine[Any, Any, None]) -> None:
+    """Runs a coroutine that never waits, since blocking operations run at once, also within a loop."""
+    with pytest.raises(StopIteration):
+        operation.send(None)
+
+
 def open_keeper(folder: Path, clock: Clock, **store_options: Any) -> LedgerKeeper:
     """Opens a ledger in a folder."""
     store = Store(folder, "n0", **store_options)
     keeper = LedgerKeeper("n0", store, Calendar("UTC"), 50, False, clock, run_inline, clock.monotonic)
-    keeper.open()
+    complete(keeper.open())
     return keeper
 
 
@@ -99,7 +105,7 @@
     abandoned.record_client_left()
     abandoned.answer(504, [], b"")  # the node also answers the abandoned request: no second outcome
     track("").record_copy()
-    ledger.close()
+    complete(ledger.close())
     assert proven_totals(tmp_path) == {
         ("live", "served"): 1, ("live", "late"): 1, ("live", "refused"): 2, ("live", "failed"): 2,
         ("live", "gone"): 1, ("live", "retry"): 1, ("(none)", "copy"): 1,
@@ -124,7 +130,7 @@
         ledger.track_request(RecordingClient(), "a", 1, False).answer(503, [], b"")
         write_may_end.set()
         await commit
-        ledger.close()
+        await ledger.close()
 
     run(test())
     assert proven_totals(tmp_path) == {("a", "refused"): 2}
@@ -149,7 +155,7 @@
             await ledger.commit()
 
     run(test())
-    ledger.close()
+    complete(ledger.close())
     assert proven_totals(folder) == {("a", "refused"): commits}
 
 
@@ -174,10 +180,10 @@
         for ledger in (new, old):
             ledger.track_request(RecordingClient(), "a", 1, False).answer(503, [], b"")
             await ledger.commit()
-        old.close()
+        complete(old.close())
         new.track_request(RecordingClient(), "a", 1, False).answer(503, [], b"")
         await new.commit()
-        new.close()
+        complete(new.close())
 
     run(test())
     assert proven_totals(tmp_path) == {("a", "refused"): 3}
@@ -211,7 +217,7 @@
     in_time.answer(200, [], b"")
     clock.advance(aim_ns + 1_000_000)
     late.answer(200, [], b"")
-    ledger.close()
+    complete(ledger.close())
     assert proven_totals(tmp_path) == {("live", "served"): 1, ("live", "late"): 1}
 
 
@@ -346,7 +352,7 @@
 def test_modified_ledger_is_not_continued(tmp_path: Path) -> None:
     ledger = open_keeper(tmp_path, Clock())
     ledger.track_request(RecordingClient(), "a", 1, False).answer(503, [], b"")
-    ledger.close()
+    complete(ledger.close())
     (path,) = tmp_path.glob("*.ledger")
     path.write_bytes(path.read_bytes().replace(b'"refused"', b'"refusef"'))
     with pytest.raises(Exception, match="keep the folder and begin a new one"):
