A blocking operation returns its result

Need: three callers collected the result of an operation on the disk in a list of their own. Change: System.run_blocking returns what the operation returns; RunBlocking is its type for the ledger.

--- a/benchmarks/scale/hollow/system.py
+++ b/benchmarks/scale/hollow/system.py
@@ -6,10 +6,11 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
 from benchmarks.scale.hollow.clock import dilated_ns
 from benchmarks.scale.hollow.plan import SECOND_NS, region_of
+from driftstair.net.system import Result
 from driftstair.net.udp_socket import UdpSocket
 
 
@@ -118,10 +119,10 @@
         if self._socket is not None:
             self._socket.close()
 
-    async def run_blocking(self, function: Callable[[], None]) -> None:
-        """Runs a function that blocks outside the event loop, or not at all if writes are disabled."""
-        if self.writes_enabled:
-            await asyncio.to_thread(function)
+    async def run_blocking(self, function: Callable[[], Result]) -> Result:
+        """Runs a function that blocks outside the event loop, or not at all if writes are disabled; their
+        results are not used."""
+        return await asyncio.to_thread(function) if self.writes_enabled else cast(Result, None)
 
     # Hollow nodes have no request path, so the remaining methods are never called.
 
--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -20,7 +20,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from driftstair.ledger.book import Book
 from driftstair.ledger.entries import UsageWord
@@ -39,8 +39,13 @@
 REFUSED_STATUSES = (429, 503)
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
-RunBlocking = Callable[[Callable[[], None]], Awaitable[None]]
-"""Runs a blocking disk operation without blocking the event loop."""
+Result = TypeVar("Result")
+
+
+class RunBlocking(Protocol):
+    """Runs a blocking disk operation without blocking the event loop, and returns what it returns."""
+
+    def __call__(self, operation: Callable[[], Result], /) -> Awaitable[Result]: ...
 
 
 class ReadingStoppedError(StoreError):
@@ -175,10 +180,8 @@
 
     async def _open_store(self, pause: Pause) -> OpenedStore:
         """Raises StoreError, OSError."""
-        results: list[OpenedStore] = []
         started_ns = self.monotonic_ns()
-        await self._run_blocking(lambda: results.append(self._store.open(pause)))
-        (opened,) = results
+        opened = await self._run_blocking(lambda: self._store.open(pause))
         duration_s = (self.monotonic_ns() - started_ns) / NS_PER_S
         log.info("the ledger was opened in %.3f s: %d lines were read", duration_s, opened.lines_read)
         return opened
--- a/driftstair/net/system.py
+++ b/driftstair/net/system.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 RECEIVE_BUFFER_BYTES = 64 << 10
 """Size of a socket's receive buffer. It is also roughly the most that one read returns, and so what the node
@@ -29,6 +29,8 @@
 BYTE_COUNT = struct.Struct("=i")  # result of FIONREAD (tty_ioctl(4), tcp(7): SIOCINQ)
 LONG_AGO_NS = 1 << 60
 
+Result = TypeVar("Result")
+
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 
@@ -107,8 +109,9 @@
     def unread_bytes(self, transport: asyncio.Transport) -> int:
         """How many bytes wait unread on a connection; 0 where this is unknown."""
 
-    async def run_blocking(self, function: Callable[[], None]) -> None:
-        """Runs a function that blocks, for example on a disk, outside the event loop."""
+    async def run_blocking(self, function: Callable[[], Result]) -> Result:
+        """Runs a function that blocks, for example on a disk, outside the event loop. Returns what it
+        returns, and raises what it raises."""
 
 
 class SocketListener:
@@ -245,8 +248,8 @@
             return 0
         return int(BYTE_COUNT.unpack(unread)[0])
 
-    async def run_blocking(self, function: Callable[[], None]) -> None:
-        await asyncio.to_thread(function)
+    async def run_blocking(self, function: Callable[[], Result]) -> Result:
+        return await asyncio.to_thread(function)
 
 
 SOCKET_SYSTEM = SocketSystem()
--- a/driftstair/node_configuration/persistence.py
+++ b/driftstair/node_configuration/persistence.py
@@ -70,13 +70,7 @@
 
     async def read(self) -> list[bytes]:
         """All records; an empty list if there is no file or it can't be used."""
-        results: list[list[bytes]] = []
-
-        def read() -> None:
-            results.append(self._read())
-
-        await self._system.run_blocking(read)
-        return results[0]
+        return await self._system.run_blocking(self._read)
 
     def _read(self) -> list[bytes]:
         try:
@@ -223,14 +217,11 @@
             raise _OutdatedError
 
     async def _create(self, path: Path) -> RecordFile:
-        results: list[RecordFile] = []
-
-        def create() -> None:
+        def create() -> RecordFile:
             path.unlink(missing_ok=True)
-            results.append(RecordFile(path))
+            return RecordFile(path)
 
-        await self._system.run_blocking(create)
-        return results[0]
+        return await self._system.run_blocking(create)
 
     async def _append_to(self, file: RecordFile, records: list[Record]) -> None:
         await self._system.run_blocking(lambda: file.append([encode_record(record) for record in records]))
--- a/driftstair/rehearsal/sim/system.py
+++ b/driftstair/rehearsal/sim/system.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from driftstair.net.system import DatagramSocket, Listener, ProtocolFactory, System
+from driftstair.net.system import DatagramSocket, Listener, ProtocolFactory, Result, System
 from driftstair.rehearsal.sim.datagrams import SimulatedDatagrams
 from driftstair.rehearsal.sim.loop import ProcessLoop
 from driftstair.rehearsal.sim.network import Machine
@@ -70,6 +70,6 @@
     def unread_bytes(self, transport: asyncio.Transport) -> int:
         return cast(Endpoint, transport).unread_bytes()
 
-    async def run_blocking(self, function: Callable[[], None]) -> None:
+    async def run_blocking(self, function: Callable[[], Result]) -> Result:
         """Runs the function at once: a thread would not follow virtual time."""
-        function()
+        return function()
--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -31,9 +31,9 @@
 NOON_MS = 1_800_000_000_000  # of Unix time
 
 
-async def run_inline(operation: Callable[[], None]) -> None:
+async def run_inline(operation: Callable[[], Any]) -> Any:
     """Runs a blocking operation at once."""
-    operation()
+    return operation()
 
 
 class Clock:
@@ -116,10 +116,10 @@
     ledger = open_keeper(tmp_path, Clock())
     write_began, write_may_end = asyncio.Event(), asyncio.Event()
 
-    async def run_delayed(operation: Callable[[], None]) -> None:
+    async def run_delayed(operation: Callable[[], Any]) -> Any:
         write_began.set()
         await write_may_end.wait()
-        operation()
+        return operation()
 
     ledger._run_blocking = run_delayed
 
--- a/tests/ledger/test_opening.py
+++ b/tests/ledger/test_opening.py
@@ -137,12 +137,9 @@
 def threaded_keeper(folder: Path, write: Callable[[int, bytes], int] = os.write) -> LedgerKeeper:
     """A keeper that runs what blocks in a thread, as a node's does."""
 
-    async def run_blocking(operation: Callable[[], None]) -> None:
-        await asyncio.to_thread(operation)
-
     clock = Clock()
     store = Store(folder, NODE, write=write)
-    return LedgerKeeper(NODE, store, UTC_CALENDAR, 50, False, clock, run_blocking, clock.monotonic)
+    return LedgerKeeper(NODE, store, UTC_CALENDAR, 50, False, clock, asyncio.to_thread, clock.monotonic)
 
 
 def count_request(ledger: LedgerKeeper) -> None:
