The collector looks through its folder beside the event loop

Cause: LedgerCollector._run listed, measured and locked files on the loop, and listed the whole folder once more for each node in it (exponent 1.86), with or without the lease. Change: one walk of the folder (segment_sizes) in a thread, only by the holder of the lease, for a tenth of the time at most; locks are tried and readers opened in a thread too. The benchmark's row is renamed from look_hold_s to scan_cpu_s, as the loop isn't held any more. Test: test_a_folder_that_hangs_does_not_hold_the_event_loop failed on the commit before (the loop's thread is among those that call scandir, stat, open and flock), and passes. ledger_nodes gave way to find_ledgers; the test that asserted its names asserts names and sizes.

--- a/benchmarks/scale/coordination.py
+++ b/benchmarks/scale/coordination.py
@@ -30,20 +30,13 @@
 def measure_collector(size: int, folder: Path) -> dict[str, float]:
     """Measures one scan of the collector, which it makes each second, over a folder with a ledger of each
     node."""
-    from driftstair.tier.collector import is_unlocked, ledger_nodes
-
-    def scan_folder() -> int:
-        """Does what `LedgerCollector._run` does on the event loop if all ledgers have been collected."""
-        return sum(
-            sum(path.stat().st_size for path in folder.glob(f"{node}-*.ledger"))
-            for node in ledger_nodes(folder)
-        )
+    from driftstair.tier.collector import find_ledgers, is_unlocked
 
     began_s = time.process_time()
-    scan_folder()
+    find_ledgers(folder)
     cpu_s = time.process_time() - began_s
     return {
-        "look_hold_s": cpu_s,
+        "scan_cpu_s": cpu_s,  # beside the event loop
         "is_free_us": mean_cpu_s(lambda _: is_unlocked(folder, "n0"), REPETITIONS) * 1e6,
     }
 
--- a/driftstair/ledger/command.py
+++ b/driftstair/ledger/command.py
@@ -24,11 +24,10 @@
     join_copies,
     read_copy,
 )
-from driftstair.ledger.segments import Store, StoreError, read_lines, segment_paths
+from driftstair.ledger.segments import Store, StoreError, read_lines, segment_paths, segment_sizes
 
 EXIT_OK, EXIT_FINDINGS, EXIT_UNREADABLE = 0, 1, 2
 FORMAT = "driftstair.ledger/1"
-SEGMENT_NAME = re.compile(r"(.+)-\d{8}\.ledger", re.ASCII)
 UNPRINTABLE = re.compile(r"[^\x20-\x7e\u00a1-\uffff]|[\u200b-\u200f\u202a-\u202e\u2066-\u2069]")
 
 
@@ -57,9 +56,7 @@
     folder_path = Path(folder)
     if not folder_path.is_dir():
         raise StoreError(f"{folder} is no folder; the one that holds NODE-00000001.ledger would do")
-    nodes = sorted(
-        {match[1] for path in folder_path.iterdir() if (match := SEGMENT_NAME.fullmatch(path.name))}
-    )
+    nodes = sorted(segment_sizes(folder_path))
     if not nodes:
         raise StoreError(f"{folder} holds no NODE-00000001.ledger")
     for node in nodes:
--- a/driftstair/ledger/segments.py
+++ b/driftstair/ledger/segments.py
@@ -21,6 +21,7 @@
 import fcntl
 import os
 import re
+from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from pathlib import Path
@@ -35,6 +36,7 @@
 CHECKPOINT_INTERVAL_BYTES = 1 << 20  # of lines that the next opening decodes after a killed process
 LINES_PER_PAUSE = 16  # decoded between two calls of `pause`
 DIGESTS_PER_PAUSE = 256  # checked between two calls of `pause`
+SEGMENT_NAME = re.compile(r"(.+)-\d{8}\.ledger", re.ASCII)
 NODE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._]{0,60}", re.ASCII)
 
 Pause = Callable[[], None]
@@ -281,6 +283,16 @@
         return b""
 
 
+def segment_sizes(folder: Path) -> dict[str, int]:
+    """Returns the bytes of all segments of each node with segments in a folder. Raises OSError."""
+    sizes: Counter[str] = Counter()
+    with os.scandir(folder) as files:
+        for file in files:
+            if match := SEGMENT_NAME.fullmatch(file.name):
+                sizes[match[1]] += file.stat().st_size
+    return sizes
+
+
 def read_lines(path: Path, offset: int = 0) -> Iterator[bytes]:
     """Yields a file's lines with their newlines, from a line's begin on. A last line without a newline is
     yielded as it is, limited to twice the maximum line length."""
