The state for the next process is read and written beside the event loop

What callers saw: in an upgrade, and at each operator's order, the node read and wrote the state file on the event loop, with the list of servers and what was learned of each in it; a slow disk, or a process that stood still with the file locked, held up all clients without a bound. Cause: Operations and HandoverServer called StateStore directly, which also waits for flock(2). Change: the state is read, written and locked in a thread, orders apply in the sequence in which they are stored, and a lock is waited for 0.5 s at most; then the order applies here and is logged as not stored, as where the disk is full. The folder is looked through in a thread too. At a start the state is read, and the old process asked, in a thread.

--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -64,7 +64,8 @@
 
 
 def create_operations(config: Config, system: System) -> Operations | None:
-    """Carries out operators' calls; None, with its code not loaded, if the platform configures no address."""
+    """Carries out operators' calls; None, with its code not loaded, if the platform configures no address.
+    Blocks while it reads the state that the process before this one left."""
     if config.operators is None:
         return None
     from driftstair.operations.service import Operations
@@ -152,7 +153,7 @@
     end_requested: asyncio.Future[int] = loop.create_future()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, request_end, end_requested, system.monotonic_ns)
-    operations = create_operations(config, system)
+    operations = await system.run_blocking(lambda: create_operations(config, system))
     if operations is not None:
         config = operations.config
     tier = None if service is None else service.tier(config, system)
--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -10,16 +10,21 @@
     changed   orders have changed: the file is read again before the answer
 
 A process that was killed leaves its socket file behind; connecting to it is refused, and it is removed.
+
+The state file holds the list of servers and what was learned of each, so it is read and written beside the
+event loop, as is the folder looked through: other programs use it too.
 """
 
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import logging
 import os
 import socket
-from collections.abc import Callable
+import time
+from collections.abc import Awaitable, Callable
 from contextlib import contextmanager, suppress
 from hashlib import blake2b
 from pathlib import Path
@@ -30,15 +35,20 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from driftstair.net.system import System
+
 log = logging.getLogger(__name__)
 
 STATE_BYTES_MAX = 32 << 20
 PREDECESSOR_TIMEOUT_S = 1.0
 NOTIFY_TIMEOUT_S = 0.5  # for another process to read new orders; the caller waits at most twice that
+LOCK_TIMEOUT_S = 0.5  # for a process that holds the lock and stands still; below PREDECESSOR_TIMEOUT_S
+LOCK_RETRY_PAUSE_S = 0.005
 
 
 class StateStore:
-    """The state file, replaced atomically and under a lock, since two processes may be called at once."""
+    """The state file, replaced atomically and under a lock, since two processes may be called at once. All
+    methods block."""
 
     def __init__(self, folder: Path, address: tuple[str, int]) -> None:
         # Nodes that share a folder are told apart by their client address.
@@ -58,7 +68,7 @@
             return State()
 
     def change(self, change: Callable[[State], State]) -> State:
-        """Raises OSError and leaves the file unchanged."""
+        """Returns the changed state. Raises OSError and leaves the file unchanged."""
         with self._locked():
             state = change(self.read())
             temporary = self._folder / f"{self.name}.{os.getpid()}.new"
@@ -72,8 +82,13 @@
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
+        """Raises OSError, also if another process holds the lock for too long (TimeoutError)."""
         with open(self._folder / f"{self.name}.lock", "wb") as lock:
-            fcntl.flock(lock, fcntl.LOCK_EX)
+            give_up_at = time.monotonic() + LOCK_TIMEOUT_S
+            while not _try_lock(lock.fileno()):
+                if time.monotonic() > give_up_at:
+                    raise TimeoutError(errno.ETIMEDOUT, f"another process holds {self.name}.lock")
+                time.sleep(LOCK_RETRY_PAUSE_S)
             yield  # closing the file unlocks it
 
     def socket_path(self) -> Path:
@@ -84,6 +99,14 @@
         return sorted(path for path in self._folder.glob(f"{self.name}.*.sock") if path != own_socket)
 
 
+def _try_lock(descriptor: int) -> bool:
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    return True
+
+
 class Predecessor:
     """The new process's connection to the old one."""
 
@@ -113,7 +136,8 @@
 
 
 def find_predecessor(store: StateStore) -> Predecessor | None:
-    """Asks the processes with a socket in the folder to hand over; waits `PREDECESSOR_TIMEOUT_S` for each."""
+    """Asks the processes with a socket in the folder to hand over; waits `PREDECESSOR_TIMEOUT_S` for each.
+    Blocks."""
     for path in store.other_sockets():
         connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
@@ -135,10 +159,12 @@
     """Serves the socket of this process for the other processes of the node."""
 
     def __init__(
-        self, store: StateStore, listening_fileno: Callable[[], int], update_state: Callable[[], None],
-        reload_orders: Callable[[], None], on_handover: Callable[[bool], None],
+        self, store: StateStore, system: System, listening_fileno: Callable[[], int],
+        update_state: Callable[[], Awaitable[None]], reload_orders: Callable[[], Awaitable[None]],
+        on_handover: Callable[[bool], None],
     ) -> None:  # fmt: skip
         self._store = store
+        self._system = system
         self._listening_fileno = listening_fileno  # the descriptor of the clients' listening socket
         self._update_state = update_state  # updates the state file
         self._reload_orders = reload_orders  # reads the orders again
@@ -163,17 +189,17 @@
         try:
             while line := await reader.readline():
                 if line == b"hello\n":
-                    self._update_state()
+                    await self._update_state()
                     self._pass_listening_socket(writer)
                 elif line == b"keep\n":
-                    self._update_state()
+                    await self._update_state()
                     writer.write(b"ok\n")
                 elif line == b"serving\n":
                     successor_serves = True
                     self._on_handover(True)
                     writer.write(b"ok\n")
                 elif line == b"changed\n":
-                    self._reload_orders()
+                    await self._reload_orders()
                     writer.write(b"ok\n")
         except (OSError, ValueError) as problem:
             log.warning("connection to another process failed: %s", problem)
@@ -193,7 +219,7 @@
 
     async def notify_others(self) -> None:
         """Has every other process of this node read the orders; called before the caller is answered."""
-        paths = self._store.other_sockets()
+        paths = await self._system.run_blocking(self._store.other_sockets)
         if paths:
             await asyncio.gather(*(_notify(path) for path in paths))
 
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -33,14 +33,15 @@
 class Operations:
     """Operators' control of one node.
 
-    Created before the node, since it may take over a list and a listening socket. `folder`: where the state
-    for the next process is stored; None: nothing outlives the process.
+    Created before the node, since it may take over a list and a listening socket, which blocks. `folder`:
+    where the state for the next process is stored; None: nothing outlives the process.
     """
 
     def __init__(self, config: Config, system: System, folder: str | None) -> None:
         self._system = system
         self._store = StateStore(Path(folder), config.listen) if folder else None
         self._predecessor: Predecessor | None = None
+        self._state_lock = asyncio.Lock()  # so that orders apply in the sequence in which they are stored
         self._list_is_current = True  # the list is at least as recent as the old process's
         self._node: Node
         self._frontend: Frontend
@@ -90,6 +91,7 @@
         if self._store is not None:
             self._handover_server = HandoverServer(
                 self._store,
+                self._system,
                 self._listening_socket.fileno,
                 self._store_state,
                 self._reload_orders,
@@ -110,9 +112,7 @@
             async with asyncio.timeout(LIST_TIMEOUT_S):
                 await self._node.servers.list_received.wait()
         await predecessor.update_state()
-        assert self._store is not None
-        state = self._store.read()
-        self._apply(state.orders)
+        state = await self._read_state()
         if state.learned is not None:
             self._node.restore_memory(state.learned)
         self._frontend.hand_over(False)
@@ -176,7 +176,8 @@
         orders = self.server_overrides.orders.copy()
         change(orders)
         self._apply(orders)
-        if self._store is None:
+        store = self._store
+        if store is None:
             return
 
         def changed_state(state: State) -> State:
@@ -184,7 +185,9 @@
             return state
 
         try:
-            self._apply(self._store.change(changed_state).orders)
+            async with self._state_lock:
+                state = await self._system.run_blocking(lambda: store.change(changed_state))
+                self._apply(state.orders)
         except OSError as problem:
             log.error("orders are not stored for the next process: %s", problem)
             return
@@ -207,18 +210,28 @@
 
     # Hand-over between processes.
 
-    def _store_state(self) -> None:
-        assert self._store is not None
+    async def _store_state(self) -> None:
         known, discovery, learned = (
             self._node.servers.current_list(),
             _format_address(self._node.servers.address),
             self._node.exported_memory(),
         )
-        self._store.change(lambda state: State(state.orders, discovery, known, learned))
+        store = self._store
+        assert store is not None
+        await self._system.run_blocking(
+            lambda: store.change(lambda state: State(state.orders, discovery, known, learned))
+        )
 
-    def _reload_orders(self) -> None:
+    async def _read_state(self) -> State:
+        """Reads the stored state and applies its orders."""
         assert self._store is not None
-        self._apply(self._store.read().orders)
+        async with self._state_lock:
+            state = await self._system.run_blocking(self._store.read)
+            self._apply(state.orders)
+        return state
+
+    async def _reload_orders(self) -> None:
+        await self._read_state()
 
     def _on_handover(self, to_successor: bool) -> None:
         log.info(
--- a/tests/operations/test_desk_and_upgrade.py
+++ b/tests/operations/test_desk_and_upgrade.py
@@ -10,9 +10,24 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from rig import Discovery, Message, Server, configuration, request, run, status, until
 from test_process import Program, program, start
 
+# The program with a state file that is written for as long as nobody has closed the other end of a pipe.
+BLOCKED_WRITES = """
+import sys
+from driftstair.operations import handover
+from driftstair.__main__ import main
+encode = handover.encode
+def encode_after_release(state):
+    with open({path!r}, "rb") as pipe:
+        pipe.read()
+    return encode(state)
+handover.encode = encode_after_release
+sys.exit(main())
+"""
+
 
 def free_port() -> int:
     with socket.socket() as probe:
@@ -206,3 +221,31 @@
         assert await process.wait() == 0
 
     run(test())
+
+
+@pytest.mark.parametrize("line", [b"hello\n", b"keep\n"])
+def test_clients_are_served_while_the_state_for_the_next_process_is_written(
+    line: bytes, tmp_path: Path
+) -> None:
+    """Guards against reading and writing the state file, which grows with the list of servers, on the event
+    loop: a slow disk, or another process that stood still with the file locked, held up all clients."""
+
+    async def test() -> None:
+        async with Server("s-1") as server:
+            document, _ = operated_document(server)
+            path = tmp_path / "release"
+            os.mkfifo(path)
+            code = BLOCKED_WRITES.format(path=str(path))
+            env = environment(tmp_path)
+            async with program(document, tmp_path, env=env, code=code) as node:
+                client = await node.client()
+                assert status(await client.ask(request())) == 200
+                (socket_path,) = tmp_path.glob("driftstair-*.sock")
+                _, writer = await asyncio.open_unix_connection(str(socket_path))
+                writer.write(line)
+                release = await asyncio.to_thread(os.open, path, os.O_WRONLY)  # once the state is written
+                assert status(await client.ask(request())) == 200
+                os.close(release)
+                writer.close()
+
+    run(test())
--- a/tests/operations/test_orders.py
+++ b/tests/operations/test_orders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from hashlib import blake2b
 from pathlib import Path
 from types import SimpleNamespace
@@ -12,6 +13,7 @@
 import pytest
 
 from driftstair.hosts import Host, HostList
+from driftstair.operations import handover
 from driftstair.operations.calls import Call, CallError, Order, parse
 from driftstair.operations.drain import (
     PARTIAL_REFUSE_AFTER_S,
@@ -175,6 +177,9 @@
     def time_ns(self) -> int:
         return self.wall_ms * 1_000_000
 
+    async def run_blocking(self, operation: Callable[[], Any]) -> Any:
+        return operation()
+
 
 @pytest.mark.parametrize("step", [-HOUR_MS, 0, HOUR_MS])
 def test_a_drain_continues_in_the_next_process_whatever_the_wall_clock_does(
@@ -199,6 +204,25 @@
     asyncio.run(test())
 
 
+def test_an_order_applies_here_though_a_process_that_stands_still_has_locked_the_state(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(handover, "LOCK_TIMEOUT_S", 0.01)
+
+    async def test() -> None:
+        clock: Any = SteppedClock()
+        operations = Operations(SimpleNamespace(listen=("127.0.0.1", 1)), clock, str(tmp_path))  # type: ignore[arg-type]
+        node: Any = SimpleNamespace(drain=None)
+        operations._node, operations._frontend = node, node
+        assert operations._store is not None
+        with operations._store._locked():
+            await operations.obey(Call(Order.NODE_OUT))
+        assert node.drain is not None
+
+    asyncio.run(test())
+    assert "orders are not stored for the next process" in caplog.text
+
+
 def test_only_an_intact_state_is_decoded() -> None:
     known = HostList(41, True, (host("a", DRAINING, 3), host("b")))
     state = State(Orders({"a": 5}, {"b": 7}, 9), "127.0.0.1:8500", known)
