SIGHUP reads its files beside the event loop, and a start the saved members before it serves

At a start the members that the process before had saved were read once clients were accepted. Cause: reload_files and Tier.start read them on the event loop. Change: Reloader reads in a thread and applies on the loop; a signal that comes meanwhile has the files read once more. Reading the service file and using it are two steps, as only the second touches the running process. Members are read before the node listens. A thread holds the loop's up for 0.5 ms at a time (sys.setswitchinterval), not 5 ms. split_descriptors moved to the settings, as two modules need it. Tests that called reload_files await Reloader.reload; what they assert is unchanged.

--- a/benchmarks/scale/hollow/node.py
+++ b/benchmarks/scale/hollow/node.py
@@ -104,6 +104,7 @@
             Rules() if plan.permits else None,
         )  # fmt: skip
         self.tier.steps = self._steps
+        self.tier.read_member_list()
         self.tier.start()
         self._generation += 1
 
--- a/benchmarks/scale/in_force.py
+++ b/benchmarks/scale/in_force.py
@@ -14,7 +14,7 @@
 from benchmarks.scale import documents
 from benchmarks.scale.meter import StepCost, mean_cpu_s, measure_step
 
-CLIENT_CONNECTIONS = 541  # what `daemon.split_descriptors` gives for 1,024 descriptors
+CLIENT_CONNECTIONS = 541  # what `settings.split_descriptors` gives for 1,024 descriptors
 CHANGE_COUNT = 200
 LOOK_UP_COUNT = 20_000
 RESOURCES_PER_LINE = 64  # of a snapshot
--- a/benchmarks/scale/routes.py
+++ b/benchmarks/scale/routes.py
@@ -10,7 +10,7 @@
 from benchmarks.scale import documents
 from benchmarks.scale.meter import mean_cpu_s, measure_step
 
-CLIENT_CONNECTIONS = 541  # what `daemon.split_descriptors` gives for 1,024 descriptors
+CLIENT_CONNECTIONS = 541  # what `settings.split_descriptors` gives for 1,024 descriptors
 LOOK_UP_COUNT = 20_000
 REQUESTED_SERVICE = 0  # requests go to this service's routes, which exist at each size
 BUCKETS_PER_ROUTE = 1_000  # tenants with a bucket on one route
@@ -44,7 +44,7 @@
     limiting_module.start(1)
 
     def change() -> None:
-        """Does what `reload_files` and `Node.replace_limits` do, except for the platform's own file."""
+        """Does what `Reloader` and `Node.replace_limits` do, except for the platform's own file."""
         nonlocal table
         table = ServiceFile("service.toml", new_text).table(config, CLIENT_CONNECTIONS)
         limiting_module.replace_rules(2, table.rules)
--- a/benchmarks/scale/tenants.py
+++ b/benchmarks/scale/tenants.py
@@ -9,7 +9,7 @@
 from benchmarks.scale import documents
 from benchmarks.scale.meter import mean_cpu_s, measure_step
 
-CLIENT_CONNECTIONS = 541  # what `daemon.split_descriptors` gives for 1,024 descriptors
+CLIENT_CONNECTIONS = 541  # what `settings.split_descriptors` gives for 1,024 descriptors
 NAMING_ROUTES = 100  # routes that name a tenant
 SHARE_CHECKS = 2_000  # requests whose tenant's share is checked
 
--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -9,6 +9,8 @@
 import sys
 from functools import partial
 
+SWITCH_INTERVAL_S = 0.0005  # for how long a thread that reads files may hold up the event loop
+
 
 def freeze_gc() -> None:
     """Excludes all objects allocated so far from garbage collection; they live as long as the process."""
@@ -20,6 +22,7 @@
     """Runs the node until it is told to end; returns the exit status."""
     # The default action would end a starting process. Once the handler is set, the file is checked again.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     import uvloop
 
     from driftstair.config import ConfigError, file_stamp, load, reload
--- a/driftstair/daemon.py
+++ b/driftstair/daemon.py
@@ -11,26 +11,22 @@
 from typing import TYPE_CHECKING
 
 from driftstair.admission.connection_table import ConnectionLimits
-from driftstair.config import ConfigError
 from driftstair.net.connection_pools import Pools
 from driftstair.net.frontend import Frontend
 from driftstair.net.node import Node
 from driftstair.net.system import SOCKET_SYSTEM, System
-from driftstair.settings import Config
+from driftstair.reloading import Reloader
+from driftstair.settings import Config, split_descriptors
 
 if TYPE_CHECKING:
     from driftstair.limits.request_table import RequestTable
-    from driftstair.node_configuration.service import NodeConfiguration
     from driftstair.observability.observer import Observer
     from driftstair.operations.server_overrides import ServerOverrides
     from driftstair.operations.service import Operations
     from driftstair.service.service_file import ServiceFile
-    from driftstair.tier.service import Tier
 
 log = logging.getLogger("driftstair")
 
-RESERVED_DESCRIPTORS = 40  # the interpreter, the event loop, the listening socket, discovery, and a margin
-CLIENT_FRACTION = 0.55  # of the remaining descriptors; the others are for servers
 PLATFORM_CLIENT_FRACTION = 1 / 3  # of all descriptors; the platform's clients hold at most so many
 UNLIMITED_DESCRIPTORS_MIN = 4096  # installations with so many have no such limit on clients
 
@@ -40,13 +36,6 @@
 SIGKILL_MARGIN_S = 0.3
 
 
-def split_descriptors(config: Config) -> tuple[int, int]:
-    """The numbers of descriptors for clients and for servers."""
-    usable = config.sockets - RESERVED_DESCRIPTORS
-    clients = int(usable * CLIENT_FRACTION)
-    return clients, usable - clients
-
-
 def build_node(
     config: Config,
     system: System = SOCKET_SYSTEM,
@@ -63,14 +52,14 @@
     return node, Frontend(node, config, ConnectionLimits(clients, platform_limit), system)
 
 
-def create_operations(config: Config, system: System) -> Operations | None:
-    """Carries out operators' calls; None, with its code not loaded, if the platform configures no address.
-    Blocks while it reads the state that the process before this one left."""
+async def create_operations(config: Config, system: System) -> Operations | None:
+    """Carries out operators' calls; None, with its code not loaded, if the platform configures no address."""
     if config.operators is None:
         return None
     from driftstair.operations.service import Operations
 
-    return Operations(config, system, os.environ.get("TMPDIR"))
+    # Beside the event loop, as it reads the state that the process before this one left.
+    return await system.run_blocking(lambda: Operations(config, system, os.environ.get("TMPDIR")))
 
 
 def plan_shutdown(config: Config) -> tuple[float, float]:
@@ -90,32 +79,6 @@
     ), answer_within_s
 
 
-def reload_files(
-    node: Node, config: Config, reload_config: Callable[[], Config], service: ServiceFile | None,
-    tier: Tier | None, configuration: NodeConfiguration | None = None,
-) -> None:  # fmt: skip
-    """Handles SIGHUP: reads the files again. On an error in one, the node keeps its previous settings."""
-    try:
-        config = reload_config()
-    except ConfigError as problem:
-        log.error("the new configuration is not used: %s", problem)
-    else:
-        node.reload(config)
-        if tier is not None:
-            tier.reload(config)
-    if service is not None:
-        from driftstair.service.load import ServiceError
-
-        try:
-            table = service.table(config, split_descriptors(config)[0])
-            node.replace_limits(table if configuration is None else configuration.combined_table(table))
-        except ServiceError as problem:
-            for message in problem.problems:
-                log.error("the new service file is not used: %s", message)
-        if configuration is not None:
-            configuration.reload(*service.platform_and_service(config, split_descriptors(config)[0]))
-
-
 def report_metrics(node: Node, observer: Observer, interval_s: float) -> None:
     """Reports the counters now and then every `interval_s`."""
     observer.metrics_reported(node.counters())
@@ -153,7 +116,7 @@
     end_requested: asyncio.Future[int] = loop.create_future()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, request_end, end_requested, system.monotonic_ns)
-    operations = await system.run_blocking(lambda: create_operations(config, system))
+    operations = await create_operations(config, system)
     if operations is not None:
         config = operations.config
     tier = None if service is None else service.tier(config, system)
@@ -176,12 +139,13 @@
     if event_log is not None:
         node.observe(event_log[0])
         report_metrics(node, *event_log)
+    reloader = Reloader(node, config, reload_config, system, service, tier, configuration)
     # The default action would end the process and drop its open requests.
-    loop.add_signal_handler(
-        signal.SIGHUP, reload_files, node, config, reload_config, service, tier, configuration
-    )
+    loop.add_signal_handler(signal.SIGHUP, reloader.request)
     if configuration is not None:
         await configuration.start(node)
+    if tier is not None:
+        await system.run_blocking(tier.read_member_list)
     # Before connections are accepted: they would wait for as long as reading the ledger takes.
     opened_ledger = None if service is None else await service.open_ledger(config, system, end_requested)
     try:
@@ -201,7 +165,7 @@
     node.start()
     if has_changed():
         # SIGHUP was ignored until its handler was installed.
-        reload_files(node, config, reload_config, service, tier, configuration)
+        await reloader.reload()
     if operations is not None:
         try:
             await operations.start(node, frontend)
--- a/driftstair/rehearsal/command.py
+++ b/driftstair/rehearsal/command.py
@@ -145,10 +145,10 @@
     """Refuses a service file with which the nodes would not start."""
     if scenario.nodes.service is not None:
         from driftstair.config import parse_document
-        from driftstair.daemon import split_descriptors
         from driftstair.rehearsal import platform
         from driftstair.service.load import ServiceError
         from driftstair.service.service_file import ServiceFile
+        from driftstair.settings import split_descriptors
 
         box_list = {"version": 1, "full": True, "servers": []}
         unused_address = ("127.0.0.1", 1)
--- a/driftstair/service/command.py
+++ b/driftstair/service/command.py
@@ -11,13 +11,12 @@
 from pydantic import BaseModel
 
 from driftstair.config import ConfigError, load
-from driftstair.daemon import split_descriptors
 from driftstair.limits.validation import find_problems
 from driftstair.service.load import Problem, ServiceError, read
 from driftstair.service.schema import Service
 from driftstair.service.service_file import platform_of
 from driftstair.service.units import shown_duration
-from driftstair.settings import Config
+from driftstair.settings import Config, split_descriptors
 
 EXIT_OK, EXIT_PROBLEMS, EXIT_UNREADABLE = 0, 1, 2
 FORMAT_CHECK = "driftstair.config.check/1"
--- a/driftstair/service/service_file.py
+++ b/driftstair/service/service_file.py
@@ -5,7 +5,7 @@
 import logging
 from math import ceil
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from driftstair.files import FileError
 from driftstair.hosts import ListError, parse_address
@@ -104,6 +104,14 @@
     return addresses
 
 
+class ReadTable(NamedTuple):
+    """A service file that was read, with its request table."""
+
+    loaded: LoadedService
+    table: FileRequestTable
+    warnings: list[Problem]
+
+
 class ServiceFile:
     """A service file, or a text used in its place."""
 
@@ -120,17 +128,25 @@
         return read(self.file) if self._text is None else parse(self._text, self.file)
 
     def table(self, config: Config, max_client_connections: int) -> FileRequestTable:
-        """Reads the file anew and builds its request table; raises ServiceError."""
+        """Reads the file anew and uses it; raises ServiceError."""
+        return self.use(self.read_table(config, max_client_connections))
+
+    def read_table(self, config: Config, max_client_connections: int) -> ReadTable:
+        """Reads the file anew and builds its request table, and changes nothing. Blocks. Raises
+        ServiceError."""
         loaded = self.load()
-        table, warnings = build_request_table(loaded, config, max_client_connections)
+        return ReadTable(loaded, *build_request_table(loaded, config, max_client_connections))
+
+    def use(self, read: ReadTable) -> FileRequestTable:
+        """Returns the table of a file that was read, which is in use from now on; raises ServiceError."""
         if self._tier_created:
-            self._apply_reload(loaded, config)
-        self._service_in_use = loaded.service
-        for warning in warnings:
+            self._apply_reload(read.loaded)
+        self._service_in_use = read.loaded.service
+        for warning in read.warnings:
             log.warning("%s", warning)
-        return table
+        return read.table
 
-    def _apply_reload(self, loaded: LoadedService, config: Config) -> None:
+    def _apply_reload(self, loaded: LoadedService) -> None:
         """Applies the fleet budgets of a reloaded file to the running process; raises ServiceError."""
         sharing = self._running_tier is not None and self._running_tier.sharing is not None
         for path, name in fleet_budget_uses(loaded):
--- a/driftstair/settings.py
+++ b/driftstair/settings.py
@@ -8,6 +8,9 @@
 from driftstair.hosts import HostList
 from lichenspring import interface as api
 
+RESERVED_DESCRIPTORS = 40  # the interpreter, the event loop, the listening socket, discovery, and a margin
+CLIENT_FRACTION = 0.55  # of the remaining descriptors; the others are for servers
+
 
 @dataclass(slots=True, frozen=True)
 class Config:
@@ -33,3 +36,10 @@
     name: str = ""  # of the node; unchanged by a restart
     # Settings about the other nodes, not parsed here: for `driftstair.tier`.
     peer_settings: dict[str, Any] | None = None
+
+
+def split_descriptors(config: Config) -> tuple[int, int]:
+    """The numbers of descriptors for clients and for servers."""
+    usable = config.sockets - RESERVED_DESCRIPTORS
+    clients = int(usable * CLIENT_FRACTION)
+    return clients, usable - clients
--- a/driftstair/tier/service.py
+++ b/driftstair/tier/service.py
@@ -73,6 +73,7 @@
         self._token_write_failed = False  # whether the last write failed; repeated failures are logged once
         self._was_opened = False  # the saved expiry of loans is read only when first opened
         self._member_list_path = folder / f"{config.name}.members" if folder else None
+        self._saved_claims: tuple[Claim, ...] = ()  # what `read_member_list` has read
         self._token_path = folder / f"{config.name}.tokens" if folder else None
         self._token_file: TokenFile | None = None
         self._loop = asyncio.get_running_loop()
@@ -120,18 +121,22 @@
 
     # Life cycle.
 
+    def read_member_list(self) -> None:
+        """Reads the list that the process before this one saved. Blocks; to be called before `start`."""
+        if self._member_list_path is None:
+            return
+        try:
+            self._saved_claims = member_list.read(self._member_list_path)
+        except MemberListError as error:
+            log.warning("%s is ignored: it %s", self._member_list_path.name, error)
+
     def start(self) -> None:
         """Joins the tier, at first with the saved member list."""
-        claims: tuple[Claim, ...] = ()
         if self._member_list_path is not None:
-            try:
-                claims = member_list.read(self._member_list_path)
-            except MemberListError as error:
-                log.warning("%s is ignored: it %s", self._member_list_path.name, error)
             self._save_timer = self._loop.call_later(MEMBER_LIST_SAVE_INTERVAL_S, self._save_periodically)
         self._write_event("start", nodes=len(self._peer_config.peers))
         self._open_socket(first=True)
-        self._handle_event(api.Start(claims))
+        self._handle_event(api.Start(self._saved_claims))
         if self._collector is not None:
             self._collector.start()
 
--- a/tests/acceptance/test_told_under_reload.py
+++ b/tests/acceptance/test_told_under_reload.py
@@ -7,10 +7,10 @@
 from dataclasses import replace
 
 import pytest
-from rig import Discovery, Rig, Server, configuration, request, run, status, until
+from rig import SYSTEM, Discovery, Rig, Server, configuration, request, run, status, until
 
-from driftstair.daemon import reload_files
 from driftstair.hosts import parse_address
+from driftstair.reloading import Reloader
 from driftstair.settings import Config
 from lichenspring.interface import ListKind
 
@@ -58,7 +58,7 @@
                         send_change_now(old, 9, drained)
                     return with_discovery_at(rig, new)
 
-                reload_files(rig.node, rig.config, reread, None, None)
+                await Reloader(rig.node, rig.config, reread, SYSTEM).reload()
                 await until(lambda: new.targets)
                 if when == "before the new address answers":
                     send_change_now(old, 9, drained)
@@ -86,7 +86,7 @@
                 await until(lambda: old.targets)
                 old.push(8, one, full=True)
                 await until(lambda: rig.spy.lists(ListKind.FULL))
-                reload_files(rig.node, rig.config, lambda: with_discovery_at(rig, new), None, None)
+                await Reloader(rig.node, rig.config, lambda: with_discovery_at(rig, new), SYSTEM).reload()
                 await until(lambda: new.targets)
                 if end == "answered":
                     new.push(3, two, full=True)
--- a/tests/ledger/test_opening.py
+++ b/tests/ledger/test_opening.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 import pytest
-from rig import Server, configuration, request, run, status
+from rig import Server, configuration, open_read_pipe, request, run, status
 from test_keeper import (
     Clock,
     RecordingClient,
@@ -44,7 +44,7 @@
 
     async def until_read(self) -> None:
         """Returns once a process has begun to read the ledger."""
-        self._writer = await asyncio.to_thread(os.open, self._path, os.O_WRONLY)
+        self._writer = await open_read_pipe(self._path)
 
     def close(self) -> None:
         if self._writer >= 0:
--- a/tests/operations/test_desk_and_upgrade.py
+++ b/tests/operations/test_desk_and_upgrade.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from rig import Discovery, Message, Server, configuration, request, run, status, until
+from rig import Discovery, Message, Server, configuration, open_read_pipe, request, run, status, until
 from test_process import Program, program, start
 
 # The program with a state file that is written for as long as nobody has closed the other end of a pipe.
@@ -243,7 +243,7 @@
                 (socket_path,) = tmp_path.glob("driftstair-*.sock")
                 _, writer = await asyncio.open_unix_connection(str(socket_path))
                 writer.write(line)
-                release = await asyncio.to_thread(os.open, path, os.O_WRONLY)  # once the state is written
+                release = await open_read_pipe(path)  # once the state is written
                 assert status(await client.ask(request())) == 200
                 os.close(release)
                 writer.close()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -44,6 +44,15 @@
             await asyncio.sleep(0.002)
 
 
+async def open_read_pipe(path: Path) -> int:
+    """Opens a named pipe for writing, once a process has opened it for reading. Returns the descriptor."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while True:
+            with suppress(OSError):  # ENXIO: nobody reads
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            await asyncio.sleep(0.002)
+
+
 class Message(NamedTuple):
     first: str
     headers: dict[str, str]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -24,6 +24,7 @@
     answer,
     configuration,
     grade,
+    open_read_pipe,
     request,
     run,
     status,
@@ -343,3 +344,55 @@
                 await process.wait()
 
     run(test())
+
+
+# The program with files that are read again for as long as nobody has closed the other end of a pipe.
+BLOCKED_RELOAD = """
+import sys
+from driftstair import config
+from driftstair.service import load as service
+from driftstair.__main__ import main
+def blocked_from_the_second_call_on(read):
+    calls = []
+    def call(*arguments):
+        calls.append(arguments)
+        if len(calls) > {calls}:
+            with open({pipe!r}, "rb") as pipe:
+                pipe.read()
+        return read(*arguments)
+    return call
+{module}.read_text = blocked_from_the_second_call_on({module}.read_text)
+sys.exit(main())
+"""
+
+
+@pytest.mark.parametrize(("module", "calls_at_start"), [("config", 1), ("service", 5)])
+def test_clients_are_served_while_files_are_read_again(
+    module: str, calls_at_start: int, tmp_path: Path
+) -> None:
+    """Guards against reading files on the event loop at SIGHUP: the platform's configuration grows with the
+    fleet, and the service file with its routes, and nobody was answered meanwhile."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Discovery() as old, Discovery() as new:
+            document = configuration(server, discovery=old.address)
+            document["settings"]["Contract"]["AskWithin"] = 10**8
+            (tmp_path / "service.toml").write_text("version = 1\n")
+            pipe = tmp_path / "release"
+            os.mkfifo(pipe)
+            code = BLOCKED_RELOAD.format(pipe=str(pipe), module=module, calls=calls_at_start)
+            env = {**os.environ, "DRIFTSTAIR_SERVICE": str(tmp_path / "service.toml")}
+            async with program(document, tmp_path, code=code, env=env) as node:
+                client = await node.client()
+                assert status(await client.ask(request())) == 200
+                (tmp_path / "config.json").write_text(json.dumps(document | {"discovery": new.address}))
+                node.process.send_signal(signal.SIGHUP)
+                release = await open_read_pipe(pipe)  # once a file is read
+                assert status(await client.ask(request())) == 200
+                node.process.send_signal(signal.SIGHUP)  # the files are read once more
+                os.close(release)
+                os.close(await open_read_pipe(pipe))
+                await until(lambda: new.open)
+                assert status(await client.ask(request())) == 200
+
+    run(test())
