A process writes a ledger beside the node's while another one holds that

Cause: the old process holds the ledger's lock until it ends, and LedgerKeeper.open took that for a reason to wait, with all counts in memory and not even a begin written. Change: such a process writes a chain of its own, NODE.beside.1, with the same commits, begin, gap and end, and goes on in the node's ledger once that is free. One run in one chain is a class (ledger/run.py). Why it works: what is committed is on the disk after 0.2 s whoever holds the node's ledger, and a chain without an end is a finding. The test that replaced the keeper's run_blocking replaces it in the settings of its run.

--- a/driftstair/ledger/book.py
+++ b/driftstair/ledger/book.py
@@ -84,6 +84,11 @@
         self._counts: Counter[UsageKey] = Counter()
         self._tenant_names: dict[str, str] = {}  # names as received -> as counted, in this commit
 
+    def continue_chain(self, node: str, head: Head) -> None:
+        """Makes the next entries follow the head of another chain. Counts stay."""
+        self.node = node
+        self.head = head
+
     # Counting requests.
 
     def count(self, arrived_ms: int, tenant: str, word: UsageWord) -> None:
--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -3,9 +3,11 @@
 
 All counts since the last commit are written together (group commit) by one thread, while the event loop
 continues. The counts remain in memory until the write has returned. If they can't be written, because the
-disk is full or has failed or because another process of this node still holds the ledger (during an upgrade),
-counting continues and they are written later: serving does not wait for the ledger. A killed process loses
-the counts since its last commit, and the next run records since when (`gap`).
+disk is full or has failed, counting continues and they are written later: serving does not wait for the
+ledger. A killed process loses the counts since its last commit, and the next run records since when (`gap`).
+
+During an upgrade the old process holds the ledger until it ends. The new one writes to a ledger beside it
+meanwhile, a chain of its own under another name (`beside_name`), so that no more is lost with it.
 
 The ledger is opened in that thread too, since reading it takes longer the older it is. While the node serves,
 the reading thread pauses after each batch of lines, as it would hold up the loop's thread otherwise
@@ -18,34 +20,31 @@
 import errno
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import suppress
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol
 
 from driftstair.ledger.book import Book
 from driftstair.ledger.entries import UsageWord
 from driftstair.ledger.periods import Calendar
-from driftstair.ledger.segments import OpenedStore, Pause, Store, StoreBusyError, StoreError
+from driftstair.ledger.run import NS_PER_MS, NS_PER_S, LedgerRun, RunBlocking, RunSettings
+from driftstair.ledger.segments import Pause, Store, StoreBusyError, StoreError, no_pause
 
 log = logging.getLogger(__name__)
 
-NS_PER_MS = 1_000_000
-NS_PER_S = 1_000_000_000
 CLOSE_RETRY_PAUSE_S = 0.01  # between two attempts at the last commit
 MAX_CLOSE_ATTEMPTS = 20  # the process has at least 0.3 s left before it may be killed
 CLOSE_READ_NS = 200 * NS_PER_MS  # for reading a ledger that is not open yet, once the run has to end
 READ_PAUSE_S = 0.0005  # after each batch of lines that is read while the node serves
+LEDGERS_BESIDE_MAX = 4  # processes of one node that may write beside its ledger at once
 REOPEN_PAUSE_NS = 10 * NS_PER_S  # after a ledger that can't be read, as each attempt reads all of it
 REFUSED_STATUSES = (429, 503)
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
-Result = TypeVar("Result")
-
-
-class RunBlocking(Protocol):
-    """Runs a blocking disk operation without blocking the event loop, and returns what it returns."""
 
-    def __call__(self, operation: Callable[[], Result], /) -> Awaitable[Result]: ...
+def beside_name(node: str, number: int) -> str:
+    """The name of a ledger that a process writes while another one writes that of the node."""
+    return f"{node}.beside.{number}"
 
 
 class ReadingStoppedError(StoreError):
@@ -112,22 +111,18 @@
         machine; `clock_ns`: Unix time in ns; `monotonic_ns`: a clock in ns that never steps, used for
         durations."""
         self.book = Book(node, calendar)
-        self._store = store
-        self._clock_error_ms = clock_error_ms
-        self._sync = sync
-        self._clock = clock_ns
         self.monotonic_ns = monotonic_ns
-        self._run_blocking = run_blocking
-        self._opened: OpenedStore | None = None  # set while the store is open
-        self._has_begun = False  # the begin of this run is written
-        self._end_written = False  # the end of this run is written
+        self._settings = RunSettings(clock_error_ms, sync, clock_ns, monotonic_ns, run_blocking)
+        self._store = store
+        self._run = LedgerRun(node, store, self.book, self._settings)
+        self._run_beside: LedgerRun | None = None  # while another process writes the node's ledger
         self._reopen_at_ns = 0  # monotonic ns; no attempt at opening before that
         self._read_until_ns: int | None = None  # monotonic ns; set once the run has to end
         self._last_warning = ""  # the last warning that was logged
 
     def now_ms(self) -> int:
         """Returns Unix time in ms."""
-        return self._clock() // NS_PER_MS
+        return self._settings.now_ms()
 
     def track_request(self, client: Client, tenant: str, aim_ns: int, resubmitted: bool) -> CountedRequest:
         """Returns a wrapper that counts the request of a client. A resubmitted request is counted as a retry
@@ -148,12 +143,12 @@
                 raise ReadingStoppedError("the ledger was not read to its end: the node has to end")
 
         try:
-            await self._begin_run(check_end)
+            await self._run.begin(check_end)
         except (StoreBusyError, ReadingStoppedError) as problem:
             self._warn(str(problem))
         except OSError as problem:
-            if self._opened is None or problem.errno not in DISK_FULL_ERRNOS:
-                await self._run_blocking(self._store.close)
+            if self._run.opened is None or problem.errno not in DISK_FULL_ERRNOS:
+                await self._run.close()
                 raise
             # A node must be able to restart while the disk is full.
             self._warn(f"the ledger can't be started yet; usage is counted in memory: {problem}")
@@ -168,61 +163,55 @@
         time.sleep(READ_PAUSE_S)
         self._check_reading_time()
 
-    async def _begin_run(self, pause: Pause) -> None:
-        """Opens the store, if that is not done, and writes the begin of this run. Raises StoreError,
-        OSError."""
-        if self._opened is None:
-            self._opened = await self._open_store(pause)
-            self.book.head = self._opened.head
-        truncated_lines = self._opened.truncated_lines
-        await self._append(self.book.begin(self.now_ms(), self._clock_error_ms, truncated_lines))
-        self._has_begun = True
-
-    async def _open_store(self, pause: Pause) -> OpenedStore:
-        """Raises StoreError, OSError."""
-        started_ns = self.monotonic_ns()
-        opened = await self._run_blocking(lambda: self._store.open(pause))
-        duration_s = (self.monotonic_ns() - started_ns) / NS_PER_S
-        log.info("the ledger was opened in %.3f s: %d lines were read", duration_s, opened.lines_read)
-        return opened
-
-    async def _append(self, entries: list[Any]) -> None:
-        """Writes entries and confirms them to the book. Raises OSError."""
-        lines, head = self.book.encode(entries)
-
-        def append() -> None:
-            self._store.append(lines, self._sync)
-            self._store.confirm(head)
-
-        await self._run_blocking(append)
-        self.book.confirm(entries, head)
-
     async def commit(self) -> None:
         """Writes all counts; calls must not overlap. Disk errors are logged, and the counts remain in
         memory."""
         try:
-            if not self._has_begun:
-                await self._begin_late()
-            entries = self.book.commit(self.now_ms()) if self._has_begun else []
-            if entries:
-                await self._append(entries)
+            run = await self._writable_run()
+            if await run.commit() and run is self._run:
                 self._last_warning = ""
         except Exception as problem:
             self._warn(f"usage can't be written; it remains counted in memory: {problem}")
 
-    async def _begin_late(self) -> None:
-        """Begins the run while the node serves, unless another process still writes the ledger. Raises
-        StoreError, OSError."""
+    async def _writable_run(self) -> LedgerRun:
+        """The run that counts are written to while the node serves. Raises StoreError, OSError."""
+        if self._run.has_begun:
+            return self._run
         if self.monotonic_ns() < self._reopen_at_ns:
-            return
+            raise StoreError("the ledger could not be read, and is read again later")
         try:
-            await self._begin_run(self._pause_reading)
+            await self._begin(self._pause_reading)
         except StoreBusyError as problem:
             self._warn(str(problem))
+            return await self._begin_beside()
         except (StoreError, OSError):
-            if self._opened is None:
+            if self._run.opened is None:
                 self._reopen_at_ns = self.monotonic_ns() + REOPEN_PAUSE_NS
             raise
+        return self._run
+
+    async def _begin(self, pause: Pause) -> None:
+        """Begins the run in the node's ledger, and ends the one beside it. Raises StoreError, OSError."""
+        if self._run.opened is None:
+            await self._run.open(pause)
+        if self._run_beside is not None:
+            await self._run_beside.end()
+            await self._run_beside.close()
+            self._run_beside = None
+        await self._run.begin(pause)
+
+    async def _begin_beside(self) -> LedgerRun:
+        """Begins a run beside the node's ledger, unless that is done. Raises StoreError, OSError."""
+        if self._run_beside is not None and self._run_beside.has_begun:
+            return self._run_beside
+        for number in range(1, LEDGERS_BESIDE_MAX + 1):
+            node = beside_name(self._run.node, number)
+            run = LedgerRun(node, self._store.beside(node), self.book, self._settings)
+            with suppress(StoreBusyError):
+                await run.begin(no_pause)
+                self._run_beside = run
+                return run
+        raise StoreError("too many processes write beside the ledger")
 
     async def run(self, interval_s: float, ended: asyncio.Event) -> None:
         """Commits at an interval until `ended` is set, then records that this run ended in order."""
@@ -249,17 +238,26 @@
         problem = await self._write_end()
         if problem is not None:
             log.error("the ledger was closed without its last counts: %s", problem)
-        await self._run_blocking(self._store.close)
+        for run in (self._run_beside, self._run):
+            if run is not None:
+                await run.close()
 
     async def _write_end(self) -> Exception | None:
         """Returns the error, and None if the end is written, now or earlier."""
         try:
-            if self._end_written:
-                return None
-            if not self._has_begun:
-                await self._begin_run(self._check_reading_time)
-            await self._append(self.book.end(self.now_ms()))
-            self._end_written = True
+            if not self._run.has_begun:
+                await self._begin(self._check_reading_time)
+            await self._run.end()
+        except StoreBusyError:
+            return await self._write_end_beside()
+        except Exception as problem:
+            return problem
+        return None
+
+    async def _write_end_beside(self) -> Exception | None:
+        """The same, where another process still writes the node's ledger."""
+        try:
+            await (await self._begin_beside()).end()
         except Exception as problem:
             return problem
         return None
--- a/driftstair/ledger/segments.py
+++ b/driftstair/ledger/segments.py
@@ -92,6 +92,10 @@
         self._checkpoint: Checkpoint | None = None  # the last one that was read or written
         self._head: Head | None = None  # the end of the chain on the disk, as far as it is known
 
+    def beside(self, node: str) -> Store:
+        """A store for another name in the same folder. Raises StoreError if the name is too long."""
+        return Store(self._folder, node, self._max_segment_bytes, self._write, self._sync)
+
     def open(self, pause: Pause = no_pause) -> OpenedStore:
         """Locks and reads the ledger. Raises StoreError, also if another process writes it (StoreBusyError),
         OSError, and what `pause` raises."""
--- a/tests/ledger/test_keeper.py
+++ b/tests/ledger/test_keeper.py
@@ -121,7 +121,7 @@
         await write_may_end.wait()
         return operation()
 
-    ledger._run_blocking = run_delayed
+    ledger._run._settings = ledger._run._settings._replace(run_blocking=run_delayed)
 
     async def test() -> None:
         ledger.track_request(RecordingClient(), "a", 1, False).answer(503, [], b"")
