--- a/driftstair/configuration/messages.py
+++ b/driftstair/configuration/messages.py
@@ -30,7 +30,8 @@
 
 class SnapshotPart(msgspec.Struct, frozen=True, tag="snapshot"):
     """Resources in the order of their keys. Each is at least as new as `revision`; once the last part and
-    all changes after `revision` are applied, the state is that of the last change."""
+    all changes after `revision` are applied, the state is that of the last change. A `Freshness` stands
+    before the last part: the state is whole at its revision, whatever was deleted since the first part."""
 
     revision: int
     first: bool  # parts received of an earlier snapshot are to be discarded
@@ -39,7 +40,8 @@
 
 
 class Freshness(msgspec.Struct, frozen=True, tag="freshness"):
-    """What the control server knows of itself: sent when it changes, and with each 15th heartbeat."""
+    """What the control server knows of itself: sent when it changes, with each 15th heartbeat, and before the
+    last part of a snapshot."""
 
     revision: int  # the greatest revision that the server knows to be committed
     age_ms: int  # time since it last heard from a leader with a majority; 0 while it does
--- a/driftstair/control/watchers.py
+++ b/driftstair/control/watchers.py
@@ -161,6 +161,9 @@
             self._token_timer = self._loop.call_later(wait_s, self._on_tokens)
             return
         part = self._watchers.snapshots.part_after(cursor.revision, cursor.after)
+        if part.is_last:
+            # What was deleted since the first part may be in no part: the state is whole at this revision.
+            self.connection.write(self._watchers.freshness_chunk())
         self._bucket.spend(now_s, len(part.chunk))
         self.connection.write(part.chunk)
         cursor.after = part.last_key
--- a/driftstair/node_configuration/application.py
+++ b/driftstair/node_configuration/application.py
@@ -13,6 +13,8 @@
 from collections.abc import Generator, Iterable
 from typing import TypeVar
 
+import msgspec
+
 from driftstair.configuration.change_sets import LoggedChangeSet
 from driftstair.configuration.messages import (
     Changes,
@@ -216,7 +218,10 @@
         for resource in part.resources:
             collector.load(resource)
             await self.slicer.after_step()
-        if part.last:
+        if not part.last:
+            # Further parts are read from later states, which the digest of this one does not describe.
+            self._server_freshness = msgspec.structs.replace(self._server_freshness, digest="")
+        else:
             collector.finish()
             collector.complete_revision = max(collector.complete_revision, self._server_freshness.revision)
             self._received_revision = collector.revision
--- a/tests/control/test_watchers.py
+++ b/tests/control/test_watchers.py
@@ -21,7 +21,7 @@
 from rig import run, until
 
 from driftstair.configuration.change_sets import LoggedChangeSet
-from driftstair.configuration.messages import LINE_BYTES_MAX
+from driftstair.configuration.messages import LINE_BYTES_MAX, Freshness, decode_watch_message
 from driftstair.control import lines, watchers
 from driftstair.control.http import Request
 from driftstair.control.http_server import HttpConnection
@@ -198,6 +198,34 @@
     run(test())
 
 
+@pytest.mark.parametrize("is_resumed", [False, True])
+def test_the_last_part_of_a_snapshot_comes_behind_the_revision_at_which_the_state_is_whole(
+    is_resumed: bool,
+) -> None:
+    """Guards against a node that can't know of deletions made while a snapshot is on its way: it held a
+    state without them against the digest from the begin of the watch."""
+
+    async def test() -> None:
+        async with watch_site(rate=200_000, committed=2_000, oldest=2_000) as site:
+            query = ""
+            if is_resumed:
+                async with site.watch(1) as first:
+                    await first.wait_until(lambda: first.parts())
+                    query = f"&snapshot=2000&after={first.parts()[-1].resources[-1].key}"
+            async with site.watch(1, query) as node:
+                await node.wait_until(lambda: node.parts())
+                assert not node.parts()[-1].last
+                site.commit(3)
+                await node.wait_until(lambda: node.has_reached(2_003))
+                messages = [decode_watch_message(line) for line in node.lines]
+                last = messages.index(node.parts()[-1])
+                freshness = messages[last - 1]
+                assert isinstance(freshness, Freshness)
+                assert freshness.revision == 2_003 and freshness.digest == f"{site.source.state.digest:016x}"
+
+    run(test())
+
+
 def test_an_interrupted_snapshot_resumes_after_the_last_key() -> None:
     async def test() -> None:
         async with watch_site(rate=200_000, committed=2_000, oldest=2_000) as site:
--- a/tests/node_configuration/test_application.py
+++ b/tests/node_configuration/test_application.py
@@ -243,6 +243,41 @@
     run(test())
 
 
+@pytest.mark.parametrize("tells_before_the_last_part", [True, False])
+def test_a_resource_deleted_while_its_part_is_still_to_be_sent_does_not_end_the_watch(
+    tells_before_the_last_part: bool,
+) -> None:
+    """Guards against holding a state that lacks a deletion's entry against the digest from the begin of the
+    watch: the node left the only control server with that entry unread, and nothing reached it any more.
+    A server of an earlier version says nothing before the last part."""
+
+    async def test() -> None:
+        log = ChangeLog()
+        log.put(*(change(TENANT, f"t{index:02}", IN_FLIGHT_10) for index in range(20)))
+        async with ControlServer() as server, NodeHarness(server) as node:
+            await until(lambda: server.queries)
+            first = log.snapshot(10)[0]
+            server.send(log.freshness(), first)
+            await until(lambda: node.applier.position().snapshot is not None)
+            log.put(change(TENANT, "t15", None))
+            last = SnapshotPart(1, False, True, tuple(log.state.resources(first.resources[-1].key)))
+            if tells_before_the_last_part:
+                server.send(log.freshness(), last)
+                await until(lambda: node.applier.position().snapshot is None)
+                assert node.in_force.revision == 0  # the deletion's entry is still missing
+            else:
+                server.send(last)
+                await until(lambda: node.in_force.revision == 1)
+            server.send(log.changes(1))
+            await until(lambda: node.in_force.revision == 2)
+            log.put(change(TENANT, "t01", IN_FLIGHT_20))
+            server.send(log.freshness(), log.changes(2))
+            await until(lambda: node.in_force.revision == 3)
+            assert node.digest() == f"{log.state.digest:016x}" and len(server.queries) == 1
+
+    run(test())
+
+
 def test_a_node_disconnected_during_a_snapshot_continues_after_the_last_part() -> None:
     async def test() -> None:
         log = ChangeLog()
