--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -22,7 +22,8 @@
 from driftstair.ledger.entries import UsageWord
 from driftstair.ledger.periods import Calendar
 from driftstair.ledger.reconcile import join_copies, read_copy
-from driftstair.ledger.segments import Store, read_lines, segment_paths
+from driftstair.ledger.segment_reader import read_lines, segment_paths
+from driftstair.ledger.segments import Store
 
 START_MS = 1_771_070_400_000  # 12:00 UTC
 TENANTS = [f"tenant-{number:02}" for number in range(20)]
--- a/driftstair/ledger/carrier.py
+++ b/driftstair/ledger/carrier.py
@@ -28,7 +28,7 @@
     Refused,
     Taken,
 )
-from driftstair.ledger.segments import segment_paths
+from driftstair.ledger.segment_reader import segment_paths
 
 MAX_MESSAGE_BYTES = MAX_BATCH_LINES * (MAX_LINE_BYTES + 16) * 2  # quotes are escaped
 INDEX_INTERVAL_LINES = 256  # between two indexed lines
--- a/driftstair/ledger/command.py
+++ b/driftstair/ledger/command.py
@@ -24,7 +24,8 @@
     join_copies,
     read_copy,
 )
-from driftstair.ledger.segments import Store, StoreError, read_lines, segment_paths, segment_sizes
+from driftstair.ledger.segment_reader import StoreError, read_lines, segment_paths, segment_sizes
+from driftstair.ledger.segments import Store
 
 EXIT_OK, EXIT_FINDINGS, EXIT_UNREADABLE = 0, 1, 2
 FORMAT = "driftstair.ledger/1"
--- a/driftstair/ledger/keeper.py
+++ b/driftstair/ledger/keeper.py
@@ -28,7 +28,8 @@
 from driftstair.ledger.entries import UsageWord
 from driftstair.ledger.periods import Calendar
 from driftstair.ledger.run import NS_PER_MS, NS_PER_S, LedgerRun, RunBlocking, RunSettings
-from driftstair.ledger.segments import Pause, Store, StoreBusyError, StoreError, no_pause
+from driftstair.ledger.segment_reader import Pause, StoreError, no_pause
+from driftstair.ledger.segments import Store, StoreBusyError
 
 log = logging.getLogger(__name__)
 
--- a/driftstair/ledger/run.py
+++ b/driftstair/ledger/run.py
@@ -8,7 +8,8 @@
 
 from driftstair.ledger.book import Book
 from driftstair.ledger.entries import Entry
-from driftstair.ledger.segments import OpenedStore, Pause, Store
+from driftstair.ledger.segment_reader import OpenedStore, Pause
+from driftstair.ledger.segments import Store
 
 log = logging.getLogger(__name__)
 
--- a/driftstair/rehearsal/fakes/billing.py
+++ b/driftstair/rehearsal/fakes/billing.py
@@ -17,7 +17,7 @@
 from driftstair.ledger.carrier import MAX_MESSAGE_BYTES, MessageError, decode_message, encode_message
 from driftstair.ledger.entries import Entry
 from driftstair.ledger.export import SESSION_LEASE_MS, Collector
-from driftstair.ledger.segments import read_lines
+from driftstair.ledger.segment_reader import read_lines
 
 
 class LedgerFiles:
--- a/driftstair/service/service_file.py
+++ b/driftstair/service/service_file.py
@@ -216,7 +216,8 @@
             return None
         from driftstair.ledger.keeper import LedgerKeeper
         from driftstair.ledger.periods import Calendar, PeriodError
-        from driftstair.ledger.segments import Store, StoreError
+        from driftstair.ledger.segment_reader import StoreError
+        from driftstair.ledger.segments import Store
 
         try:
             calendar = Calendar(ledger.zone)
--- a/driftstair/tier/collector.py
+++ b/driftstair/tier/collector.py
@@ -20,7 +20,7 @@
 from driftstair.ledger.carrier import LedgerReader, export_ledger
 from driftstair.ledger.export import Exporter
 from driftstair.ledger.run import RunBlocking
-from driftstair.ledger.segments import StoreError, segment_sizes
+from driftstair.ledger.segment_reader import StoreError, segment_sizes
 
 log = logging.getLogger(__name__)
 
--- a/tests/ledger/test_opening.py
+++ b/tests/ledger/test_opening.py
@@ -26,10 +26,11 @@
 from test_process import program, start
 from test_segments import UTC_CALENDAR, open_ledger, write_commit
 
-from driftstair.ledger import segments
+from driftstair.ledger import segment_reader, segments
 from driftstair.ledger.book import Head
 from driftstair.ledger.keeper import LedgerKeeper
-from driftstair.ledger.segments import OpenedStore, Store, StoreError, no_pause, segment_paths
+from driftstair.ledger.segment_reader import OpenedStore, StoreError, no_pause, segment_paths
+from driftstair.ledger.segments import Store
 
 NODE = "n0"
 
@@ -115,13 +116,13 @@
 def reading_threads(monkeypatch: pytest.MonkeyPatch) -> list[int]:
     """The threads that read a segment, one entry for each time that one is read."""
     threads: list[int] = []
-    read_lines = segments.read_lines
+    read_lines = segment_reader.read_lines
 
     def recorded(path: Path, offset: int = 0) -> Iterator[bytes]:
         threads.append(threading.get_ident())
         return read_lines(path, offset)
 
-    monkeypatch.setattr(segments, "read_lines", recorded)
+    monkeypatch.setattr(segment_reader, "read_lines", recorded)
     return threads
 
 
@@ -207,7 +208,7 @@
 ) -> None:
     """Guards against a process that is killed while it reads its ledger to write its last counts."""
     write_ledger(tmp_path, 40)
-    monkeypatch.setattr(segments, "LINES_PER_PAUSE", 1)
+    monkeypatch.setattr(segment_reader, "LINES_PER_PAUSE", 1)
     clock = Clock()
     ledger = LedgerKeeper(
         NODE, Store(tmp_path, NODE), UTC_CALENDAR, 50, False, clock, run_inline, clock.monotonic
--- a/tests/ledger/test_segments.py
+++ b/tests/ledger/test_segments.py
@@ -13,7 +13,8 @@
 from driftstair.ledger.entries import Kind, UsageWord
 from driftstair.ledger.periods import Calendar
 from driftstair.ledger.reconcile import join_copies, read_copy
-from driftstair.ledger.segments import Store, StoreError, read_lines, segment_paths
+from driftstair.ledger.segment_reader import StoreError, read_lines, segment_paths
+from driftstair.ledger.segments import Store
 
 UTC_CALENDAR = Calendar("UTC")
 
