Files that were read later at SIGHUP are applied later

Found on reading the change once more: a start that finds its file changed reads it, and a SIGHUP meanwhile read it beside that, so that the earlier reading could be applied last. Change: one reload at a time. Test: test_files_that_were_read_later_are_applied_later failed before (read 2, read 1), and passes.

--- a/driftstair/reloading.py
+++ b/driftstair/reloading.py
@@ -39,6 +39,7 @@
         self._configuration = configuration
         self._is_requested = False
         self._task: asyncio.Task[None] | None = None
+        self._lock = asyncio.Lock()  # so that files which were read later are applied later
 
     def request(self) -> None:
         """Handles SIGHUP. A signal that comes while the files are read has them read once more."""
@@ -53,6 +54,12 @@
 
     async def reload(self) -> None:
         """Reads the files and applies them. On an error in one, the node keeps its previous settings."""
+        async with self._lock:
+            await self._reload_config()
+            if self._service is not None:
+                await self._reload_service(self._service)
+
+    async def _reload_config(self) -> None:
         try:
             config = await self._system.run_blocking(self._read_config)
         except ConfigError as problem:
@@ -62,8 +69,6 @@
             self._node.reload(config)
             if self._tier is not None:
                 self._tier.reload(config)
-        if self._service is not None:
-            await self._reload_service(self._service)
 
     async def _reload_service(self, service: ServiceFile) -> None:
         from driftstair.service.load import ServiceError
