--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -19,6 +19,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
+from random import Random
 from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -39,10 +40,20 @@
         return str(tomllib.load(file)["run"])
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """A port that nobody listens on, below those that the system gives to outgoing connections."""
+    random = Random()
+    for _ in range(1000):
+        port = random.randrange(18_000, 32_000)
+        with socket.socket() as probe, suppress(OSError):
+            if port not in _given_ports:
+                probe.bind(("127.0.0.1", port))
+                _given_ports.add(port)
+                return port
+    raise CannotRunError("no free port")
 
 
 class Record:
