--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -144,6 +144,7 @@
         self.version = 7
         self.calls: list[float] = []
         self.answered: list[int] = []  # numbers of the calls whose first line is written
+        self.has_too_many_callers = False  # calls are turned away; open watches go on
         self._open: dict[int, asyncio.StreamWriter] = {}
         self._tick_waiters: list[asyncio.Future[None]] = []
         self._ticker: asyncio.Task[None] | None = None
@@ -167,6 +168,11 @@
             number = len(self.calls)
             self.calls.append(self._record.note(f"discovery call {number}: {message.first}"))
             await asyncio.sleep(self._delay_s(number))
+            if self.has_too_many_callers:
+                self._record.note(f"discovery turns call {number} away")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                writer.close()
+                return
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             writer.write(self._line(True, self._servers))
             self._record.note(f"discovery answers call {number} with version {self.version}")
