Long requests in chunks are answered in time before servers that read slowly

Cause: a request's time counts from the client's write of its last byte. That byte may wait in the client's machine, which takes 4 MB, while the node reads no further for its server. An estimate of the write existed only for bodies of known length; the others had no deadline until their end was parsed.

Change: the estimate asks when the client may have written the byte with which the body may end, at the earliest: not faster than at its own rate, and not before its machine had room. Without a length that is the next byte that is not parsed. It holds while reading is paused. Such bodies are read ahead from their begin while the budget has as much left for others. After an answer within a body the rest of it is dropped up to the longest body; the reset after 1 MB broke the client's connection under its answer.

Evidence: with a length the same body was answered in time, and so were bodies that fit into what is read ahead, so it is the unread rest that has no date.

--- a/driftstair/net/body_stream.py
+++ b/driftstair/net/body_stream.py
@@ -164,11 +164,19 @@
         missing_bytes = wanted_bytes - self._reserved_bytes
         if missing_bytes <= 0:
             return True
-        if wanted_bytes > SENDER_BUFFER_BYTES_MAX or not self._budget.try_reserve(missing_bytes):
+        if wanted_bytes > self._read_ahead_bytes_max() or not self._budget.try_reserve(missing_bytes):
             return False
         self._reserved_bytes = wanted_bytes
         return True
 
+    def _read_ahead_bytes_max(self) -> int:
+        """A body of unknown length may end at any time in what its sender's machine holds, so it is read
+        ahead from its begin, as far as there is as much left for others."""
+        assert self._budget is not None
+        if self.length is not None:
+            return SENDER_BUFFER_BYTES_MAX
+        return max(SENDER_BUFFER_BYTES_MAX, self._budget.bytes_left)
+
     def _release_surplus(self) -> None:
         surplus_bytes = self._reserved_bytes - self._buffered_bytes
         if self._budget is not None and surplus_bytes > 0:
--- a/driftstair/net/buffer_account.py
+++ b/driftstair/net/buffer_account.py
@@ -56,6 +56,10 @@
         """Where the next read of any connection goes: small while too much is held."""
         return self._next_read
 
+    def read_bytes_max(self) -> int:
+        """How much the next read of any connection takes at most."""
+        return len(self._next_read)
+
     def counters(self) -> dict[str, int]:
         return {f"buffered.{kind.value}": self._bytes[kind] for kind in BufferKind} | {
             f"buffered_peak.{kind.value}": self._peaks[kind] for kind in BufferKind
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -7,8 +7,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
-from driftstair.net.arrival import ArrivalEstimator, ArrivalRange
+from driftstair.net.arrival import FULL_WINDOW_BYTES_MIN, ArrivalEstimator, ArrivalRange
 from driftstair.net.body_stream import (
+    BODY_BYTES_MAX,
     LAST_CHUNK,
     Stream,
     body_length,
@@ -19,13 +20,14 @@
 from driftstair.net.identifiers import key_number
 from driftstair.net.in_flight import ParsedRequest
 from driftstair.net.last_byte import LastByteEstimate
-from driftstair.net.request import HEALTH_PATH, IncomingRequest, RequestReader
+from driftstair.net.request import FRAMED_BODY_BYTES_BASE, HEALTH_PATH, IncomingRequest, RequestReader
 from driftstair.observability.reasons import AnswerReason, CloseReason, StreamEnd
 
 if TYPE_CHECKING:
     from driftstair.net.frontend import Frontend
 
 LINGER_BYTES_MAX = 1 << 20  # read after the last answer, as a reset on unread data may lose the answer
+LINGER_BODY_BYTES_MAX = BODY_BYTES_MAX + FRAMED_BODY_BYTES_BASE  # the same after an answer within a body
 REQUESTS_PER_TURN = 8  # of one connection in one turn of the event loop, so that others are not delayed
 ANSWER_WRITE_S_MAX = 10.0  # for an answer to a request without a deadline
 PEER_STATE_TTL_NS = 1_000_000  # caches the kernel's state, which is queried several times per request
@@ -81,6 +83,7 @@
         self._disconnected_at: int | None = None  # when the client closed or half-closed, monotonic ns
         self._last_seen_open_at = -PEER_STATE_TTL_NS  # when the kernel last had no FIN, monotonic ns
         self._discarded_bytes = 0  # bytes received after the last answer
+        self._linger_bytes_max = LINGER_BYTES_MAX
         self._deadline = 0
         self._slow_reader_timer: asyncio.TimerHandle | None = None
         self._is_advancing = False  # _advance is running
@@ -124,16 +127,17 @@
     def data_received(self, data: bytes) -> None:
         if self._is_closing:
             self._discarded_bytes += len(data)
-            if self._discarded_bytes > LINGER_BYTES_MAX:
+            if self._discarded_bytes > self._linger_bytes_max:
                 self.abort(CloseReason.TOO_MUCH_AFTER_END)
             return
         reader = self._reader
+        more_may_be_ready = len(data) >= min(FULL_WINDOW_BYTES_MIN, self._buffers.read_bytes_max())
         # A stream that makes room meanwhile must not parse more within the parser's callback.
         self._is_advancing = True
         reader.feed(data, *self._date_arrival(len(data)))
         self._is_advancing = False
         if self._upload is not None:
-            self._follow_client_rate(len(data))
+            self._last_byte.on_read(self._frontend.now(), len(data), more_may_be_ready)
         if reader.in_body:
             self._frontend.on_body_bytes(self, len(data))
         else:
@@ -254,6 +258,8 @@
         is_held_up = has_more or (self._upload is not None and self._waits_for_server(self._upload))
         if self._paused != is_held_up:
             self._set_paused(transport, is_held_up)
+        elif is_held_up and self._upload is not None:
+            self._set_provisional_deadline(self._upload)
         if self._busy or self._awaits_turn:
             return
         if self._half_closed:
@@ -297,25 +303,22 @@
             transport.pause_reading()
             self._arrival_estimator.pause(self._frontend.now())
             if progress is not None:
+                self._last_byte.on_pause(self._frontend.now(), progress.bytes_per_s(self._loop.time()))
                 progress.pause(self._loop.time())
-                if self._upload is not None:
-                    self._note_last_byte(self._upload)
+            if self._upload is not None:
+                self._set_provisional_deadline(self._upload)
         else:
             transport.resume_reading()
+            if self._upload is not None and self._request_number:
+                self._frontend.node.withdraw_provisional_deadline(self._request_number)
             if progress is not None:
                 progress.resume(self._loop.time())
 
-    def _note_last_byte(self, upload: Stream) -> None:
-        """Reading is paused for a slow server."""
-        if self._request_number and self._last_byte.on_pause(self._frontend.now(), upload.bytes_left()):
-            self._frontend.node.set_provisional_deadline(self._request_number, self._last_byte.at)
-
-    def _follow_client_rate(self, size: int) -> None:
-        """`size` bytes of a streamed body have been read."""
-        progress = self._frontend.uploads.get(self)
-        rate = 0.0 if progress is None else progress.bytes_per_s(self._loop.time())
-        if self._last_byte.on_read(size, rate):
-            self._frontend.node.set_provisional_deadline(self._request_number, 0)
+    def _set_provisional_deadline(self, upload: Stream) -> None:
+        """The client may have written bytes long before they are read."""
+        written_at = self._last_byte.earliest(self._reader.unparsed_bytes(), upload.bytes_left())
+        if written_at is not None and self._request_number:
+            self._frontend.node.set_provisional_deadline(self._request_number, written_at)
 
     def _track_body(self) -> None:
         """Bodies have a minimum rate. They may begin and end in bytes that were read earlier, and parsed once
@@ -331,6 +334,7 @@
         """Parses more of a streamed body, and handles its end or failure."""
         self._reader.parse_available()
         if upload.ended:
+            self._set_provisional_deadline(upload)
             self._upload = None
             self._last_byte.reset()
             upload.on_writable = no_op
@@ -418,7 +422,9 @@
         more = bool(self._reader.ready or self._reader.error_status) or self._reader.has_unread()
         keep = self._keep_alive and (more or (not rejected and self._frontend.keeps_alive(self)))
         if self._upload is not None:
-            keep = keep and self._upload.ended  # the rest would be parsed as the next request
+            if not self._upload.ended:
+                keep = False  # the rest would be parsed as the next request
+                self._linger_bytes_max = LINGER_BODY_BYTES_MAX
             self._upload.on_writable = no_op
             self._upload = None
             self._last_byte.reset()
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -45,6 +45,7 @@
 
 MS = 1_000_000  # ns
 ANSWER_TRANSIT_NS = 5 * MS  # an answer is sent so long before the client's deadline, to arrive in time
+FINAL_ANSWER_GRACE_NS = int(FINAL_ANSWER_GRACE_S * 1e9)
 TIMER_RETRY_DELAY_NS = 1_000 * MS  # until a timer whose event raised in the module fires again
 
 
@@ -336,20 +337,28 @@
         if request.watchdog is not None:
             request.watchdog.cancel()
         if request.provisional_deadline:
-            answer_by = min(answer_by, request.provisional_deadline + int(FINAL_ANSWER_GRACE_S * 1e9))
+            answer_by = min(answer_by, request.provisional_deadline + FINAL_ANSWER_GRACE_NS)
         time_left = answer_by - self._now()
         request.watchdog = self._loop.call_later(max(0.0, time_left / 1e9), self._on_overdue, request)
 
     def set_provisional_deadline(self, number: int, last_byte_at: int) -> None:
         """The server reads a streamed body so slowly that the client may have written its last byte long
-        before it is read, at `last_byte_at` (monotonic ns) at the earliest. 0: the client is the slow one."""
+        before it is read, at `last_byte_at` (monotonic ns) at the earliest."""
         request = self._open_requests.get(number)
         if request is None or request.answered:
             return
-        request.provisional_deadline = last_byte_at + request.parsed.patience if last_byte_at else 0
-        if last_byte_at:
-            self._watch_until(request, request.provisional_deadline + int(FINAL_ANSWER_GRACE_S * 1e9))
-        elif request.watchdog is not None:
+        deadline = last_byte_at + request.parsed.patience
+        if deadline != request.provisional_deadline:
+            request.provisional_deadline = deadline
+            self._watch_until(request, deadline + FINAL_ANSWER_GRACE_NS)
+
+    def withdraw_provisional_deadline(self, number: int) -> None:
+        """The rest of a streamed body is read as the client writes it."""
+        request = self._open_requests.get(number)
+        if request is None or request.answered or not request.provisional_deadline:
+            return
+        request.provisional_deadline = 0
+        if request.watchdog is not None:
             request.watchdog.cancel()
 
     def on_body_complete(self, number: int, arrived: int) -> None:
--- a/tests/messages/test_slow_uploads.py
+++ b/tests/messages/test_slow_uploads.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -126,6 +127,10 @@
         UploadCase(6_000_000, 0.8e6, 0.6, is_chunked=True),
         UploadCase(6_000_000, 0.8e6, 0.6, memory_mb=32),
         UploadCase(2_000_000, 0.8e6, 0.6),
+        # Of unknown length and longer than what is read ahead: its end may be in the client's machine.
+        UploadCase(9_000_000, 0.8e6, 0.6, memory_mb=32, is_chunked=True),
+        UploadCase(16_000_000, 1e6, 1.0, memory_mb=64, is_chunked=True),
+        UploadCase(32_000_000, 1e6, 1.0, is_chunked=True),
     ],
 )
 def test_a_large_request_that_its_server_reads_slowly_is_answered_in_time(
@@ -154,7 +159,36 @@
     run(test())
 
 
+def test_large_requests_in_chunks_at_once_are_answered_in_time(tmp_path: Path) -> None:
+    """Guards against 504s that come seconds late: their ends stay unread at the clients' machines, while the
+    memory for reading ahead is shared by all of them."""
+    case = UploadCase(16_000_000, 1e6, 1.0, memory_mb=96, is_chunked=True)
+    deadline_ms = int(case.patience_s * 1000)
+
+    def exchange(address: tuple[str, int], number: int) -> tuple[bytes, float]:
+        with socket.create_connection(address) as client:
+            client.sendall(encode_upload(case, X_Deadline=f"{deadline_ms}m", X_Request_Id=f"long-{number}"))
+            written_at = time.monotonic()
+            return client.recv(12)[9:], time.monotonic() - written_at
+
+    async def test() -> None:
+        async with SlowReader("s-1", case.bytes_per_s, small_buffers=False) as server:
+            document = configuration(server)
+            document["limits"]["memory_mb"] = case.memory_mb
+            async with program(document, tmp_path) as node:
+                results = await asyncio.gather(
+                    *(asyncio.to_thread(exchange, node.address, number) for number in range(4))
+                )
+        for got, answered_after_s in results:
+            assert got in (b"200", b"502", b"503", b"504")
+            assert answered_after_s <= case.patience_s + FINAL_ANSWER_ALLOWANCE_S
+
+    run(test())
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
 def test_a_client_that_writes_slowly_is_not_answered_before_it_has_written_all(
+    is_chunked: bool,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Its server is slower still, and there is no memory to read ahead."""
@@ -164,7 +198,7 @@
         async with SlowReader("s-1", 0.3e6) as server, Rig(configuration(server)) as rig:
             rig.frontend.budget.bytes_left = 0
             client = await rig.client()
-            data = encode_upload(UploadCase(1_500_000, 0.3e6, 0.8), X_Deadline="800m")
+            data = encode_upload(UploadCase(1_500_000, 0.3e6, 0.8, is_chunked=is_chunked), X_Deadline="800m")
             was_paused = False
             for at in range(0, len(data), 20_000):
                 client.writer.write(data[at : at + 20_000])
