The processes of a node share the list of servers while there are several

Cause: the platform regards both processes as one node, but each knew only the list of its own watch. The new process took the old one's list at its start, and later read its orders and what was learned from the state file, not the list; what the old one was told from then on never reached it.

Change: each process stores what discovery has written to it in the state file and has the other read that, as with orders, in both directions and until the old one has ended. A list is adopted where there is none of the process's own, or where it is of the same discovery, of a higher version and received later. If the old process stands still as it is asked, the new one serves but is not ready by the older list.

Evidence: the old process sent nothing to that server; the state file had the drain as the new one said yes.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -72,6 +72,10 @@
         self._end_watch()
         self.watch()
 
+    def adopt_version(self, version: int) -> None:
+        """A list of this version, of the same address, has been received elsewhere and is in force now."""
+        self.version = version
+
     def close(self) -> None:
         self._close_previous()
         super().close()
@@ -142,6 +146,9 @@
             self.observer.list_received(update.version, update.full, len(update.hosts), waited_ms)
         watch.version = update.version
         if watch is self._watch:
+            if not update.full and update.version < self.version:
+                # Its entries are older than those of the list that was adopted meanwhile.
+                update = HostList(self.version, False, ())
             self.version = update.version
             self._close_previous()
         self._on_list(update)
--- a/driftstair/net/server_directory.py
+++ b/driftstair/net/server_directory.py
@@ -39,6 +39,8 @@
         """`overrides`: the operators' orders, None where there is no operator interface; `emit`: passes an
         event to the decision module."""
         self.list_received = asyncio.Event()  # discovery has sent a list or a change of one
+        self.list_received_at = 0  # of the list in force, by a process of this node; monotonic ns; 0: by none
+        self.on_list_received: Callable[[], None] | None = None  # called for each list from discovery
         self.ready: set[api.ServerId] = set()
         self._config = config
         self._pools = pools
@@ -87,8 +89,26 @@
     def on_list(self, update: HostList) -> None:
         """Applies a list, or a change of one, from discovery."""
         self.list_received.set()
+        self.list_received_at = self._now()
         self._watch_backoff.reset()
         self._apply_list(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
+        if self.on_list_received is not None:
+            self.on_list_received()
+
+    def adopt_list(self, discovery: tuple[str, int], known: HostList, received_at: int) -> bool:
+        """Applies the list that another process of this node received at `received_at` (monotonic ns) from
+        `discovery`, if it is newer than the one in force; returns whether it is."""
+        is_same_discovery = discovery == self.address
+        if received_at <= self.list_received_at or (
+            # Versions of another address can't be compared, nor can the absence of a version.
+            self.list_received.is_set() and not (is_same_discovery and known.version > self.discovery.version)
+        ):
+            return False
+        if is_same_discovery and known.version:
+            self.discovery.adopt_version(known.version)
+        self.list_received_at = received_at
+        self._apply_list(ListKind.CACHED, known.hosts)
+        return True
 
     def apply_overrides(self, hosts: tuple[Host, ...]) -> None:
         """Applies the list as changed by operators. It is passed on as a cached list: the decision module
--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -7,7 +7,7 @@
     keep      the state file is updated again, just before the new process accepts clients
     serving   the new process accepts clients and the old one stops; if this connection closes, the new
               process has failed
-    changed   orders have changed: the file is read again before the answer
+    changed   orders or the list of servers have changed: the file is read again before the answer
     ids       the new process wants to know which requests the old one has started: from now on each is told
               by a line `started ID`
     claim ID  the new process wants to start a request: `granted`, or `taken` if the old one may have run it
@@ -146,17 +146,18 @@
 
     def __init__(
         self, store: StateStore, system: System, listening_fileno: Callable[[], int],
-        update_state: Callable[[], Awaitable[None]], reload_orders: Callable[[], Awaitable[None]],
+        update_state: Callable[[], Awaitable[None]], reload_state: Callable[[], Awaitable[None]],
         on_handover: Callable[[bool], None], ids: SuccessorIds,
     ) -> None:  # fmt: skip
         self._store = store
         self._system = system
         self._listening_fileno = listening_fileno  # the descriptor of the clients' listening socket
         self._update_state = update_state  # updates the state file
-        self._reload_orders = reload_orders  # reads the orders again
+        self._reload_state = reload_state  # reads the orders and the list again
         self._ids = ids
         self._on_handover = on_handover  # called with whether another process accepts the clients now
         self._server: asyncio.Server | None = None
+        self._successors: set[asyncio.StreamWriter] = set()  # connections of new processes
         self._closed = False
 
     async def listen(self) -> None:
@@ -165,6 +166,10 @@
         path.unlink(missing_ok=True)
         self._server = await asyncio.start_unix_server(self._serve, str(path))
 
+    def has_successor(self) -> bool:
+        """Whether a new process is taking over, or has taken over."""
+        return bool(self._successors)
+
     def close(self) -> None:
         self._closed = True
         if self._server is not None:
@@ -176,6 +181,7 @@
         try:
             while line := await reader.readline():
                 if line == b"hello\n":
+                    self._successors.add(writer)
                     await self._update_state()
                     self._pass_listening_socket(writer)
                 elif line == b"keep\n":
@@ -186,7 +192,7 @@
                     self._on_handover(True)
                     writer.write(b"ok\n")
                 elif line == b"changed\n":
-                    await self._reload_orders()
+                    await self._reload_state()
                     writer.write(b"ok\n")
                 elif line == b"ids\n":
                     writer.write(b"ok\n")
@@ -201,6 +207,7 @@
                 raise
         finally:
             self._ids.detach(writer)
+            self._successors.discard(writer)
             if successor_serves and not self._closed:
                 self._on_handover(False)
             writer.close()
@@ -212,7 +219,7 @@
             socket.send_fds(duplicate, [b"ok\n"], [self._listening_fileno()])
 
     async def notify_others(self) -> None:
-        """Has every other process of this node read the orders; called before the caller is answered."""
+        """Has every other process of this node read the state file."""
         paths = await self._system.run_blocking(self._store.other_sockets)
         if paths:
             await asyncio.gather(*(_notify(path) for path in paths))
@@ -225,10 +232,10 @@
             try:
                 writer.write(b"changed\n")
                 if await reader.readline() != b"ok\n":
-                    log.warning("the process at socket %s did not accept new orders", path.name)
+                    log.warning("the process at socket %s did not read the changed state", path.name)
             finally:
                 writer.close()
     except ConnectionRefusedError:
         path.unlink(missing_ok=True)
     except (OSError, TimeoutError) as problem:
-        log.warning("the process at socket %s was not notified of new orders: %r", path.name, problem)
+        log.warning("the process at socket %s was not notified of a change: %r", path.name, problem)
--- a/driftstair/operations/predecessor.py
+++ b/driftstair/operations/predecessor.py
@@ -34,9 +34,14 @@
         self._on_started: Callable[[bytes], None] = lambda request_id: None
         self._on_end: Callable[[], None] = lambda: None
 
-    async def update_state(self) -> None:
-        """Asks the old process to update the state file. It goes on accepting clients meanwhile."""
-        await self._ask(b"keep\n", PREDECESSOR_TIMEOUT_S)
+    def has_ended(self) -> bool:
+        """Whether the connection, and so the old process, has ended."""
+        return self._has_ended
+
+    async def update_state(self) -> bool:
+        """Asks the old process to update the state file. It goes on accepting clients meanwhile. Returns
+        whether it has done so; one that stands still has not."""
+        return await self._ask(b"keep\n", PREDECESSOR_TIMEOUT_S) is not None
 
     async def announce_serving(self) -> None:
         """Tells the old process that this one accepts clients.
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -11,12 +11,14 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from driftstair.hosts import ListError, parse_address
 from driftstair.net.frontend import LISTEN_BACKLOG, Frontend
 from driftstair.net.node import Node
 from driftstair.net.system import SocketListener, System, bind_listening_socket
 from driftstair.operations.calls import TIER_ORDERS, Call, Order
 from driftstair.operations.drain import Drain
 from driftstair.operations.handover import HandoverServer, StateStore, find_predecessor
+from driftstair.operations.list_sharing import ListSharing
 from driftstair.operations.operator_server import Answer, OperatorServer
 from driftstair.operations.predecessor import Predecessor, SuccessorIds
 from driftstair.operations.server_overrides import Orders, ServerOverrides
@@ -49,6 +51,7 @@
         self._listening_socket: socket.socket
         self._operator_server: OperatorServer | None = None
         self._handover_server: HandoverServer | None = None
+        self._list_sharing: ListSharing | None = None
         self._takeover_task: asyncio.Task[None] | None = None
         self.tier: Tier | None = None  # reports on the other nodes
         self.configuration: Callable[[], object] | None = None  # reports the configuration
@@ -95,7 +98,7 @@
                 self._system,
                 self._listening_socket.fileno,
                 self._store_state,
-                self._reload_orders,
+                self._reload_state,
                 self._on_handover,
                 SuccessorIds(node.request_ids, node.claim_id, node.set_started_listener),
             )
@@ -103,6 +106,10 @@
                 await self._handover_server.listen()
             except OSError as problem:
                 log.warning("hand-over to a new process is not possible: %s", problem)
+            self._list_sharing = ListSharing(
+                self._has_other_process, self._store_list, self._handover_server.notify_others
+            )
+            node.servers.on_list_received = self._list_sharing.on_list_received
         if self._predecessor is not None:
             self._takeover_task = asyncio.get_running_loop().create_task(
                 self._complete_takeover(self._predecessor)
@@ -113,7 +120,7 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(LIST_TIMEOUT_S):
                 await self._node.servers.list_received.wait()
-        await predecessor.update_state()
+        is_state_current = await predecessor.update_state()
         state = await self._read_state()
         if state.learned is not None:
             self._node.restore_memory(state.learned)
@@ -124,8 +131,17 @@
             node.id_claims = predecessor
         self._frontend.hand_over(False)
         await predecessor.announce_serving()
+        if not is_state_current:
+            await self._await_current_list(predecessor)
         self._list_is_current = True
 
+    async def _await_current_list(self, predecessor: Predecessor) -> None:
+        """The old process stands still, and what discovery has told it may be unread there."""
+        while not (self._node.servers.list_received.is_set() or predecessor.has_ended()):
+            if await predecessor.update_state():
+                await self._read_state()
+                return
+
     def _on_predecessor_ended(self) -> None:
         self._node.id_claims = None
 
@@ -136,6 +152,8 @@
             self._predecessor.close()
         if self._operator_server is not None:
             self._operator_server.close()
+        if self._list_sharing is not None:
+            self._list_sharing.close()
         if self._handover_server is not None:
             self._handover_server.close()
 
@@ -222,27 +240,55 @@
 
     # Hand-over between processes.
 
-    async def _store_state(self) -> None:
-        known, discovery, learned = (
-            self._node.servers.current_list(),
-            _format_address(self._node.servers.address),
-            self._node.exported_memory(),
+    def _has_other_process(self) -> bool:
+        """Whether another process of this node runs, as far as this one knows."""
+        has_predecessor = self._predecessor is not None and not self._predecessor.has_ended()
+        return has_predecessor or (
+            self._handover_server is not None and self._handover_server.has_successor()
         )
+
+    async def _store_state(self) -> None:
+        """Writes all that the next process takes over. Raises OSError."""
+        learned = self._node.exported_memory()
+        add_list = self._list_writer()
+        await self._change_state(lambda state: replace(add_list(state), learned=learned))
+
+    async def _store_list(self) -> None:
+        """Writes the list of servers for the other processes. Raises OSError."""
+        await self._change_state(self._list_writer())
+
+    def _list_writer(self) -> Callable[[State], State]:
+        """Adds the list that is in force now to a state; may be called beside the event loop."""
+        servers = self._node.servers
+        known, received_at = servers.current_list(), servers.list_received_at
+        discovery = _format_address(servers.address)
+        return lambda state: replace(state, discovery=discovery, list=known, list_received_at=received_at)
+
+    async def _change_state(self, change: Callable[[State], State]) -> None:
         store = self._store
         assert store is not None
-        await self._system.run_blocking(
-            lambda: store.change(lambda state: State(state.orders, discovery, known, learned))
-        )
+        await self._system.run_blocking(lambda: store.change(change))
 
     async def _read_state(self) -> State:
-        """Reads the stored state and applies its orders."""
+        """Reads the stored state; applies its orders, and its list if that is newer than the one in force."""
         assert self._store is not None
         async with self._state_lock:
             state = await self._system.run_blocking(self._store.read)
             self._apply(state.orders)
+        self._adopt_list(state)
         return state
 
-    async def _reload_orders(self) -> None:
+    def _adopt_list(self, state: State) -> None:
+        if state.list is None:
+            return
+        try:
+            discovery = parse_address(state.discovery)
+        except ListError:
+            return
+        if self._node.servers.adopt_list(discovery, state.list, state.list_received_at):
+            log.info("version %d of the list is taken from another process of this node", state.list.version)
+
+    async def _reload_state(self) -> None:
         await self._read_state()
 
     def _on_handover(self, to_successor: bool) -> None:
--- a/driftstair/operations/state.py
+++ b/driftstair/operations/state.py
@@ -30,6 +30,7 @@
     orders: Orders = field(default_factory=Orders)
     discovery: str = ""  # address of the discovery service that the list version belongs to
     list: HostList | None = None
+    list_received_at: int = 0  # by a process of the node, from discovery; monotonic ns; 0: by none
     learned: dict[str, Any] | None = (
         None  # by the decision module; its times are of this machine's monotonic clock
     )
@@ -43,7 +44,7 @@
         "out": state.orders.out, "back": state.orders.back, "drained": int(state.orders.drained > 0),
         "drained_since": state.orders.drained,
         "discovery": state.discovery, "list": None if state.list is None else _encode_list(state.list),
-        "learned": state.learned,
+        "list_received_at": state.list_received_at, "learned": state.learned,
     }).encode()  # fmt: skip
     return b"%s %d %s\n%s" % (MAGIC, VERSION, _checksum(body), body)
 
@@ -67,7 +68,16 @@
         learned = document["learned"]
         if learned is not None and not isinstance(learned, dict):
             raise StateError("learned is not an object")
-        return State(orders, str(document["discovery"]), host_list, learned, str(document.get("node", "")))
+        # Earlier versions did not store when the list was received: some time ago.
+        received_at = int(document.get("list_received_at", 1))
+        return State(
+            orders,
+            str(document["discovery"]),
+            host_list,
+            received_at,
+            learned,
+            str(document.get("node", "")),
+        )
     except (ValueError, TypeError, KeyError, AttributeError, RecursionError, ListError) as problem:
         raise StateError(f"invalid content: {problem!r}") from None
 
