An old process that stands still in a takeover is asked before an unsafe request is started

Cause: no answer to "ids" within 1 s was taken for a release that can't be asked, and no answer to "hello" for no process at all. Silence, an inability and the end were one case.

Change: only the end of its connection shows that the old process starts nothing more. Until then the new one asks for each such request and refuses it (id_uncertain) where no answer comes. A process that does not answer "hello" stays a predecessor: the new one serves beside it, on a socket of its own, as before.

--- a/driftstair/operations/handover.py
+++ b/driftstair/operations/handover.py
@@ -123,24 +123,48 @@
 
 def find_predecessor(store: StateStore) -> Predecessor | None:
     """Asks the processes with a socket in the folder to hand over; waits `PREDECESSOR_TIMEOUT_S` for each.
-    Blocks."""
+    Without one that does, returns one that stands still, if there is any. Blocks."""
+    silent: Predecessor | None = None
     for path in store.other_sockets():
-        connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        try:
-            connection.settimeout(PREDECESSOR_TIMEOUT_S)
-            connection.connect(str(path))
-            connection.sendall(b"hello\n")
-            answer, descriptors, _, _ = socket.recv_fds(connection, 64, 1)
-            if answer and descriptors:
-                return Predecessor(connection, socket.socket(fileno=descriptors[0]))
-        except ConnectionRefusedError:
-            path.unlink(missing_ok=True)  # its process has ended
-        except OSError as problem:
-            log.warning("the process at socket %s did not hand over: %s", path.name, problem)
-        connection.close()
+        predecessor = _ask_to_hand_over(path)
+        if predecessor is None:
+            continue
+        if predecessor.listening_socket is None and silent is None:
+            silent = predecessor
+            continue
+        if silent is not None:
+            silent.close()
+        return predecessor
+    return silent
+
+
+def _ask_to_hand_over(path: Path) -> Predecessor | None:
+    """The process at a socket; None if it has ended, or can't hand over."""
+    connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        connection.settimeout(PREDECESSOR_TIMEOUT_S)
+        connection.connect(str(path))
+        connection.sendall(b"hello\n")
+        listening_socket = _receive_listening_socket(connection)
+        if listening_socket is not None:
+            return Predecessor(connection, listening_socket)
+    except TimeoutError:
+        log.warning("the process at socket %s stands still", path.name)
+        return Predecessor(connection, None)
+    except ConnectionRefusedError:
+        path.unlink(missing_ok=True)  # its process has ended
+    except OSError as problem:
+        log.warning("the process at socket %s did not hand over: %s", path.name, problem)
+    connection.close()
     return None
 
 
+def _receive_listening_socket(connection: socket.socket) -> socket.socket | None:
+    """The clients' listening socket, passed with the answer to `hello`. Raises OSError."""
+    answer, descriptors, _, _ = socket.recv_fds(connection, 64, 1)
+    return socket.socket(fileno=descriptors[0]) if answer and descriptors else None
+
+
 class HandoverServer:
     """Serves the socket of this process for the other processes of the node."""
 
--- a/driftstair/operations/predecessor.py
+++ b/driftstair/operations/predecessor.py
@@ -14,6 +14,7 @@
 
 PREDECESSOR_TIMEOUT_S = 1.0
 CLAIM_TIMEOUT_S = 0.25  # for the old process to say whether it has started a request
+UNANSWERED_MAX = 256  # lines that the old process has not answered; it stands still, and more are not sent
 UNREAD_BYTES_MAX = 1 << 20  # of ids that the new process has not read
 CLAIM_PREFIX = b"claim "
 STARTED_PREFIX = b"started "
@@ -21,9 +22,14 @@
 
 class Predecessor:
     """The new process's connection to the old one. Each line that is sent gets one line as its answer; lines
-    about started requests come in between."""
+    about started requests come in between.
 
-    def __init__(self, connection: socket.socket, listening_socket: socket.socket) -> None:
+    An old process that does not answer stands still, and may have started any request before that. Only the
+    end of its connection shows that it starts no more.
+    """
+
+    def __init__(self, connection: socket.socket, listening_socket: socket.socket | None) -> None:
+        """`listening_socket`: None if the old process has not answered `hello` yet."""
         self.listening_socket = listening_socket
         self._connection = connection
         self._writer: asyncio.StreamWriter | None = None
@@ -33,15 +39,17 @@
         self._ids: RequestIds | None = None
         self._on_started: Callable[[bytes], None] = lambda request_id: None
         self._on_end: Callable[[], None] = lambda: None
+        self._awaits_hello = listening_socket is None
 
     def has_ended(self) -> bool:
         """Whether the connection, and so the old process, has ended."""
         return self._has_ended
 
-    async def update_state(self) -> bool:
+    async def update_state(self, timeout_s: float | None = PREDECESSOR_TIMEOUT_S) -> bool:
         """Asks the old process to update the state file. It goes on accepting clients meanwhile. Returns
-        whether it has done so; one that stands still has not."""
-        return await self._ask(b"keep\n", PREDECESSOR_TIMEOUT_S) is not None
+        whether it has done so; one that stands still has not. `timeout_s`: None to wait until it has, or has
+        ended."""
+        return await self._ask(b"keep\n", timeout_s) is not None
 
     async def announce_serving(self) -> None:
         """Tells the old process that this one accepts clients.
@@ -53,16 +61,18 @@
 
     async def share_ids(
         self, ids: RequestIds, on_started: Callable[[bytes], None], on_end: Callable[[], None]
-    ) -> bool:
-        """From now on the requests that the old process starts are kept in `ids`, and passed to `on_started`.
-        `on_end` is called once the old process has ended. Returns whether the old process is able to do that;
-        one of an earlier version is not."""
+    ) -> None:
+        """From now on the requests that the old process starts are kept in `ids`, and passed to `on_started`;
+        if it stands still, once it goes on. `on_end` is called when the old process has ended."""
         self._ids, self._on_started, self._on_end = ids, on_started, on_end
-        return await self._ask(b"ids\n", PREDECESSOR_TIMEOUT_S) == b"ok\n"
+        await self._ask(b"ids\n", PREDECESSOR_TIMEOUT_S)
+        if self._has_ended:
+            on_end()
 
     async def claim(self, request_id: bytes) -> Claim:
         """Asks whether this process may start a request with this id."""
-        assert self._ids is not None
+        if self._ids is None or self._writer is None:
+            return Claim.UNKNOWN  # not connected yet
         answer = await self._ask(b"%s%s\n" % (CLAIM_PREFIX, request_id), CLAIM_TIMEOUT_S)
         if self._has_ended:
             # What the old process had started has been told before.
@@ -76,9 +86,9 @@
             self._reading.cancel()
         self._end()
 
-    async def _ask(self, line: bytes, timeout_s: float) -> bytes | None:
+    async def _ask(self, line: bytes, timeout_s: float | None) -> bytes | None:
         """The answer to a line; None if there is none in time."""
-        if self._has_ended:
+        if self._has_ended or len(self._answers) > UNANSWERED_MAX:
             return None
         if self._writer is None:
             await self._open()
@@ -90,6 +100,8 @@
         return answer.result() or None if done else None
 
     async def _open(self) -> None:
+        if self._awaits_hello:
+            self._answers.append(asyncio.get_running_loop().create_future())
         self._connection.setblocking(False)
         reader, self._writer = await asyncio.open_unix_connection(sock=self._connection)
         self._reading = asyncio.get_running_loop().create_task(self._read(reader))
@@ -123,6 +135,8 @@
         self._answers.clear()
         if self._writer is not None:
             self._writer.close()
+        else:
+            self._connection.close()
 
 
 class SuccessorIds:
--- a/driftstair/operations/service.py
+++ b/driftstair/operations/service.py
@@ -62,8 +62,9 @@
         self.server_overrides = ServerOverrides(state.orders)
         self.config = config
         if self._predecessor is not None:
-            log.info("taking over from the process before this one")
             self._list_is_current = False
+        if self.inherits():
+            log.info("taking over from the process before this one")
             if state.list is not None:
                 # List versions are only valid for the discovery service that they came from.
                 same_discovery = state.discovery == _format_address(config.discovery)
@@ -82,8 +83,8 @@
         return SocketListener(listening_socket)
 
     def inherits(self) -> bool:
-        """Whether another process serves the clients until this one is ready."""
-        return self._predecessor is not None
+        """Whether another process serves the clients until this one is ready; not if it stands still."""
+        return self._predecessor is not None and self._predecessor.listening_socket is not None
 
     async def start(self, node: Node, frontend: Frontend) -> None:
         """Starts once clients can be accepted. Raises OSError if the operators' address can't be used."""
@@ -111,9 +112,9 @@
             )
             node.servers.on_list_received = self._list_sharing.on_list_received
         if self._predecessor is not None:
-            self._takeover_task = asyncio.get_running_loop().create_task(
-                self._complete_takeover(self._predecessor)
-            )
+            self._node.id_claims = self._predecessor
+            takeover = self._complete_takeover if self.inherits() else self._follow
+            self._takeover_task = asyncio.get_running_loop().create_task(takeover(self._predecessor))
 
     async def _complete_takeover(self, predecessor: Predecessor) -> None:
         self._node.servers.watch()
@@ -124,23 +125,38 @@
         state = await self._read_state()
         if state.learned is not None:
             self._node.restore_memory(state.learned)
-        node = self._node
-        if await predecessor.share_ids(
-            node.request_ids, node.note_started_elsewhere, self._on_predecessor_ended
-        ):
-            node.id_claims = predecessor
+        await self._share_ids(predecessor)
         self._frontend.hand_over(False)
         await predecessor.announce_serving()
         if not is_state_current:
             await self._await_current_list(predecessor)
         self._list_is_current = True
 
+    async def _follow(self, predecessor: Predecessor) -> None:
+        """The old process stood still as this one started, so both accept clients. It may have started
+        requests, and may go on at any time."""
+        self._node.servers.watch()
+        await self._share_ids(predecessor)
+        await self._await_current_list(predecessor)
+        self._list_is_current = True
+
+    async def _share_ids(self, predecessor: Predecessor) -> None:
+        node = self._node
+        await predecessor.share_ids(node.request_ids, node.note_started_elsewhere, self._on_predecessor_ended)
+
     async def _await_current_list(self, predecessor: Predecessor) -> None:
-        """The old process stands still, and what discovery has told it may be unread there."""
-        while not (self._node.servers.list_received.is_set() or predecessor.has_ended()):
-            if await predecessor.update_state():
+        """The old process stands still, and what discovery has told it may be unread there. Waits until it
+        has stored its list, has ended, or this process has received a list of its own."""
+        state_updated = asyncio.ensure_future(predecessor.update_state(timeout_s=None))
+        list_received = asyncio.ensure_future(self._node.servers.list_received.wait())
+        waiting = (state_updated, list_received)
+        try:
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            if state_updated.done() and state_updated.result():
                 await self._read_state()
-                return
+        finally:
+            for task in waiting:
+                task.cancel()
 
     def _on_predecessor_ended(self) -> None:
         self._node.id_claims = None
--- a/tests/messages/test_ids_again.py
+++ b/tests/messages/test_ids_again.py
@@ -6,7 +6,7 @@
 import signal
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -188,6 +188,55 @@
     run(test())
 
 
+@pytest.mark.parametrize("is_stopped_before_start", [False, True])
+def test_an_old_process_that_stands_still_in_the_takeover_may_have_started_any_request(
+    is_stopped_before_start: bool, tmp_path: Path
+) -> None:
+    """Guards against taking its silence for an earlier version that can't be asked, or for its end: an order
+    that must not run twice would run at both."""
+
+    async def test() -> None:
+        async with HeldServer("s-1") as server:
+            document, _ = operated_document(server)
+            document["settings"]["Grades"] = [grade("page", "repeatable"), grade("order", "once")]
+            async with program(document, tmp_path, env=environment(tmp_path)) as old:
+                for request_id in IDS:
+                    (await old.client()).writer.write(request("order", X_Request_Id=request_id))
+                await until(lambda: len(server.seen) == len(IDS))
+                if is_stopped_before_start:
+                    old.process.send_signal(signal.SIGSTOP)
+                second: dict[str, Any] = {**document, "ops": f"127.0.0.1:{free_port()}"}
+                (tmp_path / "beside").mkdir()
+                async with program(second, tmp_path / "beside", env=environment(tmp_path)) as new:
+                    old.process.send_signal(signal.SIGSTOP)
+                    client, *others = [await client_of_new(new) for _ in range(len(IDS) + 1)]
+                    for request_id in (*IDS, "fresh"):
+                        assert status(await client.ask(request("order", X_Request_Id=request_id))) == 503
+                    assert set(server.runs().values()) == {1}
+                    old.process.send_signal(signal.SIGCONT)
+                    server.release.set()
+                    answers: list[int] = []
+                    while 200 not in answers:
+                        answers.append(status(await client.ask(request("order"))))
+                    assert set(answers) <= {200, 503}
+                    for other, request_id in zip(others, IDS, strict=True):
+                        assert status(await other.ask(request("order", X_Request_Id=request_id))) == 409
+                    assert {server.runs()[request_id] for request_id in IDS} == {1}
+
+    run(test())
+
+
+async def client_of_new(new: Program) -> Client:
+    """A client of the new process, while the old one stands still. That may have a listening socket of its
+    own, whose clients wait."""
+    while True:
+        client = await new.client()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(0.5):
+                if status(await client.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")) == 200:
+                    return client
+
+
 def test_ended_ids_are_bounded_by_number_and_age() -> None:
     now = [0]
     ids = RequestIds(lambda: now[0])
