What a refused change set puts gives way to the previous content, also where others need it

Cause: such a resource was taken out first and restored afterwards, and it can't be taken out while others depend on it.

Change: the previous content takes its place in one step.

--- a/driftstair/node_configuration/whole_configuration.py
+++ b/driftstair/node_configuration/whole_configuration.py
@@ -148,12 +148,14 @@
         return violations
 
     def _withdraw(self, resource: Resource) -> Generator[None, None, bool]:
-        """Takes out a valid resource whose change set is refused; returns whether none depends on it."""
-        violations = yield from self._delete_if_valid((resource.key,))
-        if not violations:
-            refusal = self.refused[resource.revision]
-            self.in_force.add_refused(refusal, resource.key, bytes(resource.content))
-        return not violations
+        """Takes out a valid resource whose change set is refused; returns whether that is possible. What was
+        there before takes its place in the same step, as others may depend on either."""
+        previous = self.previous.resource(resource.key)
+        is_replaced = previous is not None and (yield from self._restore(previous))
+        if not is_replaced and (yield from self._delete_if_valid((resource.key,))):
+            return False
+        self.in_force.add_refused(self.refused[resource.revision], resource.key, bytes(resource.content))
+        return True
 
     def _restore_previous(self, keys: Iterable[ResourceKey]) -> Generator[None, None, None]:
         """Puts the previous content of resources that are absent in force, as far as it is valid."""
