A process writes its configuration anew where another one has written since it read the file

What operators saw: after an upgrade and a restart a node passed its configuration file over ("revision 3 came where 4 is the next") and began with nothing, without control servers without its drains.

Cause: the new process of an upgrade appended behind what the old one had stored since, and received some of it itself once the old one had ended. The lock only keeps them from writing at once.

--- a/driftstair/node_configuration/persistence.py
+++ b/driftstair/node_configuration/persistence.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from driftstair.net.backoff import Backoff
 from driftstair.net.system import System
@@ -29,6 +29,22 @@
 RETRY_FIRST_S, RETRY_MAX_S = 5.0, 60.0  # pauses between failed writes
 
 
+class _FileIdentity(NamedTuple):
+    """Tells whether a file has been replaced or appended to."""
+
+    inode: int
+    size: int
+
+    @staticmethod
+    def of(path: Path) -> _FileIdentity | None:
+        """None if there is no file."""
+        try:
+            status = path.stat()
+        except FileNotFoundError:
+            return None
+        return _FileIdentity(status.st_ino, status.st_size)
+
+
 class _OutdatedError(Exception):
     """The state was replaced while a snapshot of it was written, or the node is stopping."""
 
@@ -60,6 +76,7 @@
         self._needs_snapshot = True  # the file does not hold the state that the pending records change
         self._is_dirty = False  # something received is not in the file yet
         self._lock_descriptor = -1
+        self._file_read: _FileIdentity | None = None  # the file as it was when it was read
         self._wake_up = asyncio.Event()
         self._stopping = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -74,6 +91,7 @@
 
     def _read(self) -> list[bytes]:
         try:
+            self._file_read = _FileIdentity.of(self.path)
             scan = read_records(self.path)
             if scan.torn_bytes:
                 log.warning("%s: its last %d bytes were never synced: not used", self.path, scan.torn_bytes)
@@ -149,7 +167,8 @@
 
     def _lock(self) -> None:
         """Ensures that one process writes at a time: during a hand-over, the old process writes until it
-        ends. Raises BlockingIOError."""
+        ends. What it has written since this one read the file is not to be continued: this one may have
+        received some of it, too. Raises OSError."""
         if self._lock_descriptor >= 0:
             return
         descriptor = os.open(self.path.with_suffix(LOCK_SUFFIX), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
@@ -159,6 +178,8 @@
             os.close(descriptor)
             raise
         self._lock_descriptor = descriptor
+        if _FileIdentity.of(self.path) != self._file_read:
+            self._needs_snapshot = True
 
     def _is_log_long(self) -> bool:
         if self._file is None:
--- a/tests/node_configuration/test_persistence.py
+++ b/tests/node_configuration/test_persistence.py
@@ -357,6 +357,36 @@
     assert sum("another process" in record.getMessage() for record in caplog.records) == 1
 
 
+def test_a_process_does_not_append_behind_what_another_one_has_written_since(tmp_path: Path) -> None:
+    """Guards against a file with one change set twice, which the next start passes over as a whole: in a
+    hand-over the new process may receive what the old one has stored once that has ended."""
+
+    async def test() -> None:
+        log = example_log()
+        await run_node(tmp_path, log)
+        async with (
+            ControlServer() as first_server,
+            ControlServer() as second_server,
+            NodeHarness(second_server, folder=tmp_path) as second_node,
+        ):
+            assert second_node.store is not None
+            path = second_node.store.path
+            log.put(change(TENANT, "late", IN_FLIGHT_10))
+            async with NodeHarness(first_server, folder=tmp_path):
+                await until(lambda: first_server.queries and second_server.queries)
+                first_server.send(log.changes(2))
+                await until(lambda: is_written(path, 3))
+            second_server.send(log.changes(2))
+            await until(lambda: second_node.in_force.revision == 3)
+            log.put(change(TENANT, "later", IN_FLIGHT_10))
+            second_server.send(log.changes(3))
+            await until(lambda: is_written(path, 4))
+        async with NodeHarness(folder=tmp_path) as node:
+            assert node.in_force.revision == 4 and node.digest() == f"{log.state.digest:016x}"
+
+    run(test())
+
+
 def test_a_file_without_a_header_of_this_format_is_rejected() -> None:
     check_header(encode_record(Header(FORMAT, 5)))
     for payload in (b"", b"{}", encode_record(Header("x", 5)), encode_record(SnapshotEnd(1, ""))):
