What comes after a quiet time is not dated by the part of the body before it

What callers saw: a client that wrote 2.4 MB, waited for 1.5 s and wrote 0.6 MB had its 504 1.4 s after its last byte, of 2.9 s that it waits; its server had all of it in time.

Cause: full windows after a full window were dated like that one, however much later they came.

Change: if nothing came for 0.2 s although the node was reading, the client's machine had nothing ready. The estimate of bodies that their server reads slowly follows the same evidence.

--- a/driftstair/net/arrival.py
+++ b/driftstair/net/arrival.py
@@ -4,9 +4,9 @@
 window stay on the client's machine until the window opens, which it does as the node reads. Then they reach
 the kernel at once, however long ago the client wrote them. So bytes that arrive right after a full window are
 dated like that window, or from the start of the stall. The same holds for each full window after it, for as
-long as the client's machine may have had more data ready. A read of more bytes than the window holds includes
-bytes that arrived during the read, so the kernel's timestamp is that of the read. No I/O; times are ns of one
-monotonic clock.
+long as the client's machine may have had more data ready; it had none if nothing came for a while although
+the node was reading. A read of more bytes than the window holds includes bytes that arrived during the read,
+so the kernel's timestamp is that of the read. No I/O; times are ns of one monotonic clock.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 FULL_WINDOW_BYTES_MIN = 32 << 10  # may have filled the receive window, whose size `system.py` sets
 RECEIVE_WINDOW_BYTES_MAX = 64 << 10
 READY_DATA_GAP_NS_MAX = 20 * MS  # from a read to the arrival of data that the peer has ready
+QUIET_NS_MIN = 200 * MS  # without data although the node reads; a peer that has data ready sends sooner
 KERNEL_TICK_NS = 10 * MS  # at most; error of the kernel's timestamps
 DATA_AGE_NS_MIN = 2 * KERNEL_TICK_NS  # smaller ages may be timestamp errors
 DATA_AGE_NS_MAX = 3_600_000 * MS  # no client waits for so long; a larger age is invalid
@@ -41,6 +42,8 @@
     drained_at: int
     _unread_since: int = 0  # since when the first bytes may have waited unread; 0: they have been read
     _paused_at: int = 0  # when reading was paused; 0: it is not
+    _is_reading: bool = True
+    _resumed_at: int = 0  # when reading was resumed last
     _backlog_since: int = 0  # since when the peer may have had bytes ready; 0: it has none
     _backdated_to: int = 0  # the time to which the latest bytes are backdated; 0: they are not
     _last_read_bytes: int = 0
@@ -55,10 +58,23 @@
     def pause(self, now: int) -> None:
         """Reading pauses: from now on received data stay in the kernel."""
         self._paused_at = now
+        self._is_reading = False
+
+    def resume(self, now: int) -> None:
+        """Reading goes on."""
+        self._resumed_at = now
+        self._is_reading = True
+
+    def was_quiet(self, earliest: int) -> bool:
+        """Whether the peer had nothing ready before the data that are about to be read. `earliest`: as for
+        `on_read`."""
+        return self._is_reading and earliest - max(self.drained_at, self._resumed_at) >= QUIET_NS_MIN
 
     def on_read(self, now: int, size: int, age: int, earliest: int, is_paused: bool) -> ArrivalRange:
         """Dates a read. `age`: ns since the newest byte arrived, by the kernel; `earliest`: since when the
         process may have been stalled; `is_paused`: reading is still paused."""
+        if self.was_quiet(earliest):
+            self._backlog_since = self._paused_at = 0
         age = age if age <= DATA_AGE_NS_MAX else 0
         reached = now - age
         newest = reached if age >= DATA_AGE_NS_MIN else now
--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -132,20 +132,22 @@
             return
         reader = self._reader
         more_may_be_ready = len(data) >= min(FULL_WINDOW_BYTES_MIN, self._buffers.read_bytes_max())
+        earliest = self._frontend.monitor.earliest_event_time()
+        was_quiet = self._arrival_estimator.was_quiet(earliest)
         # A stream that makes room meanwhile must not parse more within the parser's callback.
         self._is_advancing = True
-        reader.feed(data, *self._date_arrival(len(data)))
+        reader.feed(data, *self._date_arrival(len(data), earliest))
         self._is_advancing = False
         if self._upload is not None:
-            self._last_byte.on_read(self._frontend.now(), len(data), more_may_be_ready)
+            self._last_byte.on_read(self._frontend.now(), len(data), more_may_be_ready, was_quiet)
         if reader.in_body:
             self._frontend.on_body_bytes(self, len(data))
         else:
             self._arrival_estimator.end_backlog()
         self._advance()
 
-    def _date_arrival(self, size: int) -> ArrivalRange:
-        now, earliest = self._frontend.now(), self._frontend.monitor.earliest_event_time()
+    def _date_arrival(self, size: int, earliest: int) -> ArrivalRange:
+        now = self._frontend.now()
         return self._arrival_estimator.on_read(now, size, self._data_age(), earliest, self._paused)
 
     def eof_received(self) -> bool:
@@ -309,6 +311,7 @@
                 self._set_provisional_deadline(self._upload)
         else:
             transport.resume_reading()
+            self._arrival_estimator.resume(self._frontend.now())
             if self._upload is not None and self._request_number:
                 self._frontend.node.withdraw_provisional_deadline(self._request_number)
             if progress is not None:
--- a/driftstair/net/last_byte.py
+++ b/driftstair/net/last_byte.py
@@ -67,10 +67,11 @@
         self._held_up = None
         self._is_client_slow = False
 
-    def on_read(self, now: int, size: int, more_may_be_ready: bool) -> None:
+    def on_read(self, now: int, size: int, more_may_be_ready: bool, was_quiet: bool = False) -> None:
         """`size` bytes have been read. `more_may_be_ready`: they may have filled the receive window, or the
-        buffer that they were read into; if not, what is read after them was not held up."""
-        if self._is_client_slow:
+        buffer that they were read into; if not, what is read after them was not held up. `was_quiet`: nothing
+        came for a while before them although the node was reading, so they were not held up either."""
+        if self._is_client_slow or was_quiet:
             self._held_up = None
         self._is_client_slow = not more_may_be_ready
         self._total_bytes += size
--- a/tests/messages/test_last_byte.py
+++ b/tests/messages/test_last_byte.py
@@ -87,6 +87,15 @@
     assert estimate.earliest(0, None) == 4 * SECOND
 
 
+def test_a_client_that_sent_nothing_while_the_node_was_reading_was_not_held_up() -> None:
+    estimator = LastByteEstimate()
+    read_and_pause(estimator, SECOND, 1e12)
+    estimator.on_read(3 * SECOND, READ_BYTES, more_may_be_ready=True, was_quiet=True)
+    assert estimator.earliest(0, None) is None
+    estimator.on_pause(4 * SECOND, 1e12)
+    assert estimator.earliest(0, None) == 4 * SECOND
+
+
 def test_a_reset_forgets_the_body() -> None:
     estimate = LastByteEstimate()
     read_and_pause(estimate, SECOND, 1e12)
--- a/tests/messages/test_slow_uploads.py
+++ b/tests/messages/test_slow_uploads.py
@@ -212,6 +212,28 @@
     run(test())
 
 
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_a_client_that_pauses_in_a_body_has_its_time_from_its_last_byte(
+    is_chunked: bool, tmp_path: Path
+) -> None:
+    """Guards against a 504 while its server, which needs most of that time, still reads."""
+
+    async def test() -> None:
+        data = encode_upload(UploadCase(3_000_000, 1e6, 2.9, is_chunked=is_chunked), X_Deadline="2900m")
+        async with (
+            SlowReader("s-1", 1e6, small_buffers=False) as server,
+            program(configuration(server), tmp_path) as node,
+        ):
+            client = await node.client()
+            client.writer.write(data[:2_400_000])
+            await client.writer.drain()
+            await asyncio.sleep(1.5)
+            client.writer.write(data[2_400_000:])
+            assert status(await client.read()) == 200
+
+    run(test())
+
+
 def encode_upload(case: UploadCase, **headers: str) -> bytes:
     body = b"x" * case.size
     if not case.is_chunked:
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -8,6 +8,7 @@
     BACKLOG_READ_BYTES_MIN,
     FULL_WINDOW_BYTES_MIN,
     MS,
+    QUIET_NS_MIN,
     READ_DELAY_NS_MIN,
     READY_DATA_GAP_NS_MAX,
     SENDER_BUFFER_BYTES_MAX,
@@ -148,6 +149,31 @@
     assert estimator.date_peer_close(later, age=100 * MS) == later - 100 * MS
 
 
+def test_a_full_window_after_a_quiet_time_is_new() -> None:
+    """Guards against a client that sends much, waits, and sends more: all of it would be dated to the first
+    part, and answered by that time."""
+    estimator = stalled_connection()
+    now = RESUMED + QUIET_NS_MIN - MS
+    assert read_now(estimator, now, WINDOW_BYTES).newest == STALLED_SINCE  # may have been ready
+    now += QUIET_NS_MIN
+    assert read_now(estimator, now, WINDOW_BYTES) == ArrivalRange(now, now)
+    now += MS
+    assert read_now(estimator, now, WINDOW_BYTES) == ArrivalRange(now, now)
+
+
+def test_a_quiet_time_counts_from_when_reading_was_resumed() -> None:
+    estimator = stalled_connection()
+    estimator.pause(RESUMED + MS)
+    now = RESUMED + 10 * QUIET_NS_MIN
+    assert not estimator.was_quiet(now)
+    estimator.resume(now)
+    assert not estimator.was_quiet(now + QUIET_NS_MIN - 1)
+    assert estimator.was_quiet(now + QUIET_NS_MIN)
+    assert read_now(estimator, now + QUIET_NS_MIN, WINDOW_BYTES).oldest == now + QUIET_NS_MIN
+    # A stall tells nothing of the time that it lasted.
+    assert not estimator.was_quiet(now + QUIET_NS_MIN)
+
+
 def test_data_left_in_the_kernel_are_dated_to_the_pause() -> None:
     estimator = ArrivalEstimator(900 * MS)
     estimator.pause(1000 * MS)
