An upload is not dated by pauses in a body before it on its connection

What callers saw: a long upload had its 504 after 14 ms where the body before it on the same connection had been paused by the parser's limits of a turn.

Cause: every pause within a body began the time in which a client counts as held up, also in bodies that are read whole, and only the end of an upload ends that time.

Change: only the pauses of an upload count. What the estimate needs of a read is worked out only while there is an upload, and not for each read of any request.

--- a/driftstair/net/client_connection.py
+++ b/driftstair/net/client_connection.py
@@ -131,14 +131,14 @@
                 self.abort(CloseReason.TOO_MUCH_AFTER_END)
             return
         reader = self._reader
-        more_may_be_ready = len(data) >= min(FULL_WINDOW_BYTES_MIN, self._buffers.read_bytes_max())
         earliest = self._frontend.monitor.earliest_event_time()
-        was_quiet = self._arrival_estimator.was_quiet(earliest)
+        was_quiet = self._upload is not None and self._arrival_estimator.was_quiet(earliest)
         # A stream that makes room meanwhile must not parse more within the parser's callback.
         self._is_advancing = True
         reader.feed(data, *self._date_arrival(len(data), earliest))
         self._is_advancing = False
         if self._upload is not None:
+            more_may_be_ready = len(data) >= min(FULL_WINDOW_BYTES_MIN, self._buffers.read_bytes_max())
             self._last_byte.on_read(self._frontend.now(), len(data), more_may_be_ready, was_quiet)
         if reader.in_body:
             self._frontend.on_body_bytes(self, len(data))
@@ -304,11 +304,12 @@
         if paused:
             transport.pause_reading()
             self._arrival_estimator.pause(self._frontend.now())
-            if progress is not None:
-                self._last_byte.on_pause(self._frontend.now(), progress.bytes_per_s(self._loop.time()))
-                progress.pause(self._loop.time())
             if self._upload is not None:
+                rate = 0.0 if progress is None else progress.bytes_per_s(self._loop.time())
+                self._last_byte.on_pause(self._frontend.now(), rate)
                 self._set_provisional_deadline(self._upload)
+            if progress is not None:
+                progress.pause(self._loop.time())
         else:
             transport.resume_reading()
             self._arrival_estimator.resume(self._frontend.now())
--- a/tests/messages/test_slow_uploads.py
+++ b/tests/messages/test_slow_uploads.py
@@ -234,6 +234,28 @@
     run(test())
 
 
+def test_an_upload_is_not_dated_by_a_body_before_it_on_the_connection(tmp_path: Path) -> None:
+    """Guards against a 504 at once: the parser's pauses in a body that is read whole are not its server's."""
+
+    async def test() -> None:
+        case = UploadCase(2_000_000, 1e9, 1.0)
+        async with (
+            SlowReader("s-1", 1e9, answers_after_s=1.6, small_buffers=False) as slow,
+            program(configuration(slow), tmp_path) as node,
+        ):
+            client = await node.client()
+            head = request("order", method="POST", Transfer_Encoding="chunked", X_Deadline="5000m")
+            pieces = b"1\r\nx\r\n" * 50_000  # more than is parsed in one turn
+            client.writer.write(head.replace(b"Content-Length: 0\r\n", b"") + pieces + b"0\r\n\r\n")
+            assert status(await client.read()) == 200
+            began_at = asyncio.get_running_loop().time()
+            client.writer.write(encode_upload(case, X_Deadline="1000m"))
+            assert status(await client.read()) == 504
+            assert asyncio.get_running_loop().time() - began_at >= case.patience_s - 0.1
+
+    run(test())
+
+
 def encode_upload(case: UploadCase, **headers: str) -> bytes:
     body = b"x" * case.size
     if not case.is_chunked:
